--- /dev/null
+++ b/idl/limpet.thrift
@@ -0,0 +1,324 @@
+namespace cpp limpet.wire
+
+// Configuration resources. All names are unique within their kind.
+
+struct Service {
+  1: string name
+  2: i32 timeout_ms
+  3: list<string> idempotent_methods
+  4: i32 slots
+  5: i32 connections
+}
+
+struct Target {
+  1: string name
+  2: string service_name
+  3: string data_centre
+  4: string address
+}
+
+struct Rule {
+  1: string name
+  2: bool retry_enabled
+  3: i32 max_attempts
+  4: i32 deadline_ms
+}
+
+struct Route {
+  1: string name
+  2: string path_prefix
+  3: string service_name
+  4: string rule
+  5: list<string> callers
+}
+
+struct ConfigDelta {
+  1: list<Service> set_services
+  2: list<Target> set_targets
+  3: list<Rule> set_rules
+  4: list<Route> set_routes
+  5: list<string> removed_services
+  6: list<string> removed_targets
+  7: list<string> removed_rules
+  8: list<string> removed_routes
+}
+
+// One record of the stream "config".
+struct ChangeRecord {
+  1: string id
+  2: i64 base
+  3: string author
+  4: string comment
+  5: ConfigDelta delta
+}
+
+// A change accepted by replay; version is the offset of its record.
+struct AcceptedChange {
+  1: i64 version
+  2: ChangeRecord record
+}
+
+// A whole configuration and the offset at which replay continues.
+struct FullConfig {
+  1: i64 version
+  2: i64 next_offset
+  3: list<Service> services
+  4: list<Target> targets
+  5: list<Rule> rules
+  6: list<Route> routes
+}
+
+// Records of the stream "system". The token is the offset of the writer's lease claim.
+
+struct LeaseClaim {
+  1: string lease
+  2: string holder
+  3: i64 incarnation
+}
+
+struct Checkpoint {
+  1: i64 token
+  2: FullConfig config
+}
+
+struct VersionCount {
+  1: i64 version
+  2: i32 nodes
+}
+
+struct NodeVersion {
+  1: string node
+  2: i64 version
+}
+
+struct NodeRefusal {
+  1: string node
+  2: i64 version
+  3: string reason
+}
+
+struct StatusRecord {
+  1: i64 token
+  2: string data_centre
+  3: i32 members
+  4: list<VersionCount> counts
+  5: list<NodeVersion> behind
+  6: list<NodeRefusal> refusals
+}
+
+struct RosterRecord {
+  1: i64 token
+  2: string data_centre
+  3: list<string> nodes
+}
+
+struct SystemRecord {
+  1: optional LeaseClaim claim
+  2: optional Checkpoint checkpoint
+  3: optional StatusRecord status
+  4: optional RosterRecord roster
+}
+
+// Membership.
+
+enum MemberState {
+  kAlive = 0
+  kSuspect = 1
+  kLeft = 2
+  kDead = 3
+}
+
+enum TargetState {
+  kStarting = 0
+  kUp = 1
+  kDraining = 2
+  kDown = 3
+}
+
+// Ordered by (incarnation, sequence, state); the greatest wins.
+// The incarnation identifies a process start, the sequence an update by that process.
+struct MemberRecord {
+  1: string name
+  2: i64 incarnation
+  3: i32 sequence
+  4: MemberState state
+  5: TargetState target_state
+  6: string data_centre
+  7: string service_name
+  8: string host
+  9: i32 port
+}
+
+struct DataCentreStatus {
+  1: string data_centre
+  2: bool reachable
+}
+
+struct Ping {
+  1: i64 nonce
+  2: i64 version
+  3: list<MemberRecord> updates
+}
+
+struct Ack {
+  1: i64 nonce
+  2: i64 version
+  3: list<MemberRecord> updates
+}
+
+// Asks the receiver to ping a member on behalf of the sender.
+struct PingRequest {
+  1: i64 nonce
+  2: string name
+  3: string host
+  4: i32 port
+}
+
+struct Gossip {
+  1: list<MemberRecord> updates
+  2: list<DataCentreStatus> data_centres
+}
+
+struct JoinRequest {
+  1: MemberRecord member
+}
+
+struct JoinReply {
+  1: list<MemberRecord> members
+  2: i64 version
+  3: bool ready
+}
+
+struct BucketDigest {
+  1: list<i64> hashes
+  2: bool reply_wanted
+}
+
+struct BucketContent {
+  1: list<i32> buckets
+  2: list<MemberRecord> members
+  3: bool reply_wanted
+}
+
+// Configuration distribution.
+
+struct DeltaPush {
+  1: list<AcceptedChange> changes
+}
+
+struct DeltaRequest {
+  1: i64 have
+}
+
+struct CheckpointRequest {
+  1: i64 have
+}
+
+struct CheckpointReply {
+  1: FullConfig config
+}
+
+struct CheckpointRefusal {
+  1: i32 retry_after_ms
+}
+
+struct StatusReport {
+  1: i64 version
+  2: i64 refused_version
+  3: string refusal_reason
+}
+
+struct Message {
+  1: optional Ping ping
+  2: optional Ack ack
+  3: optional PingRequest ping_request
+  4: optional Gossip gossip
+  5: optional JoinRequest join_request
+  6: optional JoinReply join_reply
+  7: optional BucketDigest bucket_digest
+  8: optional BucketContent bucket_content
+  9: optional DeltaPush delta_push
+  10: optional DeltaRequest delta_request
+  11: optional CheckpointRequest checkpoint_request
+  12: optional CheckpointReply checkpoint_reply
+  13: optional CheckpointRefusal checkpoint_refusal
+  14: optional StatusReport status_report
+}
+
+struct Envelope {
+  1: string sender
+  2: i64 sender_incarnation
+  3: string sender_host
+  4: i32 sender_port
+  5: Message message
+}
+
+// Calls.
+
+enum Outcome {
+  kRan = 0
+  kNotRun = 1
+  kUnknown = 2
+}
+
+enum RefusalReason {
+  kNone = 0
+  kOverloaded = 1
+  kQueueTimeout = 2
+  kDraining = 3
+  kDeadlinePassed = 4
+  kDuplicate = 5
+  kWrongIncarnation = 6
+  kTargetUnavailable = 7
+  kNoEndpoint = 8
+  kNoRoute = 9
+  kCallerShare = 10
+  kTruncatedReply = 11
+  kTargetTimeout = 12
+  kConnectionLost = 13
+  kCancelled = 14
+}
+
+struct Header {
+  1: string name
+  2: string value
+}
+
+struct CallRequest {
+  1: string attempt_id
+  2: string request_id
+  3: i64 target_incarnation
+  4: string service_name
+  5: string method
+  6: string path
+  7: list<Header> headers
+  8: binary body
+  9: bool idempotent
+  10: i32 deadline_ms
+  11: string caller
+  12: i32 depth
+  13: string traceparent
+}
+
+struct LoadReport {
+  1: i32 in_flight
+  2: i32 limit
+  3: i32 queued
+  4: i32 service_time_us
+}
+
+struct CallReply {
+  1: string attempt_id
+  2: Outcome outcome
+  3: RefusalReason reason
+  4: bool already_retried
+  5: i32 http_status
+  6: list<Header> headers
+  7: binary body
+  8: LoadReport load
+}
+
+service Peer {
+  CallReply call(1: CallRequest request)
+  oneway void deliver(1: Envelope envelope)
+}
--- /dev/null
+++ b/include/limpet/control/control_output.h
@@ -0,0 +1,77 @@
+#ifndef LIMPET_CONTROL_CONTROL_OUTPUT_H_
+#define LIMPET_CONTROL_CONTROL_OUTPUT_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "limpet_types.h"
+
+namespace limpet {
+
+struct PeerAddress {
+  std::string host;
+  int port = 0;
+
+  auto operator<=>(const PeerAddress&) const = default;
+};
+
+struct OutgoingMessage {
+  PeerAddress to;
+  wire::Envelope envelope;
+};
+
+enum class LogStatus {
+  kOk,
+  kUnavailable,      // the request did not reach the log
+  kUnknownOutcome,   // the answer was lost; an append may have taken effect
+  kThrottled,        // refused by the append rate limit; not appended
+  kTooLarge,         // record over the size limit; not appended
+  kOffsetExpired,    // a read below the first retained offset
+  kMalformedAnswer,  // the log answered something that does not parse
+};
+
+struct LogAppend {
+  uint64_t request = 0;
+  std::string stream;
+  std::string payload;
+};
+
+struct LogRead {
+  uint64_t request = 0;
+  std::string stream;
+  /// First offset wanted; offsets start at 1.
+  int64_t from = 1;
+  int max_records = 0;
+};
+
+using LogRequest = std::variant<LogAppend, LogRead>;
+
+struct LogRecord {
+  int64_t offset = 0;
+  std::string payload;
+};
+
+/// Result of a `LogAppend` (`offset` is set) or a `LogRead` (the other fields are set).
+struct LogResult {
+  uint64_t request = 0;
+  LogStatus status = LogStatus::kOk;
+  int64_t offset = 0;
+  std::vector<LogRecord> records;
+  /// First offset that the log still keeps and the offset after its last record.
+  int64_t first_offset = 1;
+  int64_t end_offset = 1;
+};
+
+/// What a driver has to carry out after a step.
+struct ControlOutput {
+  std::vector<OutgoingMessage> messages;
+  std::vector<LogRequest> log_requests;
+
+  void Append(ControlOutput other);
+};
+
+}  // namespace limpet
+
+#endif  // LIMPET_CONTROL_CONTROL_OUTPUT_H_
--- /dev/null
+++ b/include/limpet/core/enum_names.h
@@ -0,0 +1,39 @@
+#ifndef LIMPET_CORE_ENUM_NAMES_H_
+#define LIMPET_CORE_ENUM_NAMES_H_
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace limpet {
+
+/// Table of the names of an `enum class`, for logs, settings and JSON.
+template <typename Enum, std::size_t N>
+using EnumNames = std::array<std::pair<Enum, std::string_view>, N>;
+
+/// Returns "unknown" for a value that the table lacks.
+template <typename Enum, std::size_t N>
+constexpr std::string_view NameOf(const EnumNames<Enum, N>& names, Enum value) {
+  for (const auto& [entry, name] : names) {
+    if (entry == value) {
+      return name;
+    }
+  }
+  return "unknown";
+}
+
+template <typename Enum, std::size_t N>
+constexpr std::optional<Enum> ValueOf(const EnumNames<Enum, N>& names, std::string_view name) {
+  for (const auto& [entry, entry_name] : names) {
+    if (entry_name == name) {
+      return entry;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace limpet
+
+#endif  // LIMPET_CORE_ENUM_NAMES_H_
--- /dev/null
+++ b/include/limpet/core/fault.h
@@ -0,0 +1,63 @@
+#ifndef LIMPET_CORE_FAULT_H_
+#define LIMPET_CORE_FAULT_H_
+
+#include "limpet/core/enum_names.h"
+
+namespace limpet {
+
+/// Deliberate faults for checking the checks: `scripts/mutation-check` switches on one at a time
+/// and expects a test to fail. Compiled in only with the CMake option LIMPET_FAULTS.
+enum class Fault {
+  kNone,
+  kSkipBaseCheck,
+  kAcceptOlderVersion,
+  kSwapBeforeValidate,
+  kSkipClosureCheck,
+  kSkipFence,
+  kSkipRepair,
+  kReadyTooEarly,
+  kSkipRefutation,
+  kForgetLeaving,
+  kRetryUnknown,
+  kSkipLedger,
+  kSkipIncarnationCheck,
+  kFalseNotRun,
+  kSkipAttemptMatch,
+  kAcceptTruncated,
+  kAdmitWhileDraining,
+  kCutInFlightOnStop,
+};
+
+inline constexpr EnumNames<Fault, 18> kFaultNames = {{
+    {Fault::kNone, "none"},
+    {Fault::kSkipBaseCheck, "skip_base_check"},
+    {Fault::kAcceptOlderVersion, "accept_older_version"},
+    {Fault::kSwapBeforeValidate, "swap_before_validate"},
+    {Fault::kSkipClosureCheck, "skip_closure_check"},
+    {Fault::kSkipFence, "skip_fence"},
+    {Fault::kSkipRepair, "skip_repair"},
+    {Fault::kReadyTooEarly, "ready_too_early"},
+    {Fault::kSkipRefutation, "skip_refutation"},
+    {Fault::kForgetLeaving, "forget_leaving"},
+    {Fault::kRetryUnknown, "retry_unknown"},
+    {Fault::kSkipLedger, "skip_ledger"},
+    {Fault::kSkipIncarnationCheck, "skip_incarnation_check"},
+    {Fault::kFalseNotRun, "false_not_run"},
+    {Fault::kSkipAttemptMatch, "skip_attempt_match"},
+    {Fault::kAcceptTruncated, "accept_truncated"},
+    {Fault::kAdmitWhileDraining, "admit_while_draining"},
+    {Fault::kCutInFlightOnStop, "cut_in_flight_on_stop"},
+}};
+
+#ifdef LIMPET_FAULTS
+/// True if the environment variable LIMPET_FAULT names this fault.
+bool IsFaultActive(Fault fault);
+#else
+constexpr bool IsFaultActive(Fault /*fault*/) {
+  return false;
+}
+#endif
+
+}  // namespace limpet
+
+#endif  // LIMPET_CORE_FAULT_H_
--- /dev/null
+++ b/include/limpet/wire/codec.h
@@ -0,0 +1,30 @@
+#ifndef LIMPET_WIRE_CODEC_H_
+#define LIMPET_WIRE_CODEC_H_
+
+#include <string>
+#include <string_view>
+
+#include "limpet_types.h"
+
+namespace limpet::wire {
+
+/// Largest serialised message that `Decode` accepts, in bytes. Keeps a hostile length field from
+/// allocating without bound.
+inline constexpr int kMaxMessageBytes = 8 * 1024 * 1024;
+
+/// Serialises with Thrift's compact protocol.
+std::string Encode(const ChangeRecord& record);
+std::string Encode(const SystemRecord& record);
+std::string Encode(const FullConfig& config);
+std::string Encode(const Envelope& envelope);
+
+/// Reverse of `Encode`. Throws `DecodeError` on truncated, oversized or malformed bytes and on
+/// bytes after the message.
+void Decode(std::string_view bytes, ChangeRecord& record);
+void Decode(std::string_view bytes, SystemRecord& record);
+void Decode(std::string_view bytes, FullConfig& config);
+void Decode(std::string_view bytes, Envelope& envelope);
+
+}  // namespace limpet::wire
+
+#endif  // LIMPET_WIRE_CODEC_H_
--- /dev/null
+++ b/tests/wire/codec_test.cc
@@ -0,0 +1,58 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "limpet/core/error.h"
+#include "limpet/core/random.h"
+#include "limpet/wire/codec.h"
+
+namespace limpet {
+namespace {
+
+wire::ChangeRecord Sample() {
+  wire::Service service;
+  service.name = "ticket-desk";
+  service.idempotent_methods = {"GET"};
+  wire::ChangeRecord record;
+  record.id = "0123";
+  record.base = 7;
+  record.delta.set_services = {service};
+  return record;
+}
+
+TEST_CASE("a record survives encoding") {
+  wire::ChangeRecord decoded;
+  wire::Decode(wire::Encode(Sample()), decoded);
+  CHECK(decoded == Sample());
+}
+
+TEST_CASE("every truncation of a record is a decode error") {
+  const std::string bytes = wire::Encode(Sample());
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    wire::ChangeRecord decoded;
+    CHECK_THROWS_AS(wire::Decode(std::string_view(bytes).substr(0, size), decoded), DecodeError);
+  }
+}
+
+TEST_CASE("bytes after the record are a decode error") {
+  wire::ChangeRecord decoded;
+  CHECK_THROWS_AS(wire::Decode(wire::Encode(Sample()) + "x", decoded), DecodeError);
+}
+
+TEST_CASE("random bytes either decode or raise a decode error") {
+  Random random(1);
+  for (int round = 0; round < 20000; ++round) {
+    std::string bytes(random.Below(64), '\0');
+    for (char& byte : bytes) {
+      byte = static_cast<char>(random.Below(256));
+    }
+    wire::Envelope envelope;
+    try {
+      wire::Decode(bytes, envelope);
+    } catch (const DecodeError&) {
+    }
+  }
+}
+
+}  // namespace
+}  // namespace limpet
