--- a/include/limpet/config/config.h
+++ b/include/limpet/config/config.h
@@ -35,7 +35,8 @@
 bool IsEmpty(const wire::ConfigDelta& delta);
 
 /// Result of `delta` on `base`, resources sorted by name. Version and next offset are those of
-/// `base`. Removing a name that is absent has no effect. Does not validate.
+/// `base`. Removing a name that is absent has no effect; a name that is both removed and set is
+/// set. Does not validate.
 wire::FullConfig ApplyDelta(const wire::FullConfig& base, const wire::ConfigDelta& delta);
 
 }  // namespace limpet
