Add the INI reader and the checked settings of limpetd

Settings are one table of member pointers with type, default, allowed range and meaning. Every key is checked at the start, unknown keys are errors, and the same table prints the Markdown page.

--- /dev/null
+++ b/src/config/ini_reader.cc
@@ -0,0 +1,120 @@
+#include "limpet/config/ini_reader.h"
+
+#include <cxxtools/char.h>
+#include <cxxtools/iniparser.h>
+
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+namespace limpet {
+namespace {
+
+std::string Bytes(const cxxtools::String& text) {
+  std::string bytes;
+  bytes.reserve(text.size());
+  for (const cxxtools::Char c : text) {
+    bytes.push_back(static_cast<char>(c.value()));
+  }
+  return bytes;
+}
+
+bool HasControlCharacter(const std::string& text) {
+  for (const char c : text) {
+    if ((c >= 0 && c < ' ' && c != '\t') || c == '\x7f') {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::string Trimmed(const std::string& text) {
+  const std::size_t first = text.find_first_not_of(" \t");
+  const std::size_t last = text.find_last_not_of(" \t");
+  return first == std::string::npos ? "" : text.substr(first, last - first + 1);
+}
+
+class Collector : public cxxtools::IniParser::Event {
+ public:
+  explicit Collector(std::string file) { location_.file = std::move(file); }
+
+  void set_line(int line) { location_.line = line; }
+  const SourceLocation& location() const { return location_; }
+  std::vector<IniSection> TakeSections() { return std::move(sections_); }
+
+  bool onSection(const cxxtools::String& section) override {
+    sections_.push_back({Trimmed(Checked(section)), location_, {}});
+    return false;
+  }
+
+  bool onKey(const cxxtools::String& key) override {
+    IniEntry entry{Checked(key), "", location_};
+    if (sections_.empty()) {
+      throw FileError(location_, "key \"" + entry.key +
+                                     "\" stands before the first section; put it below a line "
+                                     "such as [service NAME]");
+    }
+    for (const IniEntry& earlier : sections_.back().entries) {
+      if (earlier.key == entry.key) {
+        throw FileError(location_, "key \"" + entry.key + "\" is given twice in [" +
+                                       sections_.back().name + "], first in line " +
+                                       std::to_string(earlier.location.line) + "; remove one");
+      }
+    }
+    sections_.back().entries.push_back(std::move(entry));
+    return false;
+  }
+
+  bool onValue(const cxxtools::String& value) override {
+    sections_.back().entries.back().value = Trimmed(Checked(value));
+    return false;
+  }
+
+  bool onError() override {
+    throw FileError(
+        location_,
+        "not INI text; expected a section \"[kind name]\", \"key = value\" or a comment "
+        "that starts with '#'");
+  }
+
+ private:
+  std::string Checked(const cxxtools::String& text) const {
+    std::string bytes = Bytes(text);
+    if (HasControlCharacter(bytes)) {
+      throw FileError(location_,
+                      "a control character or line break inside a name or value; remove it or "
+                      "close the quote or bracket");
+    }
+    return bytes;
+  }
+
+  SourceLocation location_;
+  std::vector<IniSection> sections_;
+};
+
+}  // namespace
+
+std::vector<IniSection> ReadIni(const std::string& text, const std::string& file) {
+  Collector collector(file);
+  cxxtools::IniParser parser(collector);
+  int line = 1;
+  for (const char c : text) {
+    collector.set_line(line);
+    // Each byte is passed as one character, so that UTF-8 in comments and values stays as it is.
+    parser.parse(cxxtools::Char(static_cast<unsigned char>(c)));
+    line += c == '\n' ? 1 : 0;
+  }
+  parser.end();
+  return collector.TakeSections();
+}
+
+std::string ReadTextFile(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+  if (!in.is_open() || in.bad()) {
+    throw FileError({path, 0}, "cannot be read; check the path and its permissions");
+  }
+  return text;
+}
+
+}  // namespace limpet
--- /dev/null
+++ b/src/settings/node_settings.cc
@@ -0,0 +1,383 @@
+#include "limpet/settings/node_settings.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdint>
+#include <cstdio>
+#include <span>
+#include <variant>
+
+#include "limpet/config/ini_reader.h"
+#include "limpet/config/limits.h"
+
+namespace limpet {
+namespace {
+
+using Member = std::variant<std::string NodeSettings::*,
+                            int NodeSettings::*,
+                            double NodeSettings::*,
+                            TraceOutput NodeSettings::*,
+                            LogLevel NodeSettings::*,
+                            std::vector<PeerAddress> NodeSettings::*>;
+
+/// Syntax of a text value.
+enum class TextKind { kAny, kName, kHost, kPath };
+
+struct Key {
+  std::string_view section;
+  std::string_view name;
+  Member member;
+  std::string_view doc;
+  /// Allowed values of an integer.
+  Range range = {};
+  TextKind text = TextKind::kAny;
+  bool required = false;
+};
+
+constexpr Range kPortRange{1, 65535};
+constexpr Range kMsRange{1, 600'000};
+
+const std::vector<Key>& Keys() {
+  using S = NodeSettings;
+  static const std::vector<Key> kKeys = {
+      {"node",
+       "name",
+       &S::name,
+       "Name of this node, unique in the mesh",
+       {},
+       TextKind::kName,
+       true},
+      {"node", "data_centre", &S::data_centre, "Data centre of this VM", {}, TextKind::kName, true},
+      {"node",
+       "service",
+       &S::service,
+       "Service of the target beside this node",
+       {},
+       TextKind::kName,
+       true},
+      {"node",
+       "host",
+       &S::host,
+       "Address listened on and announced to other nodes",
+       {},
+       TextKind::kHost},
+      {"node", "peer_port", &S::peer_port, "UDP and TCP port for other nodes", kPortRange},
+      {"node", "http_port", &S::http_port,
+       "HTTP port for callers and for /metrics, /health, /ready, /members, /config and /drain",
+       kPortRange},
+      {"node", "seeds", &S::seeds, "Nodes to join through, separated by commas"},
+      {"target", "host", &S::target_host, "Address of the target", {}, TextKind::kHost},
+      {"target", "port", &S::target_port, "HTTP port of the target", kPortRange},
+      {"target",
+       "health_path",
+       &S::target_health_path,
+       "Health endpoint of the target",
+       {},
+       TextKind::kPath},
+      {"target",
+       "health_interval_ms",
+       &S::target_health_interval_ms,
+       "Time between two health probes",
+       {10, 600'000}},
+      {"target", "health_timeout_ms", &S::target_health_timeout_ms,
+       "A probe without an answer for this long counts as failed", kMsRange},
+      {"log",
+       "host",
+       &S::log_host,
+       "Address of the platform's log; empty: run without it",
+       {},
+       TextKind::kHost},
+      {"log", "port", &S::log_port, "HTTP port of the platform's log", kPortRange},
+      {"log", "timeout_ms", &S::log_timeout_ms, "Longest wait for an answer of the log", kMsRange},
+      {"trace", "sampling", &S::trace_sampling,
+       "Fraction of the calls without a traceparent that are traced"},
+      {"trace", "output", &S::trace_output, "Where spans go"},
+      {"trace", "file", &S::trace_file, "File of output = file, one JSON document a line"},
+      {"trace",
+       "collector_host",
+       &S::trace_collector_host,
+       "Address of the OTLP/HTTP collector of output = collector",
+       {},
+       TextKind::kHost},
+      {"trace", "collector_port", &S::trace_collector_port, "Port of the collector", kPortRange},
+      {"logging", "level", &S::log_level, "Least severe level that is logged"},
+      {"limits", "slots", &S::slots, "Largest number of requests that the target runs at once",
+       kSlotsRange},
+      {"limits",
+       "queue_length",
+       &S::queue_length,
+       "Requests that may wait for a slot",
+       {0, 100'000}},
+      {"limits", "connections", &S::connections, "Connections to and from the target together",
+       kConnectionsRange},
+      {"limits",
+       "max_body_bytes",
+       &S::max_body_bytes,
+       "Largest request or response body",
+       {1024, 64 * 1024 * 1024}},
+      {"control",
+       "tick_ms",
+       &S::tick_ms,
+       "Time between two steps of the control thread",
+       {10, 1000}},
+      {"control", "peer_timeout_ms", &S::peer_timeout_ms,
+       "Longest wait for a connection to another node", kMsRange},
+      {"control", "drain_timeout_ms", &S::drain_timeout_ms,
+       "Longest wait for requests in flight at a planned stop", kMsRange},
+  };
+  return kKeys;
+}
+
+template <std::size_t N, typename Enum>
+std::string NamesText(const EnumNames<Enum, N>& names) {
+  std::string text;
+  for (const auto& [value, name] : names) {
+    text += (text.empty() ? "" : ", ") + std::string(name);
+  }
+  return text;
+}
+
+bool IsNameChar(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.' ||
+         c == '_' || c == '-';
+}
+
+bool IsName(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxNameBytes && std::ranges::all_of(text, IsNameChar);
+}
+
+bool IsTextAllowed(TextKind kind, std::string_view text) {
+  switch (kind) {
+    case TextKind::kAny:
+      return true;
+    case TextKind::kName:
+      return IsName(text);
+    case TextKind::kHost:
+      return text.empty() || IsName(text);
+    case TextKind::kPath:
+      return text.starts_with('/') && text.find_first_of(" \t?#") == std::string_view::npos;
+  }
+  return false;
+}
+
+template <typename Number>
+bool ParseNumber(std::string_view text, Number& number) {
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, number);
+  return error == std::errc() && stop == end;
+}
+
+bool ParseAddress(std::string_view text, PeerAddress& address) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos || !IsName(text.substr(0, colon)) ||
+      !ParseNumber(text.substr(colon + 1), address.port) || !kPortRange.Contains(address.port)) {
+    return false;
+  }
+  address.host = text.substr(0, colon);
+  return true;
+}
+
+bool ParseAddresses(std::string_view text, std::vector<PeerAddress>& addresses) {
+  while (!text.empty()) {
+    const std::size_t comma = std::min(text.find(','), text.size());
+    std::string_view item = text.substr(0, comma);
+    text.remove_prefix(std::min(comma + 1, text.size()));
+    item.remove_prefix(std::min(item.find_first_not_of(" \t"), item.size()));
+    item = item.substr(0, item.find_last_not_of(" \t") + 1);
+    if (!ParseAddress(item, addresses.emplace_back())) {
+      return false;
+    }
+  }
+  return true;
+}
+
+template <std::size_t N, typename Enum>
+bool ParseName(const EnumNames<Enum, N>& names, std::string_view text, Enum& value) {
+  const auto found = ValueOf(names, text);
+  value = found.value_or(value);
+  return found.has_value();
+}
+
+/// Sets one member from text; false if the value is not allowed.
+struct Setter {
+  const Key& key;
+  std::string_view text;
+  NodeSettings& settings;
+
+  bool operator()(std::string NodeSettings::*member) const {
+    settings.*member = text;
+    return IsTextAllowed(key.text, text);
+  }
+  bool operator()(int NodeSettings::*member) const {
+    return ParseNumber(text, settings.*member) && key.range.Contains(settings.*member);
+  }
+  bool operator()(double NodeSettings::*member) const {
+    double& value = settings.*member;
+    return ParseNumber(text, value) && value >= 0.0 && value <= 1.0;
+  }
+  bool operator()(TraceOutput NodeSettings::*member) const {
+    return ParseName(kTraceOutputNames, text, settings.*member);
+  }
+  bool operator()(LogLevel NodeSettings::*member) const {
+    return ParseName(kLogLevelNames, text, settings.*member);
+  }
+  bool operator()(std::vector<PeerAddress> NodeSettings::*member) const {
+    return ParseAddresses(text, settings.*member);
+  }
+};
+
+struct AllowedText {
+  const Key& key;
+
+  std::string operator()(std::string NodeSettings::*) const {
+    switch (key.text) {
+      case TextKind::kAny:
+        return "any text";
+      case TextKind::kName:
+        return "1 to 128 letters, digits, '.', '_' or '-'";
+      case TextKind::kHost:
+        return "an IPv4 address or a host name";
+      case TextKind::kPath:
+        return "a path that starts with '/'";
+    }
+    return "";
+  }
+  std::string operator()(int NodeSettings::*) const { return key.range.Text(); }
+  std::string operator()(double NodeSettings::*) const { return "0 to 1"; }
+  std::string operator()(TraceOutput NodeSettings::*) const { return NamesText(kTraceOutputNames); }
+  std::string operator()(LogLevel NodeSettings::*) const { return NamesText(kLogLevelNames); }
+  std::string operator()(std::vector<PeerAddress> NodeSettings::*) const {
+    return "a list of host:port";
+  }
+};
+
+struct TypeText {
+  std::string operator()(std::string NodeSettings::*) const { return "text"; }
+  std::string operator()(int NodeSettings::*) const { return "integer"; }
+  std::string operator()(double NodeSettings::*) const { return "number"; }
+  std::string operator()(TraceOutput NodeSettings::*) const { return "choice"; }
+  std::string operator()(LogLevel NodeSettings::*) const { return "choice"; }
+  std::string operator()(std::vector<PeerAddress> NodeSettings::*) const { return "list"; }
+};
+
+struct DefaultText {
+  NodeSettings defaults = {};
+
+  std::string operator()(std::string NodeSettings::*member) const { return defaults.*member; }
+  std::string operator()(int NodeSettings::*member) const {
+    return std::to_string(defaults.*member);
+  }
+  std::string operator()(double NodeSettings::*member) const {
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%g", defaults.*member);
+    return text.data();
+  }
+  std::string operator()(TraceOutput NodeSettings::*member) const {
+    return std::string(NameOf(kTraceOutputNames, defaults.*member));
+  }
+  std::string operator()(LogLevel NodeSettings::*member) const {
+    return std::string(NameOf(kLogLevelNames, defaults.*member));
+  }
+  std::string operator()(std::vector<PeerAddress> NodeSettings::*) const { return ""; }
+};
+
+std::string FullName(const Key& key) {
+  return "[" + std::string(key.section) + "] " + std::string(key.name);
+}
+
+/// Names for a remedy: the sections, or the keys of one section.
+std::string KnownNames(std::string_view section) {
+  std::string text;
+  std::string_view last;
+  for (const Key& key : Keys()) {
+    const std::string_view name = section.empty() ? key.section : key.name;
+    if ((section.empty() || key.section == section) && name != last) {
+      text += (text.empty() ? "" : ", ") + std::string(name);
+      last = name;
+    }
+  }
+  return text;
+}
+
+const Key& FindKey(const IniSection& section, const IniEntry& entry) {
+  for (const Key& key : Keys()) {
+    if (key.section == section.name && key.name == entry.key) {
+      return key;
+    }
+  }
+  throw FileError(entry.location, "unknown key \"" + entry.key + "\" in [" + section.name +
+                                      "]; known keys are " + KnownNames(section.name));
+}
+
+/// Conditions that concern more than one key.
+void CheckTogether(const NodeSettings& settings, const std::string& file) {
+  if (settings.trace_output == TraceOutput::kFile && settings.trace_file.empty()) {
+    throw FileError({file, 0}, "[trace] output = file needs [trace] file; give the path of a file");
+  }
+  if (settings.peer_port == settings.http_port) {
+    throw FileError({file, 0},
+                    "[node] peer_port and http_port are equal; give them different values");
+  }
+}
+
+}  // namespace
+
+NodeSettings ParseSettings(std::string_view text, const std::string& file) {
+  NodeSettings settings;
+  std::vector<const Key*> given;
+  for (const IniSection& section : ReadIni(std::string(text), file)) {
+    if (std::ranges::none_of(Keys(), [&](const Key& k) { return k.section == section.name; })) {
+      throw FileError(section.location,
+                      "unknown section [" + section.name + "]; known are " + KnownNames(""));
+    }
+    for (const IniEntry& entry : section.entries) {
+      const Key& key = FindKey(section, entry);
+      if (std::ranges::find(given, &key) != given.end()) {
+        throw FileError(entry.location, FullName(key) + " is given twice; remove one");
+      }
+      given.push_back(&key);
+      if (!std::visit(Setter{key, entry.value, settings}, key.member)) {
+        throw FileError(entry.location, FullName(key) + " = \"" + entry.value +
+                                            "\" is not allowed; allowed is " +
+                                            std::visit(AllowedText{key}, key.member));
+      }
+    }
+  }
+  for (const Key& key : Keys()) {
+    if (key.required && std::ranges::find(given, &key) == given.end()) {
+      throw FileError({file, 0}, FullName(key) + " is missing; allowed is " +
+                                     std::visit(AllowedText{key}, key.member));
+    }
+  }
+  CheckTogether(settings, file);
+  return settings;
+}
+
+NodeSettings LoadSettings(const std::string& path) {
+  return ParseSettings(ReadTextFile(path), path);
+}
+
+std::string SettingsMarkdown() {
+  std::string text =
+      "# Settings of limpetd\n\nGenerated by `limpetd --print-settings`. An unknown key or a value "
+      "that is not allowed stops the start.\n";
+  std::string_view section;
+  for (const Key& key : Keys()) {
+    if (key.section != section) {
+      section = key.section;
+      text += "\n## [" + std::string(section) +
+              "]\n\n| key | type | default | allowed | meaning |\n|---|---|---|---|---|\n";
+    }
+    const std::string initial = std::visit(DefaultText(), key.member);
+    text += "| `" + std::string(key.name) + "` | " + std::visit(TypeText(), key.member) + " | " +
+            (key.required      ? "required"
+             : initial.empty() ? "empty"
+                               : "`" + initial + "`") +
+            " | " + std::visit(AllowedText{key}, key.member) + " | " + std::string(key.doc) +
+            " |\n";
+  }
+  return text;
+}
+
+}  // namespace limpet
