Add the HTTP log client and the stand-in of the platform's log

The client maps every failure to a LogStatus and accepts only answers that make sense: a Content-Length, JSON of the expected types, ascending offsets inside the announced range, canonical base64.

cxxtools sends a request again when a connection that was already open closes without a reply; the first version connected before the request and a test with a lost answer saw the append twice. Appends therefore go on a client that is not yet connected, and a separate connection attempt tells that the log is unreachable, which makes kUnavailable true.

The stand-in keeps streams in memory with retention, a record size limit and an append rate limit, and plays outage, slowness and lost answers on command. cxxtools' base64 and socket headers need C++17 on Debian 12, so two more files are compiled with it.

--- /dev/null
+++ b/include/limpet/configlog/log_access.h
@@ -0,0 +1,20 @@
+#ifndef LIMPET_CONFIGLOG_LOG_ACCESS_H_
+#define LIMPET_CONFIGLOG_LOG_ACCESS_H_
+
+#include "limpet/control/control_output.h"
+
+namespace limpet {
+
+/// The platform's log as a blocking caller sees it. Every failure is a `LogStatus`; no
+/// implementation throws.
+class LogAccess {
+ public:
+  virtual ~LogAccess() = default;
+
+  virtual LogResult Append(const LogAppend& request) = 0;
+  virtual LogResult Read(const LogRead& request) = 0;
+};
+
+}  // namespace limpet
+
+#endif  // LIMPET_CONFIGLOG_LOG_ACCESS_H_
--- /dev/null
+++ b/src/net/tcp_socket.h
@@ -0,0 +1,22 @@
+#ifndef LIMPET_SRC_NET_TCP_SOCKET_H_
+#define LIMPET_SRC_NET_TCP_SOCKET_H_
+
+// This header is also compiled as C++17, see CMakeLists.txt.
+
+#include <string>
+
+namespace cxxtools::net {
+class TcpSocket;
+}
+
+namespace limpet {
+
+/// True if a TCP connection can be made within the time. Never throws.
+bool CanConnect(const std::string& host, int port, int timeout_ms);
+
+/// Ends the connection in both directions, so that the peer gets no further byte.
+void ShutDownSocket(const cxxtools::net::TcpSocket& socket);
+
+}  // namespace limpet
+
+#endif  // LIMPET_SRC_NET_TCP_SOCKET_H_
--- /dev/null
+++ b/tests/net/log_client_test.cc
@@ -0,0 +1,188 @@
+#include "limpet/net/log_client.h"
+
+#include <cxxtools/http/client.h>
+#include <cxxtools/http/request.h>
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "limpet/core/random.h"
+#include "net/loopback.h"
+#include "net/standin_log_server.h"
+
+namespace limpet {
+namespace {
+
+constexpr Duration kTimeout = std::chrono::milliseconds(500);
+
+/// The stand-in log on a free port, served by a thread of its own.
+class LogFixture {
+ public:
+  explicit LogFixture(StandinLogLimits limits = {})
+      : port_(FreePort()),
+        server_("127.0.0.1", port_, limits),
+        thread_([this] { server_.Run(); }),
+        client({"127.0.0.1", port_}, kTimeout) {}
+  ~LogFixture() {
+    server_.Stop();
+    thread_.join();
+  }
+
+  void SetFaults(const std::string& json) {
+    cxxtools::http::Client http("127.0.0.1", static_cast<unsigned short>(port_));
+    cxxtools::http::Request request("/faults");
+    request.method("POST");
+    request.body() << json;
+    CHECK(http.execute(request).httpReturnCode() == 200);
+  }
+
+ private:
+  int port_;
+  StandinLogServer server_;
+  std::thread thread_;
+
+ public:
+  LogClient client;
+};
+
+TEST_CASE("records come back in order with their bytes") {
+  LogFixture log;
+  const std::string bytes("\0\xff\n\"x", 5);
+  CHECK(log.client.Append({7, "config", bytes}).offset == 1);
+  CHECK(log.client.Append({8, "config", ""}).offset == 2);
+  const LogResult result = log.client.Read({9, "config", 1, 10});
+  CHECK(result.status == LogStatus::kOk);
+  CHECK(result.request == 9);
+  REQUIRE(result.records.size() == 2);
+  CHECK(result.records[0].payload == bytes);
+  CHECK(result.records[1].offset == 2);
+  CHECK(result.end_offset == 3);
+  CHECK(log.client.Read({1, "system", 1, 10}).end_offset == 1);
+}
+
+TEST_CASE("limits of the log have statuses of their own") {
+  LogFixture log({.max_records = 2, .max_record_bytes = 4, .appends_per_second = 3});
+  CHECK(log.client.Append({0, "s", "12345"}).status == LogStatus::kTooLarge);
+  CHECK(log.client.Append({0, "s", "a"}).status == LogStatus::kOk);
+  CHECK(log.client.Append({0, "s", "b"}).status == LogStatus::kOk);
+  CHECK(log.client.Append({0, "s", "c"}).status == LogStatus::kOk);
+  CHECK(log.client.Append({0, "s", "d"}).status == LogStatus::kThrottled);
+  const LogResult expired = log.client.Read({0, "s", 1, 10});
+  CHECK(expired.status == LogStatus::kOffsetExpired);
+  CHECK(expired.first_offset == 2);
+  CHECK(expired.end_offset == 4);
+}
+
+TEST_CASE("an append whose answer is lost took effect") {
+  LogFixture log;
+  log.SetFaults(R"({"lose_answers": 1})");
+  CHECK(log.client.Append({0, "s", "a"}).status == LogStatus::kUnknownOutcome);
+  const LogResult read = log.client.Read({0, "s", 1, 10});
+  REQUIRE(read.records.size() == 1);
+  CHECK(read.records[0].payload == "a");
+}
+
+TEST_CASE("an outage and its end are seen by the same client") {
+  LogFixture log;
+  log.SetFaults(R"({"outage": true})");
+  CHECK(log.client.Append({0, "s", "a"}).status == LogStatus::kUnavailable);
+  CHECK(log.client.Read({0, "s", 1, 1}).status == LogStatus::kUnavailable);
+  log.SetFaults(R"({"outage": false})");
+  CHECK(log.client.Append({0, "s", "a"}).status == LogStatus::kOk);
+  CHECK(log.client.Read({0, "s", 1, 1}).status == LogStatus::kOk);
+}
+
+TEST_CASE("a slow log times out: a read is unavailable, an append is unknown") {
+  LogFixture log;
+  log.SetFaults(R"({"delay_ms": 1500})");
+  CHECK(log.client.Append({0, "s", "a"}).status == LogStatus::kUnknownOutcome);
+  CHECK(log.client.Read({0, "s", 1, 1}).status == LogStatus::kUnavailable);
+}
+
+TEST_CASE("without a server both are unavailable") {
+  LogClient client({"127.0.0.1", FreePort()}, kTimeout);
+  CHECK(client.Append({0, "s", "a"}).status == LogStatus::kUnavailable);
+  CHECK(client.Read({0, "s", 1, 1}).status == LogStatus::kUnavailable);
+}
+
+// Without a connect timeout a partitioned log would block a node for minutes.
+TEST_CASE("a connection attempt without an answer ends with the timeout") {
+  const LoopbackListener listener(0);
+  // The queue of the listener is full after the first connections; later ones get no answer.
+  std::vector<std::unique_ptr<LoopbackConnection>> fillers;
+  for (int i = 0; i < 4; ++i) {
+    fillers.push_back(std::make_unique<LoopbackConnection>(listener.port()));
+  }
+  LogClient client({"127.0.0.1", listener.port()}, kTimeout);
+  CHECK(client.Append({0, "s", "a"}).status == LogStatus::kUnavailable);
+  CHECK(client.Read({0, "s", 1, 1}).status == LogStatus::kUnavailable);
+}
+
+std::string Ok(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+LogStatus ReadStatus(const std::string& answer) {
+  const RawServer server(answer);
+  LogClient client({"127.0.0.1", server.port()}, kTimeout);
+  return client.Read({0, "s", 5, 10}).status;
+}
+
+LogStatus AppendStatus(const std::string& answer) {
+  const RawServer server(answer);
+  LogClient client({"127.0.0.1", server.port()}, kTimeout);
+  return client.Append({0, "s", "a"}).status;
+}
+
+TEST_CASE("an answer that does not make sense is malformed") {
+  const std::string range = R"({"first_offset": 1, "end_offset": 9, "records": )";
+  CHECK(ReadStatus(Ok(range + "[]}")) == LogStatus::kOk);
+  for (const std::string& body : {
+           std::string("not json"),
+           std::string("[]"),
+           std::string("{}"),
+           std::string(R"({"first_offset": 9, "end_offset": 1, "records": []})"),
+           std::string(R"({"first_offset": 1e300, "end_offset": 9, "records": []})"),
+           std::string(R"({"first_offset": 1, "end_offset": 18446744073709551615, "records": []})"),
+           range + "7}",
+           range + R"([{"offset": 4, "payload": ""}]})",
+           range + R"([{"offset": 9, "payload": ""}]})",
+           range + R"([{"offset": 6, "payload": ""}, {"offset": 6, "payload": ""}]})",
+           range + R"([{"offset": 6, "payload": "!!!!"}]})",
+           range + R"([{"offset": 6, "payload": 3}]})",
+       }) {
+    CAPTURE(body);
+    CHECK(ReadStatus(Ok(body)) == LogStatus::kMalformedAnswer);
+  }
+  CHECK(AppendStatus(Ok(R"({"offset": 0})")) == LogStatus::kMalformedAnswer);
+  CHECK(AppendStatus(Ok(R"({"offset": "1"})")) == LogStatus::kMalformedAnswer);
+  CHECK(AppendStatus("HTTP/1.1 302 Found\r\nContent-Length: 0\r\n\r\n") ==
+        LogStatus::kMalformedAnswer);
+}
+
+// cxxtools reports success with an empty body for a reply without Content-Length that is cut off.
+TEST_CASE("a cut-off answer is never a success") {
+  CHECK(AppendStatus("HTTP/1.1 200 OK\r\n\r\n{\"offset\": 1}") == LogStatus::kMalformedAnswer);
+  CHECK(AppendStatus("HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"offs") ==
+        LogStatus::kUnknownOutcome);
+  CHECK(AppendStatus("") == LogStatus::kUnknownOutcome);
+  CHECK(AppendStatus("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n") ==
+        LogStatus::kUnknownOutcome);
+  CHECK(ReadStatus("") == LogStatus::kUnavailable);
+}
+
+TEST_CASE("random bytes from the server raise nothing and never succeed") {
+  Random random(1);
+  for (int round = 0; round < 50; ++round) {
+    std::string bytes = round % 2 == 0 ? "" : "HTTP/1.1 200 OK\r\n";
+    for (uint64_t size = random.Below(200); size > 0; --size) {
+      bytes.push_back(static_cast<char>(random.Below(256)));
+    }
+    CHECK(AppendStatus(bytes) != LogStatus::kOk);
+  }
+}
+
+}  // namespace
+}  // namespace limpet
--- /dev/null
+++ b/tests/net/loopback.h
@@ -0,0 +1,107 @@
+#ifndef LIMPET_TESTS_NET_LOOPBACK_H_
+#define LIMPET_TESTS_NET_LOOPBACK_H_
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace limpet {
+
+/// Listening TCP socket on a free loopback port.
+class LoopbackListener {
+ public:
+  explicit LoopbackListener(int backlog = 8) : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    ::bind(fd_, reinterpret_cast<sockaddr*>(&address), size);
+    ::listen(fd_, backlog);
+    ::getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
+    port_ = ntohs(address.sin_port);
+  }
+  ~LoopbackListener() { ::close(fd_); }
+  LoopbackListener(const LoopbackListener&) = delete;
+  LoopbackListener& operator=(const LoopbackListener&) = delete;
+
+  int port() const { return port_; }
+  int fd() const { return fd_; }
+
+ private:
+  int fd_;
+  int port_ = 0;
+};
+
+/// Starts a connection to a loopback port without waiting for it.
+class LoopbackConnection {
+ public:
+  explicit LoopbackConnection(int port)
+      : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<uint16_t>(port));
+    ::connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  }
+  ~LoopbackConnection() { ::close(fd_); }
+  LoopbackConnection(const LoopbackConnection&) = delete;
+  LoopbackConnection& operator=(const LoopbackConnection&) = delete;
+
+ private:
+  int fd_;
+};
+
+/// A port that was free a moment ago.
+inline int FreePort() {
+  return LoopbackListener().port();
+}
+
+/// Accepts connections one after the other, reads up to the end of the request's header, sends
+/// fixed bytes and closes: a server that need not speak HTTP.
+class RawServer {
+ public:
+  explicit RawServer(std::string answer)
+      : answer_(std::move(answer)), thread_([this] { Serve(); }) {}
+  ~RawServer() {
+    ::shutdown(listener_.fd(), SHUT_RDWR);
+    thread_.join();
+  }
+
+  int port() const { return listener_.port(); }
+
+ private:
+  void Serve() {
+    for (;;) {
+      const int fd = ::accept(listener_.fd(), nullptr, nullptr);
+      if (fd < 0) {
+        return;
+      }
+      std::string request;
+      char buffer[4096];
+      ssize_t size = 0;
+      while (request.find("\r\n\r\n") == std::string::npos &&
+             (size = ::read(fd, buffer, sizeof(buffer))) > 0) {
+        request.append(buffer, static_cast<std::size_t>(size));
+      }
+      ::send(fd, answer_.data(), answer_.size(), MSG_NOSIGNAL);
+      ::shutdown(fd, SHUT_WR);
+      // Reads to the end, so that unread bytes do not turn the close into a reset.
+      while (::read(fd, buffer, sizeof(buffer)) > 0) {
+      }
+      ::close(fd);
+    }
+  }
+
+  LoopbackListener listener_;
+  std::string answer_;
+  std::thread thread_;
+};
+
+}  // namespace limpet
+
+#endif  // LIMPET_TESTS_NET_LOOPBACK_H_
