--- a/src/net/log_client.cc
+++ b/src/net/log_client.cc
@@ -121,7 +121,7 @@
     }
     // cxxtools sends a request again if a connection that was open before the request closes
     // without a reply. An append therefore goes on a client that is not yet connected.
-    cxxtools::http::Client client;
+    std::optional<cxxtools::http::Client> client;
     cxxtools::http::Request request(Path(append.stream));
     request.method("POST");
     request.setHeader("Content-Type", "application/json");
@@ -148,7 +148,7 @@
                     "&max=" + std::to_string(read.max_records));
     const auto reply = Exchange(reader_, request);
     if (!reply) {
-      reader_ = cxxtools::http::Client();
+      reader_.reset();
       result.status = LogStatus::kUnavailable;
     } else if (reply->code != 200) {
       result.status = RefusalStatus(reply->code, LogStatus::kUnavailable);
@@ -165,18 +165,21 @@
 
  private:
   /// Empty if no complete reply arrived. A reply that is not JSON has a discarded body.
-  std::optional<HttpReply> Exchange(cxxtools::http::Client& client,
+  std::optional<HttpReply> Exchange(std::optional<cxxtools::http::Client>& client,
                                     const cxxtools::http::Request& request) const {
     try {
-      client.prepareConnect(address_.host, static_cast<unsigned short>(address_.port));
+      if (!client) {
+        client.emplace().prepareConnect(address_.host, static_cast<unsigned short>(address_.port));
+      }
       const cxxtools::Milliseconds timeout(static_cast<double>(timeout_.count()));
-      const auto& header = client.execute(request, timeout, timeout);
+      const auto& header = client->execute(request, timeout, timeout);
       // Without a length cxxtools takes a cut-off reply for a complete one.
       if (!header.hasHeader("Content-Length") || header.contentLength() > kMaxReplyBytes) {
-        client.close();
-        return HttpReply{header.httpReturnCode(), Json(Json::value_t::discarded)};
+        const unsigned code = header.httpReturnCode();
+        client.reset();
+        return HttpReply{code, Json(Json::value_t::discarded)};
       }
-      const std::string body = client.readBody().body();
+      const std::string body = client->readBody().body();
       return HttpReply{header.httpReturnCode(), Json::parse(body, nullptr, false)};
     } catch (const std::exception&) {
       return std::nullopt;
@@ -185,7 +188,7 @@
 
   PeerAddress address_;
   std::chrono::milliseconds timeout_;
-  cxxtools::http::Client reader_;
+  std::optional<cxxtools::http::Client> reader_;
 };
 
 LogClient::LogClient(PeerAddress address, Duration timeout)
