--- /dev/null
+++ b/src/configlog/log_replay.cc
@@ -0,0 +1,115 @@
+#include "limpet/configlog/log_replay.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "limpet/config/config.h"
+#include "limpet/core/fault.h"
+#include "limpet/wire/codec.h"
+
+namespace limpet {
+namespace {
+
+template <typename T>
+void KeepNewest(std::deque<T>& list, T value, std::size_t limit) {
+  list.push_back(std::move(value));
+  if (list.size() > limit) {
+    list.pop_front();
+  }
+}
+
+}  // namespace
+
+ReplayGapError::ReplayGapError(int64_t expected, int64_t found)
+    : Error("replay expects offset " + std::to_string(expected) + " but the record has offset " +
+            std::to_string(found)) {}
+
+LogReplay::LogReplay() : LogReplay(wire::FullConfig()) {}
+
+LogReplay::LogReplay(wire::FullConfig config)
+    : LogReplay(std::make_shared<const ConfigSnapshot>(std::move(config))) {}
+
+LogReplay::LogReplay(ConfigSnapshotPtr snapshot)
+    : snapshot_(std::move(snapshot)),
+      next_offset_(std::max(snapshot_->config().next_offset, snapshot_->version() + 1)) {}
+
+ReplayResult LogReplay::Apply(const LogRecord& record) {
+  if (record.offset < next_offset_) {
+    return std::monostate();
+  }
+  if (record.offset > next_offset_) {
+    throw ReplayGapError(next_offset_, record.offset);
+  }
+  ReplayResult result = Decide(record);
+  next_offset_ = record.offset + 1;
+  return result;
+}
+
+ReplayResult LogReplay::Decide(const LogRecord& record) {
+  wire::AcceptedChange change;
+  change.version = record.offset;
+  try {
+    wire::Decode(record.payload, change.record);
+  } catch (const DecodeError& error) {
+    return Reject({record.offset, "", RejectReason::kMalformed, error.what(), {}});
+  }
+  const std::string& id = change.record.id;
+  if (change.record.base != version() && !IsFaultActive(Fault::kSkipBaseCheck)) {
+    Winner winner = WinnerOn(change.record.base);
+    std::string detail = "base " + std::to_string(change.record.base) +
+                         " is not the current version " + std::to_string(version()) +
+                         "; superseded by version " + std::to_string(winner.version);
+    return Reject(
+        {record.offset, id, RejectReason::kStaleBase, std::move(detail), std::move(winner)});
+  }
+  try {
+    snapshot_ = ApplyChange(*snapshot_, change);
+  } catch (const ValidationError& error) {
+    return Reject({record.offset, id, RejectReason::kInvalid, error.what(), {}});
+  }
+  KeepNewest(accepted_, change, kMaxAccepted);
+  return change;
+}
+
+Rejection LogReplay::Reject(Rejection rejection) {
+  KeepNewest(rejections_, rejection, kMaxRejections);
+  return rejection;
+}
+
+Winner LogReplay::WinnerOn(int64_t base) const {
+  for (const wire::AcceptedChange& change : accepted_) {
+    if (change.record.base == base) {
+      return {change.version, change.record.id, change.record.author};
+    }
+  }
+  return {version(), "", ""};
+}
+
+wire::FullConfig LogReplay::FullConfig() const {
+  wire::FullConfig config = snapshot_->config();
+  config.next_offset = next_offset_;
+  return config;
+}
+
+const Rejection* LogReplay::FindRejection(const std::string& id) const {
+  const auto found = std::find_if(rejections_.rbegin(), rejections_.rend(),
+                                  [&](const Rejection& entry) { return entry.id == id; });
+  return found == rejections_.rend() ? nullptr : &*found;
+}
+
+const wire::AcceptedChange* LogReplay::FindAccepted(const std::string& id) const {
+  const auto found =
+      std::find_if(accepted_.rbegin(), accepted_.rend(),
+                   [&](const wire::AcceptedChange& entry) { return entry.record.id == id; });
+  return found == accepted_.rend() ? nullptr : &*found;
+}
+
+ConfigSnapshotPtr ApplyChange(const ConfigSnapshot& base, const wire::AcceptedChange& change) {
+  wire::FullConfig config = ApplyDelta(base.config(), change.record.delta);
+  config.version = change.version;
+  config.next_offset = change.version + 1;
+  return std::make_shared<const ConfigSnapshot>(std::move(config));
+}
+
+}  // namespace limpet
