Add readiness to pings and order to data centre status

Cause: pings and acks carry readiness as well as a version, a joining node has to tell a bounded reply from the whole table, and members have to order two announcements about one data centre. Change: Ping.ready, Ack.ready, JoinReply.partial and DataCentreStatus.sequence. Conclusion: src/gen is regenerated by scripts/generate.

--- a/idl/limpet.thrift
+++ b/idl/limpet.thrift
@@ -149,21 +149,25 @@
   9: i32 port
 }
 
+// Ordered by (sequence, reachable); the greatest wins. Only gateways raise the sequence.
 struct DataCentreStatus {
   1: string data_centre
   2: bool reachable
+  3: i64 sequence
 }
 
 struct Ping {
   1: i64 nonce
   2: i64 version
   3: list<MemberRecord> updates
+  4: bool ready
 }
 
 struct Ack {
   1: i64 nonce
   2: i64 version
   3: list<MemberRecord> updates
+  4: bool ready
 }
 
 // Asks the receiver to ping a member on behalf of the sender.
@@ -183,10 +187,12 @@
   1: MemberRecord member
 }
 
+// A partial reply names only a few members, which the joining member then asks for the table.
 struct JoinReply {
   1: list<MemberRecord> members
   2: i64 version
   3: bool ready
+  4: bool partial
 }
 
 struct BucketDigest {
--- a/src/gen/limpet_types.cpp
+++ b/src/gen/limpet_types.cpp
@@ -3498,6 +3498,10 @@
 void DataCentreStatus::__set_reachable(const bool val) {
   this->reachable = val;
 }
+
+void DataCentreStatus::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
 std::ostream& operator<<(std::ostream& out, const DataCentreStatus& obj)
 {
   obj.printTo(out);
@@ -3542,6 +3546,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3567,6 +3579,10 @@
   xfer += oprot->writeBool(this->reachable);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3576,28 +3592,33 @@
   using ::std::swap;
   swap(a.data_centre, b.data_centre);
   swap(a.reachable, b.reachable);
+  swap(a.sequence, b.sequence);
   swap(a.__isset, b.__isset);
 }
 
 DataCentreStatus::DataCentreStatus(const DataCentreStatus& other178) {
   data_centre = other178.data_centre;
   reachable = other178.reachable;
+  sequence = other178.sequence;
   __isset = other178.__isset;
 }
 DataCentreStatus::DataCentreStatus(DataCentreStatus&& other179) noexcept {
   data_centre = std::move(other179.data_centre);
   reachable = other179.reachable;
+  sequence = other179.sequence;
   __isset = other179.__isset;
 }
 DataCentreStatus& DataCentreStatus::operator=(const DataCentreStatus& other180) {
   data_centre = other180.data_centre;
   reachable = other180.reachable;
+  sequence = other180.sequence;
   __isset = other180.__isset;
   return *this;
 }
 DataCentreStatus& DataCentreStatus::operator=(DataCentreStatus&& other181) noexcept {
   data_centre = std::move(other181.data_centre);
   reachable = other181.reachable;
+  sequence = other181.sequence;
   __isset = other181.__isset;
   return *this;
 }
@@ -3606,6 +3627,7 @@
   out << "DataCentreStatus(";
   out << "data_centre=" << to_string(data_centre);
   out << ", " << "reachable=" << to_string(reachable);
+  out << ", " << "sequence=" << to_string(sequence);
   out << ")";
 }
 
@@ -3625,6 +3647,10 @@
 void Ping::__set_updates(const std::vector<MemberRecord> & val) {
   this->updates = val;
 }
+
+void Ping::__set_ready(const bool val) {
+  this->ready = val;
+}
 std::ostream& operator<<(std::ostream& out, const Ping& obj)
 {
   obj.printTo(out);
@@ -3689,6 +3715,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ready);
+          this->__isset.ready = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3726,6 +3760,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ready", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->ready);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3736,6 +3774,7 @@
   swap(a.nonce, b.nonce);
   swap(a.version, b.version);
   swap(a.updates, b.updates);
+  swap(a.ready, b.ready);
   swap(a.__isset, b.__isset);
 }
 
@@ -3743,18 +3782,21 @@
   nonce = other188.nonce;
   version = other188.version;
   updates = other188.updates;
+  ready = other188.ready;
   __isset = other188.__isset;
 }
 Ping::Ping(Ping&& other189) noexcept {
   nonce = other189.nonce;
   version = other189.version;
   updates = std::move(other189.updates);
+  ready = other189.ready;
   __isset = other189.__isset;
 }
 Ping& Ping::operator=(const Ping& other190) {
   nonce = other190.nonce;
   version = other190.version;
   updates = other190.updates;
+  ready = other190.ready;
   __isset = other190.__isset;
   return *this;
 }
@@ -3762,6 +3804,7 @@
   nonce = other191.nonce;
   version = other191.version;
   updates = std::move(other191.updates);
+  ready = other191.ready;
   __isset = other191.__isset;
   return *this;
 }
@@ -3771,6 +3814,7 @@
   out << "nonce=" << to_string(nonce);
   out << ", " << "version=" << to_string(version);
   out << ", " << "updates=" << to_string(updates);
+  out << ", " << "ready=" << to_string(ready);
   out << ")";
 }
 
@@ -3790,6 +3834,10 @@
 void Ack::__set_updates(const std::vector<MemberRecord> & val) {
   this->updates = val;
 }
+
+void Ack::__set_ready(const bool val) {
+  this->ready = val;
+}
 std::ostream& operator<<(std::ostream& out, const Ack& obj)
 {
   obj.printTo(out);
@@ -3854,6 +3902,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ready);
+          this->__isset.ready = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3891,6 +3947,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ready", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->ready);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3901,6 +3961,7 @@
   swap(a.nonce, b.nonce);
   swap(a.version, b.version);
   swap(a.updates, b.updates);
+  swap(a.ready, b.ready);
   swap(a.__isset, b.__isset);
 }
 
@@ -3908,18 +3969,21 @@
   nonce = other198.nonce;
   version = other198.version;
   updates = other198.updates;
+  ready = other198.ready;
   __isset = other198.__isset;
 }
 Ack::Ack(Ack&& other199) noexcept {
   nonce = other199.nonce;
   version = other199.version;
   updates = std::move(other199.updates);
+  ready = other199.ready;
   __isset = other199.__isset;
 }
 Ack& Ack::operator=(const Ack& other200) {
   nonce = other200.nonce;
   version = other200.version;
   updates = other200.updates;
+  ready = other200.ready;
   __isset = other200.__isset;
   return *this;
 }
@@ -3927,6 +3991,7 @@
   nonce = other201.nonce;
   version = other201.version;
   updates = std::move(other201.updates);
+  ready = other201.ready;
   __isset = other201.__isset;
   return *this;
 }
@@ -3936,6 +4001,7 @@
   out << "nonce=" << to_string(nonce);
   out << ", " << "version=" << to_string(version);
   out << ", " << "updates=" << to_string(updates);
+  out << ", " << "ready=" << to_string(ready);
   out << ")";
 }
 
@@ -4386,6 +4452,10 @@
 void JoinReply::__set_ready(const bool val) {
   this->ready = val;
 }
+
+void JoinReply::__set_partial(const bool val) {
+  this->partial = val;
+}
 std::ostream& operator<<(std::ostream& out, const JoinReply& obj)
 {
   obj.printTo(out);
@@ -4450,6 +4520,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->partial);
+          this->__isset.partial = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4487,6 +4565,10 @@
   xfer += oprot->writeBool(this->ready);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("partial", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->partial);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4497,6 +4579,7 @@
   swap(a.members, b.members);
   swap(a.version, b.version);
   swap(a.ready, b.ready);
+  swap(a.partial, b.partial);
   swap(a.__isset, b.__isset);
 }
 
@@ -4504,18 +4587,21 @@
   members = other232.members;
   version = other232.version;
   ready = other232.ready;
+  partial = other232.partial;
   __isset = other232.__isset;
 }
 JoinReply::JoinReply(JoinReply&& other233) noexcept {
   members = std::move(other233.members);
   version = other233.version;
   ready = other233.ready;
+  partial = other233.partial;
   __isset = other233.__isset;
 }
 JoinReply& JoinReply::operator=(const JoinReply& other234) {
   members = other234.members;
   version = other234.version;
   ready = other234.ready;
+  partial = other234.partial;
   __isset = other234.__isset;
   return *this;
 }
@@ -4523,6 +4609,7 @@
   members = std::move(other235.members);
   version = other235.version;
   ready = other235.ready;
+  partial = other235.partial;
   __isset = other235.__isset;
   return *this;
 }
@@ -4532,6 +4619,7 @@
   out << "members=" << to_string(members);
   out << ", " << "version=" << to_string(version);
   out << ", " << "ready=" << to_string(ready);
+  out << ", " << "partial=" << to_string(partial);
   out << ")";
 }
 
--- a/src/gen/limpet_types.h
+++ b/src/gen/limpet_types.h
@@ -1316,9 +1316,10 @@
 std::ostream& operator<<(std::ostream& out, const MemberRecord& obj);
 
 typedef struct _DataCentreStatus__isset {
-  _DataCentreStatus__isset() : data_centre(false), reachable(false) {}
+  _DataCentreStatus__isset() : data_centre(false), reachable(false), sequence(false) {}
   bool data_centre :1;
   bool reachable :1;
+  bool sequence :1;
 } _DataCentreStatus__isset;
 
 class DataCentreStatus : public virtual ::apache::thrift::TBase {
@@ -1330,12 +1331,14 @@
   DataCentreStatus& operator=(DataCentreStatus&&) noexcept;
   DataCentreStatus() noexcept
                    : data_centre(),
-                     reachable(0) {
+                     reachable(0),
+                     sequence(0) {
   }
 
   virtual ~DataCentreStatus() noexcept;
   std::string data_centre;
   bool reachable;
+  int64_t sequence;
 
   _DataCentreStatus__isset __isset;
 
@@ -1343,12 +1346,16 @@
 
   void __set_reachable(const bool val);
 
+  void __set_sequence(const int64_t val);
+
   bool operator == (const DataCentreStatus & rhs) const
   {
     if (!(data_centre == rhs.data_centre))
       return false;
     if (!(reachable == rhs.reachable))
       return false;
+    if (!(sequence == rhs.sequence))
+      return false;
     return true;
   }
   bool operator != (const DataCentreStatus &rhs) const {
@@ -1368,10 +1375,11 @@
 std::ostream& operator<<(std::ostream& out, const DataCentreStatus& obj);
 
 typedef struct _Ping__isset {
-  _Ping__isset() : nonce(false), version(false), updates(false) {}
+  _Ping__isset() : nonce(false), version(false), updates(false), ready(false) {}
   bool nonce :1;
   bool version :1;
   bool updates :1;
+  bool ready :1;
 } _Ping__isset;
 
 class Ping : public virtual ::apache::thrift::TBase {
@@ -1383,13 +1391,15 @@
   Ping& operator=(Ping&&) noexcept;
   Ping() noexcept
        : nonce(0),
-         version(0) {
+         version(0),
+         ready(0) {
   }
 
   virtual ~Ping() noexcept;
   int64_t nonce;
   int64_t version;
   std::vector<MemberRecord>  updates;
+  bool ready;
 
   _Ping__isset __isset;
 
@@ -1399,6 +1409,8 @@
 
   void __set_updates(const std::vector<MemberRecord> & val);
 
+  void __set_ready(const bool val);
+
   bool operator == (const Ping & rhs) const
   {
     if (!(nonce == rhs.nonce))
@@ -1407,6 +1419,8 @@
       return false;
     if (!(updates == rhs.updates))
       return false;
+    if (!(ready == rhs.ready))
+      return false;
     return true;
   }
   bool operator != (const Ping &rhs) const {
@@ -1426,10 +1440,11 @@
 std::ostream& operator<<(std::ostream& out, const Ping& obj);
 
 typedef struct _Ack__isset {
-  _Ack__isset() : nonce(false), version(false), updates(false) {}
+  _Ack__isset() : nonce(false), version(false), updates(false), ready(false) {}
   bool nonce :1;
   bool version :1;
   bool updates :1;
+  bool ready :1;
 } _Ack__isset;
 
 class Ack : public virtual ::apache::thrift::TBase {
@@ -1441,13 +1456,15 @@
   Ack& operator=(Ack&&) noexcept;
   Ack() noexcept
       : nonce(0),
-        version(0) {
+        version(0),
+        ready(0) {
   }
 
   virtual ~Ack() noexcept;
   int64_t nonce;
   int64_t version;
   std::vector<MemberRecord>  updates;
+  bool ready;
 
   _Ack__isset __isset;
 
@@ -1457,6 +1474,8 @@
 
   void __set_updates(const std::vector<MemberRecord> & val);
 
+  void __set_ready(const bool val);
+
   bool operator == (const Ack & rhs) const
   {
     if (!(nonce == rhs.nonce))
@@ -1465,6 +1484,8 @@
       return false;
     if (!(updates == rhs.updates))
       return false;
+    if (!(ready == rhs.ready))
+      return false;
     return true;
   }
   bool operator != (const Ack &rhs) const {
@@ -1644,10 +1665,11 @@
 std::ostream& operator<<(std::ostream& out, const JoinRequest& obj);
 
 typedef struct _JoinReply__isset {
-  _JoinReply__isset() : members(false), version(false), ready(false) {}
+  _JoinReply__isset() : members(false), version(false), ready(false), partial(false) {}
   bool members :1;
   bool version :1;
   bool ready :1;
+  bool partial :1;
 } _JoinReply__isset;
 
 class JoinReply : public virtual ::apache::thrift::TBase {
@@ -1659,13 +1681,15 @@
   JoinReply& operator=(JoinReply&&) noexcept;
   JoinReply() noexcept
             : version(0),
-              ready(0) {
+              ready(0),
+              partial(0) {
   }
 
   virtual ~JoinReply() noexcept;
   std::vector<MemberRecord>  members;
   int64_t version;
   bool ready;
+  bool partial;
 
   _JoinReply__isset __isset;
 
@@ -1675,6 +1699,8 @@
 
   void __set_ready(const bool val);
 
+  void __set_partial(const bool val);
+
   bool operator == (const JoinReply & rhs) const
   {
     if (!(members == rhs.members))
@@ -1683,6 +1709,8 @@
       return false;
     if (!(ready == rhs.ready))
       return false;
+    if (!(partial == rhs.partial))
+      return false;
     return true;
   }
   bool operator != (const JoinReply &rhs) const {
