--- a/src/config/config.cc
+++ b/src/config/config.cc
@@ -6,6 +6,7 @@
 #include <unordered_set>
 #include <utility>
 
+#include "config/prefix_conflicts.h"
 #include "config/resource_text.h"
 #include "limpet/config/limits.h"
 #include "limpet/core/fault.h"
@@ -149,33 +150,9 @@
     }
   }
 
-  /// Two routes with the same prefix conflict if some caller is admitted by both. An empty caller
-  /// list admits every caller, so it conflicts with any other route of the prefix.
   void CheckPrefixes(const std::vector<wire::Route>& routes) {
-    struct Owners {
-      const wire::Route* first = nullptr;
-      const wire::Route* open = nullptr;
-      std::unordered_map<std::string_view, const wire::Route*> by_caller;
-    };
-    std::unordered_map<std::string_view, Owners> prefixes;
-    prefixes.reserve(routes.size());
-    for (const wire::Route& route : routes) {
-      Owners& owners = prefixes[route.path_prefix];
-      const wire::Route* conflict = route.callers.empty() ? owners.first : owners.open;
-      for (const std::string& caller : route.callers) {
-        const auto [it, inserted] = owners.by_caller.try_emplace(caller, &route);
-        // A caller listed twice in one route is harmless.
-        if (!inserted && it->second != &route && conflict == nullptr) {
-          conflict = it->second;
-        }
-      }
-      if (conflict != nullptr) {
-        Add("route", route.name,
-            "has the path_prefix " + Printable(route.path_prefix) + " of route " +
-                Printable(conflict->name) + " for the same callers");
-      }
-      owners.first = owners.first == nullptr ? &route : owners.first;
-      owners.open = route.callers.empty() ? &route : owners.open;
+    for (const PrefixConflict& conflict : FindPrefixConflicts(routes)) {
+      Add("route", conflict.route->name, DescribeConflict(conflict));
     }
   }
 
--- a/src/config/ini_reader.cc
+++ b/src/config/ini_reader.cc
@@ -39,6 +39,9 @@
   explicit Collector(std::string file) { location_.file = std::move(file); }
 
   void set_line(int line) { location_.line = line; }
+  /// Line of the last character before the current one that is not white space. The parser
+  /// reports a key only when it sees what follows it, which may be lines later.
+  void set_text_line(int line) { text_line_ = line; }
   const SourceLocation& location() const { return location_; }
   std::vector<IniSection> TakeSections() { return std::move(sections_); }
 
@@ -48,31 +51,34 @@
   }
 
   bool onKey(const cxxtools::String& key) override {
-    IniEntry entry{Checked(key), "", location_};
+    IniEntry entry{Checked(key), "", {location_.file, text_line_}};
     if (sections_.empty()) {
-      throw FileError(location_, "key \"" + entry.key +
-                                     "\" stands before the first section; put it below a line "
-                                     "such as [service NAME]");
+      throw FileError(entry.location, "key \"" + entry.key +
+                                          "\" stands before the first section; put it below a line "
+                                          "such as [service NAME]");
     }
     for (const IniEntry& earlier : sections_.back().entries) {
       if (earlier.key == entry.key) {
-        throw FileError(location_, "key \"" + entry.key + "\" is given twice in [" +
-                                       sections_.back().name + "], first in line " +
-                                       std::to_string(earlier.location.line) + "; remove one");
+        throw FileError(entry.location, "key \"" + entry.key + "\" is given twice in [" +
+                                            sections_.back().name + "], first in line " +
+                                            std::to_string(earlier.location.line) + "; remove one");
       }
     }
     sections_.back().entries.push_back(std::move(entry));
+    value_missing_ = true;
     return false;
   }
 
   bool onValue(const cxxtools::String& value) override {
     sections_.back().entries.back().value = Trimmed(Checked(value));
+    value_missing_ = false;
     return false;
   }
 
   bool onError() override {
+    // Without "=" or with an open quote the parser reports an error lines after the key.
     throw FileError(
-        location_,
+        value_missing_ ? sections_.back().entries.back().location : location_,
         "not INI text; expected a section \"[kind name]\", \"key = value\" or a comment "
         "that starts with '#'");
   }
@@ -89,7 +95,10 @@
   }
 
   SourceLocation location_;
+  int text_line_ = 1;
   std::vector<IniSection> sections_;
+  /// True between a key and its value.
+  bool value_missing_ = false;
 };
 
 }  // namespace
@@ -98,10 +107,13 @@
   Collector collector(file);
   cxxtools::IniParser parser(collector);
   int line = 1;
+  int text_line = 1;
   for (const char c : text) {
     collector.set_line(line);
+    collector.set_text_line(text_line);
     // Each byte is passed as one character, so that UTF-8 in comments and values stays as it is.
     parser.parse(cxxtools::Char(static_cast<unsigned char>(c)));
+    text_line = c == ' ' || c == '\t' || c == '\r' || c == '\n' ? text_line : line;
     line += c == '\n' ? 1 : 0;
   }
   parser.end();
--- a/src/config/snapshot.cc
+++ b/src/config/snapshot.cc
@@ -44,9 +44,9 @@
   // Each round tries one segment less; a longer candidate than the longest prefix cannot match.
   while (!path.empty()) {
     if (path.size() <= longest_prefix_) {
-      const auto [first, last] = std::ranges::equal_range(
-          routes_by_prefix_, path, {}, [this](std::size_t i) { return PrefixOf(i); });
-      for (auto it = first; it != last; ++it) {
+      auto it = std::ranges::lower_bound(routes_by_prefix_, path, {},
+                                         [this](std::size_t i) { return PrefixOf(i); });
+      for (; it != routes_by_prefix_.end() && PrefixOf(*it) == path; ++it) {
         if (Admits(config_.routes[*it], caller)) {
           return &config_.routes[*it];
         }
--- a/src/net/log_client.cc
+++ b/src/net/log_client.cc
@@ -21,7 +21,7 @@
 using Json = nlohmann::json;
 
 /// Largest reply that is read; several checkpoints of the design size (0.6 MB) fit.
-constexpr std::size_t kMaxReplyBytes = 64 * 1024 * 1024;
+constexpr std::size_t kMaxReplyBytes = 64U << 20U;
 
 struct HttpReply {
   unsigned code = 0;
--- a/src/net/standin_log.h
+++ b/src/net/standin_log.h
@@ -15,7 +15,7 @@
 struct StandinLogLimits {
   /// Records that a stream keeps; the oldest are dropped.
   int64_t max_records = 0;
-  int64_t max_record_bytes = 1024 * 1024;
+  int64_t max_record_bytes = 1 << 20;
   double appends_per_second = 500;
 };
 
@@ -41,7 +41,7 @@
 class StandinLog {
  public:
   /// A read stops after the record that exceeds this size.
-  static constexpr std::size_t kMaxReadBytes = 4 * 1024 * 1024;
+  static constexpr std::size_t kMaxReadBytes = 4U << 20U;
   static constexpr int kMaxReadRecords = 1000;
 
   explicit StandinLog(StandinLogLimits limits) : limits_(limits) {}
--- a/src/settings/node_settings.cc
+++ b/src/settings/node_settings.cc
@@ -38,96 +38,80 @@
 constexpr Range kPortRange{1, 65535};
 constexpr Range kMsRange{1, 600'000};
 
-const std::vector<Key>& Keys() {
-  using S = NodeSettings;
-  static const std::vector<Key> kKeys = {
-      {"node",
-       "name",
-       &S::name,
-       "Name of this node, unique in the mesh",
-       {},
-       TextKind::kName,
-       true},
-      {"node", "data_centre", &S::data_centre, "Data centre of this VM", {}, TextKind::kName, true},
-      {"node",
-       "service",
-       &S::service,
-       "Service of the target beside this node",
-       {},
-       TextKind::kName,
-       true},
-      {"node",
-       "host",
-       &S::host,
-       "Address listened on and announced to other nodes",
-       {},
-       TextKind::kHost},
-      {"node", "peer_port", &S::peer_port, "UDP and TCP port for other nodes", kPortRange},
-      {"node", "http_port", &S::http_port,
-       "HTTP port for callers and for /metrics, /health, /ready, /members, /config and /drain",
-       kPortRange},
-      {"node", "seeds", &S::seeds, "Nodes to join through, separated by commas"},
-      {"target", "host", &S::target_host, "Address of the target", {}, TextKind::kHost},
-      {"target", "port", &S::target_port, "HTTP port of the target", kPortRange},
-      {"target",
-       "health_path",
-       &S::target_health_path,
-       "Health endpoint of the target",
-       {},
-       TextKind::kPath},
-      {"target",
-       "health_interval_ms",
-       &S::target_health_interval_ms,
-       "Time between two health probes",
-       {10, 600'000}},
-      {"target", "health_timeout_ms", &S::target_health_timeout_ms,
-       "A probe without an answer for this long counts as failed", kMsRange},
-      {"log",
-       "host",
-       &S::log_host,
-       "Address of the platform's log; empty: run without it",
-       {},
-       TextKind::kHost},
-      {"log", "port", &S::log_port, "HTTP port of the platform's log", kPortRange},
-      {"log", "timeout_ms", &S::log_timeout_ms, "Longest wait for an answer of the log", kMsRange},
-      {"trace", "sampling", &S::trace_sampling,
-       "Fraction of the calls without a traceparent that are traced"},
-      {"trace", "output", &S::trace_output, "Where spans go"},
-      {"trace", "file", &S::trace_file, "File of output = file, one JSON document a line"},
-      {"trace",
-       "collector_host",
-       &S::trace_collector_host,
-       "Address of the OTLP/HTTP collector of output = collector",
-       {},
-       TextKind::kHost},
-      {"trace", "collector_port", &S::trace_collector_port, "Port of the collector", kPortRange},
-      {"logging", "level", &S::log_level, "Least severe level that is logged"},
-      {"limits", "slots", &S::slots, "Largest number of requests that the target runs at once",
-       kSlotsRange},
-      {"limits",
-       "queue_length",
-       &S::queue_length,
-       "Requests that may wait for a slot",
-       {0, 100'000}},
-      {"limits", "connections", &S::connections, "Connections to and from the target together",
-       kConnectionsRange},
-      {"limits",
-       "max_body_bytes",
-       &S::max_body_bytes,
-       "Largest request or response body",
-       {1024, 64 * 1024 * 1024}},
-      {"control",
-       "tick_ms",
-       &S::tick_ms,
-       "Time between two steps of the control thread",
-       {10, 1000}},
-      {"control", "peer_timeout_ms", &S::peer_timeout_ms,
-       "Longest wait for a connection to another node", kMsRange},
-      {"control", "drain_timeout_ms", &S::drain_timeout_ms,
-       "Longest wait for requests in flight at a planned stop", kMsRange},
-  };
-  return kKeys;
-}
+using S = NodeSettings;
+
+const Key kKeys[] = {
+    {"node", "name", &S::name, "Name of this node, unique in the mesh", {}, TextKind::kName, true},
+    {"node", "data_centre", &S::data_centre, "Data centre of this VM", {}, TextKind::kName, true},
+    {"node",
+     "service",
+     &S::service,
+     "Service of the target beside this node",
+     {},
+     TextKind::kName,
+     true},
+    {"node",
+     "host",
+     &S::host,
+     "Address listened on and announced to other nodes",
+     {},
+     TextKind::kHost},
+    {"node", "peer_port", &S::peer_port, "UDP and TCP port for other nodes", kPortRange},
+    {"node", "http_port", &S::http_port,
+     "HTTP port for callers and for /metrics, /health, /ready, /members, /config and /drain",
+     kPortRange},
+    {"node", "seeds", &S::seeds, "Nodes to join through, separated by commas"},
+    {"target", "host", &S::target_host, "Address of the target", {}, TextKind::kHost},
+    {"target", "port", &S::target_port, "HTTP port of the target", kPortRange},
+    {"target",
+     "health_path",
+     &S::target_health_path,
+     "Health endpoint of the target",
+     {},
+     TextKind::kPath},
+    {"target",
+     "health_interval_ms",
+     &S::target_health_interval_ms,
+     "Time between two health probes",
+     {10, 600'000}},
+    {"target", "health_timeout_ms", &S::target_health_timeout_ms,
+     "A probe without an answer for this long counts as failed", kMsRange},
+    {"log",
+     "host",
+     &S::log_host,
+     "Address of the platform's log; empty: run without it",
+     {},
+     TextKind::kHost},
+    {"log", "port", &S::log_port, "HTTP port of the platform's log", kPortRange},
+    {"log", "timeout_ms", &S::log_timeout_ms, "Longest wait for an answer of the log", kMsRange},
+    {"trace", "sampling", &S::trace_sampling,
+     "Fraction of the calls without a traceparent that are traced"},
+    {"trace", "output", &S::trace_output, "Where spans go"},
+    {"trace", "file", &S::trace_file, "File of output = file, one JSON document a line"},
+    {"trace",
+     "collector_host",
+     &S::trace_collector_host,
+     "Address of the OTLP/HTTP collector of output = collector",
+     {},
+     TextKind::kHost},
+    {"trace", "collector_port", &S::trace_collector_port, "Port of the collector", kPortRange},
+    {"logging", "level", &S::log_level, "Least severe level that is logged"},
+    {"limits", "slots", &S::slots, "Largest number of requests that the target runs at once",
+     kSlotsRange},
+    {"limits", "queue_length", &S::queue_length, "Requests that may wait for a slot", {0, 100'000}},
+    {"limits", "connections", &S::connections, "Connections to and from the target together",
+     kConnectionsRange},
+    {"limits",
+     "max_body_bytes",
+     &S::max_body_bytes,
+     "Largest request or response body",
+     {1024, 64 << 20}},
+    {"control", "tick_ms", &S::tick_ms, "Time between two steps of the control thread", {10, 1000}},
+    {"control", "peer_timeout_ms", &S::peer_timeout_ms,
+     "Longest wait for a connection to another node", kMsRange},
+    {"control", "drain_timeout_ms", &S::drain_timeout_ms,
+     "Longest wait for requests in flight at a planned stop", kMsRange},
+};
 
 template <std::size_t N, typename Enum>
 std::string NamesText(const EnumNames<Enum, N>& names) {
@@ -290,7 +274,7 @@
 std::string KnownNames(std::string_view section) {
   std::string text;
   std::string_view last;
-  for (const Key& key : Keys()) {
+  for (const Key& key : kKeys) {
     const std::string_view name = section.empty() ? key.section : key.name;
     if ((section.empty() || key.section == section) && name != last) {
       text += (text.empty() ? "" : ", ") + std::string(name);
@@ -301,7 +285,7 @@
 }
 
 const Key& FindKey(const IniSection& section, const IniEntry& entry) {
-  for (const Key& key : Keys()) {
+  for (const Key& key : kKeys) {
     if (key.section == section.name && key.name == entry.key) {
       return key;
     }
@@ -327,7 +311,7 @@
   NodeSettings settings;
   std::vector<const Key*> given;
   for (const IniSection& section : ReadIni(std::string(text), file)) {
-    if (std::ranges::none_of(Keys(), [&](const Key& k) { return k.section == section.name; })) {
+    if (std::ranges::none_of(kKeys, [&](const Key& k) { return k.section == section.name; })) {
       throw FileError(section.location,
                       "unknown section [" + section.name + "]; known are " + KnownNames(""));
     }
@@ -344,7 +328,7 @@
       }
     }
   }
-  for (const Key& key : Keys()) {
+  for (const Key& key : kKeys) {
     if (key.required && std::ranges::find(given, &key) == given.end()) {
       throw FileError({file, 0}, FullName(key) + " is missing; allowed is " +
                                      std::visit(AllowedText{key}, key.member));
@@ -363,7 +347,7 @@
       "# Settings of limpetd\n\nGenerated by `limpetd --print-settings`. An unknown key or a value "
       "that is not allowed stops the start.\n";
   std::string_view section;
-  for (const Key& key : Keys()) {
+  for (const Key& key : kKeys) {
     if (key.section != section) {
       section = key.section;
       text += "\n## [" + std::string(section) +
