--- /dev/null
+++ b/include/limpet/load/schedule.h
@@ -0,0 +1,26 @@
+#ifndef LIMPET_LOAD_SCHEDULE_H_
+#define LIMPET_LOAD_SCHEDULE_H_
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "limpet/load/experiment.h"
+
+namespace limpet::load {
+
+/// One planned request.
+struct Arrival {
+  /// Since the start of the run.
+  Duration at{0};
+  std::size_t phase = 0;
+  std::size_t workload = 0;
+  std::string request_id;
+};
+
+/// Poisson arrivals over all phases, in order of time. The same experiment gives the same schedule.
+std::vector<Arrival> MakeSchedule(const Experiment& experiment);
+
+}  // namespace limpet::load
+
+#endif  // LIMPET_LOAD_SCHEDULE_H_
--- /dev/null
+++ b/src/load/caller_client.h
@@ -0,0 +1,32 @@
+#ifndef LIMPET_SRC_LOAD_CALLER_CLIENT_H_
+#define LIMPET_SRC_LOAD_CALLER_CLIENT_H_
+
+#include <cxxtools/http/client.h>
+#include <string>
+
+#include "limpet/load/experiment.h"
+#include "limpet/load/result.h"
+
+namespace limpet::load {
+
+/// Sends requests to one node over HTTP, as a caller would. Used by one thread.
+class CallerClient {
+ public:
+  explicit CallerClient(HostPort node);
+
+  /// Sends the request and waits for the answer. Never throws on a failed request: the observation
+  /// says what happened. Its latency is left to the runner.
+  Observation Send(const Workload& workload, const std::string& request_id);
+
+ private:
+  Observation Execute(cxxtools::http::Client& client,
+                      const Workload& workload,
+                      const std::string& request_id);
+
+  HostPort node_;
+  cxxtools::http::Client kept_client_;
+};
+
+}  // namespace limpet::load
+
+#endif  // LIMPET_SRC_LOAD_CALLER_CLIENT_H_
