Build and test the experiment parser

Change: count of the line in the parser test corrected: the appended section starts at line 17 and its key is line 18.

--- a/include/limpet/load/experiment.h
+++ b/include/limpet/load/experiment.h
@@ -68,8 +68,8 @@
   std::vector<Arm> arms;
 };
 
-/// Reads an experiment from INI text. `file` is used in error messages only. Throws `FileError` that
-/// names line, section and key.
+/// Reads an experiment from INI text. `file` is used in error messages only. Throws `FileError`
+/// that names line, section and key.
 Experiment ParseExperiment(std::string_view text, const std::string& file);
 
 }  // namespace limpet::load
--- a/include/limpet/load/runner.h
+++ b/include/limpet/load/runner.h
@@ -14,8 +14,8 @@
 using ProgressSink = std::function<void(const std::string& line)>;
 
 /// Runs an experiment against real nodes: open-loop arrivals on threads, faults injected on time,
-/// executions collected at the targets afterwards. Blocks until the end. Throws `Error` if a stand-in
-/// does not take a fault action or does not report its executions.
+/// executions collected at the targets afterwards. Blocks until the end. Throws `Error` if a
+/// stand-in does not take a fault action or does not report its executions.
 std::vector<ArmResult> Run(const Experiment& experiment, const ProgressSink& progress);
 
 }  // namespace limpet::load
--- a/src/load/experiment.cc
+++ b/src/load/experiment.cc
@@ -87,10 +87,8 @@
 const std::vector<Key<Experiment>>& ExperimentKeys() {
   static const std::vector<Key<Experiment>> kKeys = {
       {"name", [](const IniEntry& entry, Experiment& e) { e.name = entry.value; }},
-      {"seed",
-       [](const IniEntry& entry, Experiment& e) {
-         e.seed = static_cast<uint64_t>(ParseNumber(entry, 0, 1e15));
-       }},
+      {"seed", [](const IniEntry& entry,
+                  Experiment& e) { e.seed = static_cast<uint64_t>(ParseNumber(entry, 0, 1e15)); }},
       {"connections",
        [](const IniEntry& entry, Experiment& e) {
          e.connections = static_cast<int>(ParseNumber(entry, 1, kMaxConnections));
@@ -130,10 +128,8 @@
 const std::vector<Key<FaultAction>>& FaultKeys() {
   static const std::vector<Key<FaultAction>> kKeys = {
       {"at_seconds", [](const IniEntry& entry, FaultAction& f) { f.at = ParseSeconds(entry); }},
-      {"stand_in",
-       [](const IniEntry& entry, FaultAction& f) {
-         f.stand_in = ParseHostPort(entry, entry.value);
-       }},
+      {"stand_in", [](const IniEntry& entry,
+                      FaultAction& f) { f.stand_in = ParseHostPort(entry, entry.value); }},
       {"body", [](const IniEntry& entry, FaultAction& f) { f.body = entry.value; }},
   };
   return kKeys;
@@ -173,8 +169,9 @@
   } else if (kind == "arm") {
     AddNamed(section, name, ArmKeys(), experiment.arms);
   } else {
-    throw FileError(section.location, "unknown section [" + section.name +
-                                          "]; known kinds: experiment, workload, phase, fault, arm");
+    throw FileError(section.location,
+                    "unknown section [" + section.name +
+                        "]; known kinds: experiment, workload, phase, fault, arm");
   }
 }
 
--- a/src/load/result.cc
+++ b/src/load/result.cc
@@ -52,8 +52,9 @@
 }  // namespace
 
 double PhaseResult::Goodput() const {
-  return length.count() == 0 ? 0.0
-                             : static_cast<double>(good) * 1e6 / static_cast<double>(length.count());
+  return length.count() == 0
+             ? 0.0
+             : static_cast<double>(good) * 1e6 / static_cast<double>(length.count());
 }
 
 ArmResult Summarise(const Experiment& experiment,
@@ -97,10 +98,10 @@
     }
   }
   for (const ArmResult& arm : results) {
-    text += fmt::format(
-        "{}: {} non-idempotent, {} doubled, {} false not_run, {} lost, {} crossed\n", arm.arm,
-        arm.audit.non_idempotent, arm.audit.doubled, arm.audit.false_not_run, arm.audit.lost,
-        arm.audit.crossed);
+    text +=
+        fmt::format("{}: {} non-idempotent, {} doubled, {} false not_run, {} lost, {} crossed\n",
+                    arm.arm, arm.audit.non_idempotent, arm.audit.doubled, arm.audit.false_not_run,
+                    arm.audit.lost, arm.audit.crossed);
   }
   return text;
 }
@@ -148,8 +149,9 @@
     script += "EOD\n";
     const char* separator = i == 0 ? "" : ", ";
     goodput += fmt::format("{}$arm{} using 0:2:xtic(1) title '{}'", separator, i, results[i].arm);
-    latency += fmt::format("{}$arm{} using 0:4:xtic(1) title '{} p99', $arm{} using 0:3 title '{} p50'",
-                           separator, i, results[i].arm, i, results[i].arm);
+    latency +=
+        fmt::format("{}$arm{} using 0:4:xtic(1) title '{} p99', $arm{} using 0:3 title '{} p50'",
+                    separator, i, results[i].arm, i, results[i].arm);
   }
   script += "set ylabel 'goodput per s'\nplot " + goodput + "\nset ylabel 'latency ms'\nplot " +
             latency + "\nunset multiplot\n";
--- a/src/load/runner.cc
+++ b/src/load/runner.cc
@@ -95,7 +95,9 @@
   std::vector<std::thread> threads_;
 };
 
-void InjectDueFaults(std::vector<FaultAction>& pending, Duration elapsed, const ProgressSink& sink) {
+void InjectDueFaults(std::vector<FaultAction>& pending,
+                     Duration elapsed,
+                     const ProgressSink& sink) {
   while (!pending.empty() && pending.front().at <= elapsed) {
     CallStandIn(pending.front().stand_in, "POST", "/faults", pending.front().body);
     sink(fmt::format("{:6.1f} s  fault {}", static_cast<double>(elapsed.count()) / 1e6,
--- a/src/load/schedule.cc
+++ b/src/load/schedule.cc
@@ -39,8 +39,7 @@
     if (experiment.phases[phase].rate > 0) {
       at += NextGap(experiment.phases[phase].rate, random);
       while (at < phase_end) {
-        schedule.push_back(
-            {at, phase, PickWorkload(experiment.workloads, random), random.HexId()});
+        schedule.push_back({at, phase, PickWorkload(experiment.workloads, random), random.HexId()});
         at += NextGap(experiment.phases[phase].rate, random);
       }
     }
--- a/tests/load/experiment_test.cc
+++ b/tests/load/experiment_test.cc
@@ -34,8 +34,9 @@
 }
 
 TEST_CASE("errors name file, line and key") {
-  CHECK(ErrorOf(std::string(kValid) + "[phase x]\nrate = fast\n").find("x.ini:17: key 'rate'") == 0);
-  CHECK(ErrorOf(std::string(kValid) + "[phase x]\nspeed = 1\n").find("x.ini:17: unknown key") == 0);
+  CHECK(ErrorOf(std::string(kValid) + "[phase x]\nrate = fast\n").find("x.ini:18: key 'rate'") ==
+        0);
+  CHECK(ErrorOf(std::string(kValid) + "[phase x]\nspeed = 1\n").find("x.ini:18: unknown key") == 0);
   CHECK(ErrorOf(std::string(kValid) + "[arm b]\nnodes = here\n").find("is not host:port") !=
         std::string::npos);
 }
--- a/tests/load/result_test.cc
+++ b/tests/load/result_test.cc
@@ -17,7 +17,9 @@
   return experiment;
 }
 
-ArmResult SummariseOne(const Experiment& experiment, const std::string& outcome, uint64_t executed) {
+ArmResult SummariseOne(const Experiment& experiment,
+                       const std::string& outcome,
+                       uint64_t executed) {
   const std::vector<Arrival> schedule = {{Duration(0), 0, 0, "id"}};
   Observation observation;
   observation.outcome = outcome;
