Add the traffic module: balancer, inbound gate and outbound call

Calls need decision code that limpetd and the tests can drive with their own time and messages. Adds Balancer with three selection strategies and a rendezvous connection subset, InboundGate with three limit strategies, a fair queue and RequestLedger, and RetryPolicy and OutboundCall.

--- /dev/null
+++ b/include/limpet/traffic/inbound_gate.h
@@ -0,0 +1,123 @@
+#ifndef LIMPET_TRAFFIC_INBOUND_GATE_H_
+#define LIMPET_TRAFFIC_INBOUND_GATE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "limpet/core/time.h"
+#include "limpet/traffic/fair_queue.h"
+#include "limpet/traffic/limit_strategy.h"
+#include "limpet/traffic/request_ledger.h"
+#include "limpet_types.h"
+
+namespace limpet {
+
+struct GateOptions {
+  size_t queue_length = 12;
+  /// Longest wait in the queue, even if the deadline is later.
+  Duration queue_wait = std::chrono::milliseconds(100);
+  /// Ids that the ledger holds at most, two for each attempt.
+  size_t ledger_capacity = 131072;
+  /// Ids are kept this long after the deadline, because a copy can be delayed in the network while
+  /// its relative deadline still looks fresh on arrival.
+  Duration ledger_margin = std::chrono::seconds(5);
+};
+
+enum class Admission { kAdmitted, kQueued, kRefused };
+
+/// A queued attempt that starts now, or is refused now with outcome `not_run`.
+struct QueueEvent {
+  std::string attempt_id;
+  bool starts = false;
+  wire::RefusalReason::type reason = wire::RefusalReason::kNone;
+};
+
+struct ArrivalDecision {
+  Admission admission = Admission::kRefused;
+  /// For `kRefused` only. `kUnknown` when another copy of the attempt may run or have run.
+  wire::Outcome::type outcome = wire::Outcome::kNotRun;
+  wire::RefusalReason::type reason = wire::RefusalReason::kNone;
+  /// Other attempts that start or are refused because of this arrival.
+  std::vector<QueueEvent> events;
+};
+
+enum class CancelResult {
+  /// Neither queued nor running here.
+  kUnknownAttempt,
+  /// Was queued; it has not run and will not run.
+  kRemoved,
+  /// At the target. It keeps its slot until Finish.
+  kRunning,
+};
+
+/// Admission control of one node in front of its target. Not safe for concurrent use.
+///
+/// An attempt that is admitted or starts holds a slot until Finish is called for it exactly once.
+class InboundGate {
+ public:
+  /// `incarnation` identifies this process start.
+  InboundGate(GateOptions options, int64_t incarnation, std::unique_ptr<LimitStrategy> limit);
+
+  /// A restarted node raises its incarnation above one that it learns of.
+  void RaiseIncarnation(int64_t incarnation);
+
+  ArrivalDecision Arrive(TimePoint now, const wire::CallRequest& request);
+
+  /// The target has answered, failed or timed out. `kNotRun` only if no byte reached the target or
+  /// it refused before running. Returns the queued attempts that start or are refused now.
+  std::vector<QueueEvent> Finish(TimePoint now,
+                                 const std::string& attempt_id,
+                                 wire::Outcome::type outcome,
+                                 Duration service_time);
+
+  CancelResult Cancel(TimePoint now, const std::string& attempt_id);
+
+  /// Refuses all later arrivals; queued attempts are refused and returned. Attempts at the target
+  /// finish.
+  std::vector<QueueEvent> StartDraining(TimePoint now);
+
+  /// Queued attempts whose time has passed or that can start now; call it on every tick.
+  std::vector<QueueEvent> Expire(TimePoint now);
+
+  wire::LoadReport load() const;
+  bool draining() const { return draining_; }
+  int in_flight() const { return static_cast<int>(running_.size()); }
+
+ private:
+  struct Attempt {
+    std::string request_id;
+    bool idempotent = false;
+    TimePoint deadline{};
+  };
+
+  bool IsCopy(const wire::CallRequest& request, ArrivalDecision& decision) const;
+  wire::RefusalReason::type CheckRequest(const wire::CallRequest& request) const;
+  ArrivalDecision Refuse(TimePoint now,
+                         const wire::CallRequest& request,
+                         wire::RefusalReason::type reason);
+  ArrivalDecision Admit(TimePoint now, const wire::CallRequest& request);
+  ArrivalDecision Enqueue(TimePoint now, const wire::CallRequest& request, Attempt attempt);
+  void StartQueued(TimePoint now, std::vector<QueueEvent>& events);
+  void RefuseQueued(const QueuedAttempt& queued,
+                    wire::RefusalReason::type reason,
+                    std::vector<QueueEvent>& events);
+  void Run(TimePoint now, const std::string& attempt_id, Attempt attempt);
+  void Record(const std::string& attempt_id, const Attempt& attempt, LedgerState state);
+
+  GateOptions options_;
+  int64_t incarnation_;
+  std::unique_ptr<LimitStrategy> limit_;
+  RequestLedger ledger_;
+  FairQueue queue_;
+  std::unordered_map<std::string, Attempt> waiting_;
+  std::unordered_map<std::string, Attempt> running_;
+  double service_time_us_ = 0;
+  bool draining_ = false;
+};
+
+}  // namespace limpet
+
+#endif  // LIMPET_TRAFFIC_INBOUND_GATE_H_
--- /dev/null
+++ b/src/traffic/feedback_limit.cc
@@ -0,0 +1,62 @@
+#include "limpet/traffic/feedback_limit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace limpet {
+namespace {
+
+constexpr Duration kPeriod = std::chrono::milliseconds(250);
+constexpr double kUtilisationSetpoint = 0.95;
+constexpr double kMissSetpoint = 0.02;
+/// Change of the limit, as a share of the slots, for a full deviation from the setpoint.
+constexpr double kUtilisationGain = 0.5;
+constexpr double kMissGain = 2.0;
+constexpr double kMaxFactor = 2.0;
+
+}  // namespace
+
+FeedbackLimit::FeedbackLimit(int slots) : slots_(std::max(1, slots)), limit_(slots_) {}
+
+int FeedbackLimit::limit() const {
+  return static_cast<int>(std::lround(limit_));
+}
+
+void FeedbackLimit::OnFinish(TimePoint now, const LimitSample& sample) {
+  ++finished_;
+  missed_ += sample.missed_deadline ? 1 : 0;
+  Accumulate(now);
+}
+
+void FeedbackLimit::OnInFlight(TimePoint now, int in_flight) {
+  Accumulate(now);
+  in_flight_ = in_flight;
+}
+
+void FeedbackLimit::Accumulate(TimePoint now) {
+  if (!started_) {
+    started_ = true;
+    period_start_ = now;
+    last_change_ = now;
+  }
+  busy_us_ += static_cast<double>((now - last_change_).count()) * in_flight_;
+  last_change_ = now;
+  if (now - period_start_ >= kPeriod) {
+    ClosePeriod(now);
+  }
+}
+
+void FeedbackLimit::ClosePeriod(TimePoint now) {
+  const auto elapsed = static_cast<double>((now - period_start_).count());
+  const double utilisation = busy_us_ / (elapsed * slots_);
+  const double miss_ratio = finished_ == 0 ? 0.0 : static_cast<double>(missed_) / finished_;
+  const double change = std::min(kUtilisationGain * (kUtilisationSetpoint - utilisation),
+                                 kMissGain * (kMissSetpoint - miss_ratio));
+  limit_ = std::clamp(limit_ + change * slots_, 1.0, kMaxFactor * slots_);
+  period_start_ = now;
+  busy_us_ = 0;
+  finished_ = 0;
+  missed_ = 0;
+}
+
+}  // namespace limpet
