Add failure detection, gossip, data centre status and anti-entropy

Cause: the control plane needs one view of all members on every node, within 2 s of a change and without a coordination service.

--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -1,259 +1,318 @@
 #include "limpet/membership/membership.h"
 
 #include <algorithm>
-#include <iterator>
 #include <map>
-#include <set>
-#include <tuple>
 #include <utility>
 
-#include <xxhash.h>
+#include "limpet/core/fault.h"
+#include "limpet/wire/codec.h"
+#include "membership/disseminator.h"
+#include "membership/failure_detector.h"
+#include "membership/gateway_monitor.h"
+#include "membership/joiner.h"
+#include "membership/member_order.h"
+#include "membership/node_state.h"
+#include "membership/rendezvous.h"
+#include "membership/table_exchange.h"
 
 namespace limpet {
 namespace {
 
 using wire::MemberRecord;
-using wire::MemberState;
 
-bool IsLive(const MemberRecord& record) {
-  return record.state == MemberState::kAlive || record.state == MemberState::kSuspect;
-}
-
-bool IsNewer(const MemberRecord& a, const MemberRecord& b) {
-  return std::tie(a.incarnation, a.sequence, a.state) >
-         std::tie(b.incarnation, b.sequence, b.state);
-}
+constexpr int kReaderCount = 2;
 
-uint64_t RendezvousHash(const MemberRecord& member) {
-  const std::string key = member.name + '\n' + member.data_centre;
-  return XXH3_64bits(key.data(), key.size());
+std::vector<MemberRecord> RecordsOf(const std::vector<const Member*>& members) {
+  std::vector<MemberRecord> records;
+  records.reserve(members.size());
+  for (const Member* member : members) {
+    records.push_back(member->record);
+  }
+  return records;
 }
 
 }  // namespace
 
-wire::Envelope MakeEnvelope(const MemberRecord& local, wire::Message message) {
-  wire::Envelope envelope;
-  envelope.sender = local.name;
-  envelope.sender_incarnation = local.incarnation;
-  envelope.sender_host = local.host;
-  envelope.sender_port = local.port;
-  envelope.message = std::move(message);
-  return envelope;
-}
-
 class Membership::Impl {
  public:
-  explicit Impl(MembershipOptions options) : options_(std::move(options)) {
-    local_.name = options_.name;
-    local_.incarnation = options_.incarnation;
-    local_.data_centre = options_.data_centre;
-    local_.service_name = options_.service;
-    local_.host = options_.host;
-    local_.port = options_.port;
-    local_.target_state = wire::TargetState::kStarting;
-    table_[local_.name] = local_;
+  Impl(MembershipOptions options, Random random, Counters& counters)
+      : state_(std::move(options), std::move(random), counters),
+        messages_received_(counters.Get("membership_messages_received")),
+        bytes_received_(counters.Get("membership_bytes_received")),
+        members_(counters.Get("membership_members")) {
+    state_.table.Apply(TimePoint(), state_.local);
   }
 
-  void Join(TimePoint now, ControlOutput& output) {
-    next_join_ = now + options_.probe_interval;
-    wire::Message message;
-    message.join_request.member = local_;
-    message.__isset.join_request = true;
-    for (const PeerAddress& seed : options_.seeds) {
-      output.messages.push_back({seed, MakeEnvelope(local_, message)});
-    }
+  void Start(TimePoint now, ControlOutput& output);
+  void Tick(TimePoint now, ControlOutput& output);
+  bool OnMessage(TimePoint now, const wire::Envelope& envelope, ControlOutput& output);
+  void SetTargetState(TimePoint now, wire::TargetState::type target, ControlOutput& output);
+  void Leave(TimePoint now, ControlOutput& output);
+
+  EndpointViewPtr endpoints();
+  const std::vector<MemberRecord>& LiveInDataCentre();
+
+  NodeState& state() { return state_; }
+  const Joiner& joiner() const { return joiner_; }
+
+ private:
+  struct Generation {
+    uint64_t table = 0;
+    uint64_t statuses = 0;
+
+    bool operator==(const Generation&) const = default;
+  };
+
+  void Dispatch(TimePoint now, const wire::Envelope& envelope, ControlOutput& output);
+  void LearnAll(TimePoint now, const std::vector<MemberRecord>& updates, ControlOutput& output);
+  std::map<std::string, std::vector<Endpoint>, std::less<>> CallableEndpoints() const;
+
+  NodeState state_;
+  FailureDetector detector_{state_};
+  Disseminator disseminator_{state_};
+  GatewayMonitor gateways_{state_};
+  TableExchange exchange_{state_};
+  Joiner joiner_{state_};
+  TimePoint next_expiry_;
+
+  Counter& messages_received_;
+  Counter& bytes_received_;
+  Counter& members_;
+
+  EndpointViewPtr endpoints_ = std::make_shared<const EndpointView>();
+  Generation endpoints_generation_;
+  std::vector<MemberRecord> live_;
+  uint64_t live_generation_ = 0;
+};
+
+void Membership::Impl::Start(TimePoint now, ControlOutput& output) {
+  detector_.Start(now);
+  exchange_.Start(now);
+  joiner_.Start(now, output);
+}
+
+void Membership::Impl::Tick(TimePoint now, ControlOutput& output) {
+  joiner_.Tick(now, output);
+  detector_.Tick(now, output);
+  gateways_.Tick(now, output);
+  exchange_.Tick(now, output);
+  disseminator_.Tick(now, output);
+  if (now >= next_expiry_) {
+    next_expiry_ = now + std::chrono::seconds(1);
+    state_.table.ExpireTombstones(now - state_.options.tombstone_lifetime);
+    members_.Set(state_.table.live_count());
   }
+}
 
-  void OnJoinRequest(const wire::Envelope& envelope, ControlOutput& output) {
-    Apply(envelope.message.join_request.member);
-    wire::Message message;
-    for (const auto& [name, record] : table_) {
-      message.join_reply.members.push_back(record);
-    }
-    message.join_reply.version = version_;
-    message.join_reply.ready = ready_;
-    message.__isset.join_reply = true;
-    output.messages.push_back(
-        {{envelope.sender_host, envelope.sender_port}, MakeEnvelope(local_, message)});
+bool Membership::Impl::OnMessage(TimePoint now,
+                                 const wire::Envelope& envelope,
+                                 ControlOutput& output) {
+  const auto& has = envelope.message.__isset;
+  if (!has.ping && !has.ack && !has.ping_request && !has.gossip && !has.join_request &&
+      !has.join_reply && !has.bucket_digest && !has.bucket_content) {
+    return false;
   }
+  messages_received_.Add();
+  bytes_received_.Add(static_cast<int64_t>(wire::Encode(envelope).size()));
+  if (envelope.sender != state_.local.name) {
+    Dispatch(now, envelope, output);
+    gateways_.OnContact(now, envelope, output);
+  }
+  return true;
+}
 
-  void OnJoinReply(const wire::Envelope& envelope) {
-    joined_ = true;
-    const wire::JoinReply& reply = envelope.message.join_reply;
-    for (const MemberRecord& record : reply.members) {
-      Apply(record);
-    }
-    heard_.push_back({envelope.sender,
-                      {envelope.sender_host, envelope.sender_port},
-                      reply.version,
-                      reply.ready});
+void Membership::Impl::Dispatch(TimePoint now,
+                                const wire::Envelope& envelope,
+                                ControlOutput& output) {
+  const wire::Message& message = envelope.message;
+  if (message.__isset.ping) {
+    state_.RecordVersion(envelope, message.ping.version, message.ping.ready);
+    LearnAll(now, message.ping.updates, output);
+    detector_.OnPing(envelope, output);
+  }
+  if (message.__isset.ack) {
+    state_.RecordVersion(envelope, message.ack.version, message.ack.ready);
+    LearnAll(now, message.ack.updates, output);
+    detector_.OnAck(envelope, output);
+  }
+  if (message.__isset.ping_request) {
+    detector_.OnPingRequest(now, envelope, output);
   }
+  if (message.__isset.gossip) {
+    disseminator_.OnGossip(now, envelope, output);
+  }
+  if (message.__isset.join_request) {
+    joiner_.OnRequest(now, envelope, output);
+  }
+  if (message.__isset.join_reply) {
+    state_.RecordVersion(envelope, message.join_reply.version, message.join_reply.ready);
+    joiner_.OnReply(now, envelope, output);
+  }
+  if (message.__isset.bucket_digest) {
+    exchange_.OnDigest(envelope, output);
+  }
+  if (message.__isset.bucket_content) {
+    exchange_.OnContent(now, envelope, output);
+  }
+}
 
-  void Apply(const MemberRecord& record) {
-    auto [it, inserted] = table_.try_emplace(record.name, record);
-    if (inserted || IsNewer(record, it->second)) {
-      it->second = record;
-      Changed();
-    }
+void Membership::Impl::LearnAll(TimePoint now,
+                                const std::vector<MemberRecord>& updates,
+                                ControlOutput& output) {
+  for (const MemberRecord& record : updates) {
+    state_.Learn(now, record, UpdateSource::kExchange, output);
   }
+}
 
-  void SetLocal() {
-    ++local_.sequence;
-    Apply(local_);
+void Membership::Impl::SetTargetState(TimePoint now,
+                                      wire::TargetState::type target,
+                                      ControlOutput& output) {
+  if (target == state_.local.target_state) {
+    return;
   }
+  state_.local.target_state = target;
+  ++state_.local.sequence;
+  state_.AnnounceLocal(now, output);
+}
 
-  void Changed() {
-    live_.clear();
-    std::map<std::string, std::vector<Endpoint>, std::less<>> services;
-    for (const auto& [name, record] : table_) {
-      if (!IsLive(record)) {
-        continue;
-      }
-      if (record.data_centre == local_.data_centre) {
-        live_.push_back(record);
-      }
-      if (record.target_state == wire::TargetState::kUp) {
-        services[record.service_name].push_back({name, record.incarnation, record.data_centre,
-                                                 record.host, record.port,
-                                                 record.state == MemberState::kAlive});
-      }
+void Membership::Impl::Leave(TimePoint now, ControlOutput& output) {
+  if (state_.local.state == wire::MemberState::kLeft || IsFaultActive(Fault::kForgetLeaving)) {
+    return;
+  }
+  state_.local.state = wire::MemberState::kLeft;
+  ++state_.local.sequence;
+  state_.AnnounceLocal(now, output);
+}
+
+EndpointViewPtr Membership::Impl::endpoints() {
+  const Generation current{state_.table.generation(), state_.statuses.generation()};
+  if (current != endpoints_generation_) {
+    endpoints_generation_ = current;
+    auto services = CallableEndpoints();
+    if (services != endpoints_->services()) {
+      endpoints_ = std::make_shared<const EndpointView>(std::move(services));
     }
-    endpoints_ = std::make_shared<const EndpointView>(std::move(services));
   }
+  return endpoints_;
+}
 
-  MembershipOptions options_;
-  MemberRecord local_;
-  std::map<std::string, MemberRecord, std::less<>> table_;
-  std::vector<MemberRecord> live_;
-  EndpointViewPtr endpoints_ = std::make_shared<const EndpointView>();
-  std::vector<HeardVersion> heard_;
-  TimePoint start_;
-  TimePoint next_join_;
-  int64_t version_ = 0;
-  bool ready_ = false;
-  bool joined_ = false;
-};
+std::map<std::string, std::vector<Endpoint>, std::less<>> Membership::Impl::CallableEndpoints()
+    const {
+  std::map<std::string, std::vector<Endpoint>, std::less<>> services;
+  for (const auto& [name, member] : state_.table.members()) {
+    const MemberRecord& record = member.record;
+    if (!IsLive(record) || record.target_state != wire::TargetState::kUp) {
+      continue;
+    }
+    const bool is_reachable = record.state == wire::MemberState::kAlive &&
+                              state_.statuses.IsReachable(record.data_centre);
+    services[record.service_name].push_back(
+        {name, record.incarnation, record.data_centre, record.host, record.port, is_reachable});
+  }
+  return services;
+}
 
-Membership::Membership(MembershipOptions options, Random /*random*/, Counters& /*counters*/)
-    : impl_(std::make_unique<Impl>(std::move(options))) {
-  impl_->Changed();
+const std::vector<MemberRecord>& Membership::Impl::LiveInDataCentre() {
+  if (live_generation_ != state_.table.generation()) {
+    live_generation_ = state_.table.generation();
+    live_ = RecordsOf(state_.Peers());
+  }
+  return live_;
 }
+
+Membership::Membership(MembershipOptions options, Random random, Counters& counters)
+    : impl_(std::make_unique<Impl>(std::move(options), std::move(random), counters)) {}
 Membership::~Membership() = default;
 Membership::Membership(Membership&&) noexcept = default;
 Membership& Membership::operator=(Membership&&) noexcept = default;
 
 void Membership::Start(TimePoint now, ControlOutput& output) {
-  impl_->start_ = now;
-  impl_->Join(now, output);
+  impl_->Start(now, output);
 }
 
 void Membership::Tick(TimePoint now, ControlOutput& output) {
-  if (now - impl_->start_ >= impl_->options_.join_timeout) {
-    impl_->joined_ = true;
-  }
-  if (now >= impl_->next_join_) {
-    impl_->Join(now, output);
-  }
+  impl_->Tick(now, output);
 }
 
-bool Membership::OnMessage(TimePoint /*now*/,
-                           const wire::Envelope& envelope,
-                           ControlOutput& output) {
-  if (envelope.message.__isset.join_request) {
-    impl_->OnJoinRequest(envelope, output);
-    return true;
-  }
-  if (envelope.message.__isset.join_reply) {
-    impl_->OnJoinReply(envelope);
-    return true;
-  }
-  return false;
+bool Membership::OnMessage(TimePoint now, const wire::Envelope& envelope, ControlOutput& output) {
+  return impl_->OnMessage(now, envelope, output);
 }
 
 void Membership::SetTargetState(TimePoint now,
                                 wire::TargetState::type state,
                                 ControlOutput& output) {
-  impl_->local_.target_state = state;
-  impl_->SetLocal();
-  impl_->Join(now, output);
+  impl_->SetTargetState(now, state, output);
 }
 
 void Membership::Leave(TimePoint now, ControlOutput& output) {
-  impl_->local_.state = MemberState::kLeft;
-  impl_->SetLocal();
-  impl_->Join(now, output);
+  impl_->Leave(now, output);
 }
 
 void Membership::set_version(int64_t version) {
-  impl_->version_ = version;
+  impl_->state().version = version;
 }
 
 void Membership::set_ready(bool ready) {
-  impl_->ready_ = ready;
+  impl_->state().is_ready = ready;
 }
 
 std::vector<HeardVersion> Membership::TakeHeardVersions() {
-  return std::exchange(impl_->heard_, {});
+  std::vector<HeardVersion> versions;
+  for (auto& [name, heard] : std::exchange(impl_->state().heard, {})) {
+    versions.push_back(std::move(heard));
+  }
+  return versions;
 }
 
 std::vector<MemberRecord> Membership::Members() const {
   std::vector<MemberRecord> members;
-  for (const auto& [name, record] : impl_->table_) {
-    members.push_back(record);
+  members.reserve(impl_->state().table.members().size());
+  for (const auto& [name, member] : impl_->state().table.members()) {
+    members.push_back(member.record);
   }
   return members;
 }
 
 const MemberRecord* Membership::Find(std::string_view name) const {
-  const auto it = impl_->table_.find(name);
-  return it == impl_->table_.end() ? nullptr : &it->second;
+  const Member* member = impl_->state().table.Find(name);
+  return member == nullptr ? nullptr : &member->record;
 }
 
 const MemberRecord& Membership::local() const {
-  return impl_->local_;
+  return impl_->state().local;
 }
 
 EndpointViewPtr Membership::endpoints() const {
-  return impl_->endpoints_;
+  return impl_->endpoints();
 }
 
 const std::vector<MemberRecord>& Membership::LiveInDataCentre() const {
-  return impl_->live_;
+  return impl_->LiveInDataCentre();
 }
 
 std::vector<MemberRecord> Membership::TopByRendezvous(int count,
                                                       std::string_view data_centre) const {
-  std::vector<MemberRecord> members = Members();
-  std::erase_if(members, [&](const MemberRecord& member) {
-    return !IsLive(member) || member.data_centre != data_centre;
-  });
-  std::ranges::sort(members, std::greater<>(), RendezvousHash);
-  members.resize(std::min(members.size(), static_cast<std::size_t>(count)));
-  return members;
+  return RecordsOf(TopByHash(impl_->state().table.Live(data_centre), count));
 }
 
 std::vector<MemberRecord> Membership::Gateways(std::string_view data_centre) const {
-  return TopByRendezvous(2, data_centre);
+  return RecordsOf(impl_->state().table.Gateways(data_centre));
 }
 
 std::vector<MemberRecord> Membership::Readers(std::string_view data_centre) const {
-  return TopByRendezvous(2, data_centre);
+  return TopByRendezvous(kReaderCount, data_centre);
 }
 
 std::vector<std::string> Membership::DataCentres() const {
-  std::set<std::string> names;
-  for (const auto& [name, record] : impl_->table_) {
-    names.insert(record.data_centre);
-  }
-  return {names.begin(), names.end()};
+  return impl_->state().table.DataCentres();
 }
 
-bool Membership::IsDataCentreReachable(std::string_view /*data_centre*/) const {
-  return true;
+bool Membership::IsDataCentreReachable(std::string_view data_centre) const {
+  return impl_->state().statuses.IsReachable(data_centre);
 }
 
 bool Membership::joined() const {
-  return impl_->joined_;
+  return impl_->joiner().has_joined();
 }
 
 }  // namespace limpet
