Add push, repair, readiness and the control plane

The daemon needs one step function that distributes accepted versions.

Lease holders write checkpoints, status and roster records, decided from the replayed stream. DeltaPush also carries the sender's version, replay position and readiness, DeltaRequest can ask for these alone.

--- a/idl/limpet.thrift
+++ b/idl/limpet.thrift
@@ -208,12 +208,19 @@
 
 // Configuration distribution.
 
+// Also the answer to a DeltaRequest; then the sender's version, replay position in the stream
+// "config" and readiness are meaningful even without changes.
 struct DeltaPush {
   1: list<AcceptedChange> changes
+  2: i64 version
+  3: i64 next_offset
+  4: bool ready
 }
 
+// Asks for the changes after a version, or only for the sender fields of the answer.
 struct DeltaRequest {
   1: i64 have
+  2: bool version_only
 }
 
 struct CheckpointRequest {
--- a/include/limpet/configlog/log_replay.h
+++ b/include/limpet/configlog/log_replay.h
@@ -73,8 +73,9 @@
   /// Continues from a configuration at its `next_offset`. Throws `ValidationError` if it is not
   /// valid as a whole.
   explicit LogReplay(wire::FullConfig config);
-  /// Continues from a configuration in effect, without validating it again. Null is an error.
-  explicit LogReplay(ConfigSnapshotPtr snapshot);
+  /// Continues at an offset from a configuration in effect, without validating it again. The
+  /// snapshot must not be null.
+  LogReplay(ConfigSnapshotPtr snapshot, int64_t next_offset);
 
   /// Replays the record at `next_offset()`; earlier offsets are ignored. Throws `ReplayGapError`
   /// for a later offset.
--- a/include/limpet/control/control_plane.h
+++ b/include/limpet/control/control_plane.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,7 @@
 #include "limpet/core/counters.h"
 #include "limpet/core/random.h"
 #include "limpet/core/time.h"
+#include "limpet/distribution/config_distributor.h"
 #include "limpet/membership/endpoint_view.h"
 #include "limpet_types.h"
 
@@ -28,14 +30,18 @@
   int64_t incarnation = 0;
   std::vector<PeerAddress> seeds;
   bool log_configured = true;
+  DistributionMode distribution = DistributionMode::kTree;
 };
 
 /// The control state of one node behind one step function. Free of I/O: a driver supplies time,
-/// messages and results of log requests, and carries out the output. Not safe for concurrent use.
+/// messages and results of log requests, and carries out the output. A malformed or hostile message
+/// or log answer is ignored and counted. Not safe for concurrent use.
 class ControlPlane {
  public:
   ControlPlane(ControlOptions options, Random random, Counters& counters);
   ~ControlPlane();
+  ControlPlane(const ControlPlane&) = delete;
+  ControlPlane& operator=(const ControlPlane&) = delete;
 
   /// Joins through the seeds. Called once, before anything else.
   ControlOutput Start(TimePoint now);
@@ -49,12 +55,19 @@
   ControlOutput Leave(TimePoint now);
 
   /// True when this node holds at least the highest version that reachable peers or the log had.
+  /// Stays true from then on.
   bool IsReady() const;
   /// Never null; version 0 before the first configuration arrives.
   ConfigSnapshotPtr snapshot() const;
   /// Never null.
   EndpointViewPtr endpoints() const;
   std::vector<wire::MemberRecord> Members() const;
+  /// Set while a version newer than the one in effect did not validate here.
+  std::optional<ConfigRefusal> refusal() const;
+  /// True while this node polls the log for its data centre.
+  bool IsReader() const;
+  /// Names of the leases that this node holds, according to the log as it has read it.
+  std::vector<std::string> HeldLeases() const;
   /// May exceed the option's value, if an earlier start of this name had a higher one.
   int64_t incarnation() const;
 
--- /dev/null
+++ b/include/limpet/distribution/config_distributor.h
@@ -0,0 +1,102 @@
+#ifndef LIMPET_DISTRIBUTION_CONFIG_DISTRIBUTOR_H_
+#define LIMPET_DISTRIBUTION_CONFIG_DISTRIBUTOR_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "limpet/control/control_output.h"
+#include "limpet/core/counters.h"
+#include "limpet/core/enum_names.h"
+#include "limpet/core/random.h"
+#include "limpet/core/time.h"
+#include "limpet/distribution/config_store.h"
+#include "limpet/distribution/repair.h"
+#include "limpet/distribution/transfer_limiter.h"
+#include "limpet/membership/membership.h"
+
+namespace limpet {
+
+/// How accepted versions reach the nodes.
+enum class DistributionMode {
+  kTree,     // readers poll the log and push along a tree
+  kPollLog,  // every node polls the log; the baseline for measurements
+};
+
+inline constexpr EnumNames<DistributionMode, 2> kDistributionModeNames = {{
+    {DistributionMode::kTree, "tree"},
+    {DistributionMode::kPollLog, "poll_log"},
+}};
+
+/// Push and repair between nodes: forwards what this node applies, answers peers that are behind,
+/// and asks peers that are ahead.
+class ConfigDistributor {
+ public:
+  /// What an answer to a `DeltaRequest` said about its sender.
+  struct Answer {
+    std::string peer;
+    bool ready = false;
+    int64_t version = 0;
+    int64_t next_offset = 0;
+  };
+
+  /// The references must outlive the distributor.
+  ConfigDistributor(DistributionMode mode,
+                    const Membership& membership,
+                    ConfigStore& store,
+                    Random random,
+                    Counters& counters);
+
+  /// Sends the open repair request, if one is due.
+  void Tick(TimePoint now, ControlOutput& output);
+  /// Versions heard on pings. `urgent` skips the wait for a push that may be under way.
+  void OnHeardVersions(TimePoint now, const std::vector<HeardVersion>& versions, bool urgent);
+  /// Returns true if the envelope held a message of this module.
+  bool OnMessage(TimePoint now, const wire::Envelope& envelope, ControlOutput& output);
+  /// Asks a peer for its version, or also for the changes after this node's.
+  void Ask(const wire::MemberRecord& peer, bool version_only, ControlOutput& output) const;
+  /// Sends changes that came from outside the data centre to the top of the push tree.
+  void PushFromOutside(const std::vector<wire::AcceptedChange>& changes, ControlOutput& output);
+
+  /// Answers since the last call.
+  std::vector<Answer> TakeAnswers();
+  bool IsBehind() const { return repair_.IsBehind(store_.version()); }
+  void set_ready(bool ready) { ready_ = ready; }
+
+ private:
+  enum class Origin { kPeer, kOutside };
+
+  void OnDeltaPush(TimePoint now, const wire::Envelope& envelope, ControlOutput& output);
+  void OnDeltaRequest(TimePoint now, const wire::Envelope& envelope, ControlOutput& output);
+  void OnCheckpointReply(TimePoint now, const wire::Envelope& envelope);
+  void ServeCheckpoint(TimePoint now, const wire::Envelope& envelope, ControlOutput& output);
+  std::vector<wire::AcceptedChange> ApplyAll(TimePoint now, const wire::Envelope& envelope);
+  void Forward(const std::vector<wire::AcceptedChange>& changes,
+               Origin origin,
+               std::string_view sender,
+               ControlOutput& output);
+  bool IsFromOutside(std::string_view sender) const;
+  wire::DeltaPush MakePush(std::vector<wire::AcceptedChange> changes) const;
+  void Reply(const wire::Envelope& to, wire::Message message, ControlOutput& output) const;
+  void CountResult(ApplyResult result);
+
+  DistributionMode mode_;
+  const Membership& membership_;
+  ConfigStore& store_;
+  Repair repair_;
+  TransferLimiter transfers_;
+  std::vector<Answer> answers_;
+  bool ready_ = false;
+
+  Counter& applied_;
+  Counter& refused_;
+  Counter& repairs_;
+  Counter& transfers_served_;
+  Counter& transfers_refused_;
+};
+
+}  // namespace limpet
+
+#endif  // LIMPET_DISTRIBUTION_CONFIG_DISTRIBUTOR_H_
--- a/src/configlog/log_replay.cc
+++ b/src/configlog/log_replay.cc
@@ -28,11 +28,11 @@
 LogReplay::LogReplay() : LogReplay(wire::FullConfig()) {}
 
 LogReplay::LogReplay(wire::FullConfig config)
-    : LogReplay(std::make_shared<const ConfigSnapshot>(std::move(config))) {}
+    : LogReplay(std::make_shared<const ConfigSnapshot>(config), config.next_offset) {}
 
-LogReplay::LogReplay(ConfigSnapshotPtr snapshot)
+LogReplay::LogReplay(ConfigSnapshotPtr snapshot, int64_t next_offset)
     : snapshot_(std::move(snapshot)),
-      next_offset_(std::max(snapshot_->config().next_offset, snapshot_->version() + 1)) {}
+      next_offset_(std::max(next_offset, snapshot_->version() + 1)) {}
 
 ReplayResult LogReplay::Apply(const LogRecord& record) {
   if (record.offset < next_offset_) {
@@ -106,10 +106,24 @@
 }
 
 ConfigSnapshotPtr ApplyChange(const ConfigSnapshot& base, const wire::AcceptedChange& change) {
-  wire::FullConfig config = ApplyDelta(base.config(), change.record.delta);
-  config.version = change.version;
-  config.next_offset = change.version + 1;
-  return std::make_shared<const ConfigSnapshot>(std::move(config));
+  const auto build = [&](const wire::ConfigDelta& delta) {
+    wire::FullConfig config = ApplyDelta(base.config(), delta);
+    config.version = change.version;
+    config.next_offset = change.version + 1;
+    return std::make_shared<const ConfigSnapshot>(std::move(config));
+  };
+  try {
+    return build(change.record.delta);
+  } catch (const ValidationError&) {
+    if (!IsFaultActive(Fault::kSwapBeforeValidate)) {
+      throw;
+    }
+    // What a node without validation of the whole would be left with: the part that fits.
+    wire::ConfigDelta part;
+    part.set_services = change.record.delta.set_services;
+    part.set_rules = change.record.delta.set_rules;
+    return build(part);
+  }
 }
 
 }  // namespace limpet
--- a/src/configlog/system_replay.cc
+++ b/src/configlog/system_replay.cc
@@ -60,6 +60,11 @@
     if (!MayApply(kCheckpointLease, record.checkpoint.token)) {
       return SystemRecordKind::kFenced;
     }
+    // A checkpoint that covers less is of no use to anyone.
+    if (checkpoint_ && record.checkpoint.config.next_offset < checkpoint_->next_offset &&
+        !IsFaultActive(Fault::kSkipFence)) {
+      return SystemRecordKind::kOld;
+    }
     checkpoint_ = std::move(record.checkpoint.config);
     checkpoint_offset_ = offset;
     return SystemRecordKind::kCheckpoint;
--- /dev/null
+++ b/src/control/system_log_reader.cc
@@ -0,0 +1,82 @@
+#include "control/system_log_reader.h"
+
+#include <algorithm>
+
+#include "limpet/configlog/log_replay.h"
+
+namespace limpet {
+
+SystemLogReader::SystemLogReader(Random random, Counters& counters)
+    : probe_(kSystemStream, kPollInterval, 1, Random(random.Next())),
+      cursor_(kSystemStream, kPollInterval, kMaxRecords, Random(random.Next())),
+      failed_(counters.Get("log_reads_failed")),
+      fenced_(counters.Get("system_records_fenced")) {}
+
+std::optional<LogRead> SystemLogReader::Tick(TimePoint now,
+                                             bool checkpoint_wanted,
+                                             RequestIds& ids) {
+  if (now - last_tick_ >= kMaxPause) {
+    Restart();
+  }
+  last_tick_ = now;
+  if (checkpoint_wanted && synced_since_ && !replay_.checkpoint() &&
+      start_ > cursor_.first_offset()) {
+    const int64_t wider = window_ * kWindowGrowth;
+    Restart();
+    window_ = wider;
+  }
+  return probing_ ? probe_.Tick(now, 1, ids) : cursor_.Tick(now, replay_.next_offset(), ids);
+}
+
+bool SystemLogReader::OnResult(TimePoint now, const LogResult& result) {
+  if (OnProbe(now, result)) {
+    return true;
+  }
+  const LogCursor::Page page = cursor_.OnResult(now, result);
+  if (page == LogCursor::Page::kNotMine) {
+    return false;
+  }
+  if (probing_) {
+    return true;
+  }
+  if (page == LogCursor::Page::kFailed) {
+    failed_.Add();
+  } else if (page != LogCursor::Page::kRecords) {
+    Restart();
+  } else {
+    for (const LogRecord& record : result.records) {
+      fenced_.Add(replay_.Apply(record, now) == SystemRecordKind::kFenced ? 1 : 0);
+    }
+    if (replay_.next_offset() >= result.end_offset && !synced_since_) {
+      synced_since_ = now;
+    }
+  }
+  return true;
+}
+
+bool SystemLogReader::OnProbe(TimePoint now, const LogResult& result) {
+  const LogCursor::Page page = probe_.OnResult(now, result);
+  if (page == LogCursor::Page::kNotMine) {
+    return false;
+  }
+  if (page == LogCursor::Page::kFailed) {
+    failed_.Add();
+  } else if (probing_) {
+    StartNearEnd();
+  }
+  return true;
+}
+
+void SystemLogReader::Restart() {
+  probing_ = true;
+  window_ = kFirstWindow;
+  synced_since_.reset();
+}
+
+void SystemLogReader::StartNearEnd() {
+  probing_ = false;
+  start_ = std::max(probe_.first_offset(), probe_.end_offset() - window_);
+  replay_ = SystemReplay(start_);
+}
+
+}  // namespace limpet
--- /dev/null
+++ b/src/distribution/config_store.cc
@@ -0,0 +1,85 @@
+#include "limpet/distribution/config_store.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "limpet/config/config.h"
+#include "limpet/configlog/log_replay.h"
+#include "limpet/core/fault.h"
+
+namespace limpet {
+
+ConfigStore::ConfigStore()
+    : snapshot_(std::make_shared<const ConfigSnapshot>(wire::FullConfig())) {}
+
+ApplyResult ConfigStore::Apply(const wire::AcceptedChange& change) {
+  if (const ApplyResult check = Check(change); check != ApplyResult::kApplied) {
+    return check;
+  }
+  try {
+    Swap(ApplyChange(*snapshot_, change));
+  } catch (const ValidationError& error) {
+    return Refuse(change.version, error.what());
+  }
+  history_.Add(change);
+  return ApplyResult::kApplied;
+}
+
+ApplyResult ConfigStore::Adopt(const wire::AcceptedChange& change, ConfigSnapshotPtr snapshot) {
+  if (const ApplyResult check = Check(change); check != ApplyResult::kApplied) {
+    return check;
+  }
+  Swap(std::move(snapshot));
+  history_.Add(change);
+  return ApplyResult::kApplied;
+}
+
+ApplyResult ConfigStore::Install(const wire::FullConfig& config) {
+  if (config.version <= version() && !IsFaultActive(Fault::kAcceptOlderVersion)) {
+    return ApplyResult::kOld;
+  }
+  try {
+    Swap(std::make_shared<const ConfigSnapshot>(config));
+  } catch (const ValidationError& error) {
+    return Refuse(config.version, error.what());
+  }
+  SetPosition(config.next_offset);
+  history_.Clear();
+  return ApplyResult::kApplied;
+}
+
+void ConfigStore::SetPosition(int64_t next_offset) {
+  position_ = std::max(next_offset, version() + 1);
+}
+
+wire::FullConfig ConfigStore::FullConfig() const {
+  wire::FullConfig config = snapshot_->config();
+  config.next_offset = position_;
+  return config;
+}
+
+ApplyResult ConfigStore::Check(const wire::AcceptedChange& change) const {
+  if (change.version <= version()) {
+    return IsFaultActive(Fault::kAcceptOlderVersion) ? ApplyResult::kApplied : ApplyResult::kOld;
+  }
+  if (change.record.base != version() && !IsFaultActive(Fault::kSkipBaseCheck)) {
+    return ApplyResult::kMissingBase;
+  }
+  return ApplyResult::kApplied;
+}
+
+void ConfigStore::Swap(ConfigSnapshotPtr snapshot) {
+  snapshot_ = std::move(snapshot);
+  position_ = std::max(position_, version() + 1);
+  if (refusal_ && refusal_->version <= version()) {
+    refusal_.reset();
+  }
+}
+
+ApplyResult ConfigStore::Refuse(int64_t version, const std::string& reason) {
+  refusal_ = ConfigRefusal{version, reason};
+  return ApplyResult::kRefused;
+}
+
+}  // namespace limpet
--- /dev/null
+++ b/src/distribution/readiness.cc
@@ -0,0 +1,95 @@
+#include "limpet/distribution/readiness.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "limpet/core/fault.h"
+
+namespace limpet {
+
+std::vector<std::string> Readiness::Tick(TimePoint now, const Input& input) {
+  switch (phase_) {
+    case StartPhase::kJoining:
+      if (input.joined) {
+        return Ask(now, input.peers);
+      }
+      break;
+    case StartPhase::kAsking:
+      if (IsFaultActive(Fault::kReadyTooEarly)) {
+        phase_ = StartPhase::kReady;
+      } else if (asked_.empty() || now - phase_start_ >= kPeerTimeout) {
+        EndAsking(now);
+      }
+      break;
+    case StartPhase::kFetching:
+      if (!input.behind || now - phase_start_ >= kFetchTimeout) {
+        phase_ = StartPhase::kTail;
+        phase_start_ = now;
+        if (!log_start_) {
+          log_start_ = now + Duration(static_cast<Duration::rep>(
+                                 random_.Below(has_source_ ? kTailSpread.count() : 1)));
+        }
+      }
+      break;
+    case StartPhase::kTail:
+      TickTail(now, input);
+      if (phase_ == StartPhase::kJoining) {
+        return Ask(now, input.peers);
+      }
+      break;
+    case StartPhase::kReady:
+      break;
+  }
+  return {};
+}
+
+void Readiness::OnAnswer(std::string_view peer, bool peer_ready) {
+  if (asked_.erase(std::string(peer)) == 0) {
+    return;
+  }
+  has_source_ = has_source_ || peer_ready;
+}
+
+bool Readiness::WantsLog(TimePoint now) const {
+  return phase_ != StartPhase::kReady && log_start_ && *log_start_ <= now;
+}
+
+std::vector<std::string> Readiness::Ask(TimePoint now, std::vector<std::string> peers) {
+  const std::size_t count = std::min(kPeersAsked, peers.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    std::swap(peers[i], peers[i + random_.Below(peers.size() - i)]);
+  }
+  peers.resize(count);
+  asked_ = std::set<std::string, std::less<>>(peers.begin(), peers.end());
+  phase_ = StartPhase::kAsking;
+  phase_start_ = now;
+  return peers;
+}
+
+void Readiness::EndAsking(TimePoint now) {
+  asked_.clear();
+  phase_ = StartPhase::kFetching;
+  phase_start_ = now;
+}
+
+void Readiness::TickTail(TimePoint now, const Input& input) {
+  if (input.behind) {
+    return;
+  }
+  if (input.log_caught_up) {
+    phase_ = StartPhase::kReady;
+    return;
+  }
+  // A log that answers pages of a long tail is not failing.
+  const TimePoint since = std::max(*log_start_, input.log_answered_at.value_or(*log_start_));
+  if (input.log_configured && now - since < kLogTimeout) {
+    return;
+  }
+  if (has_source_) {
+    phase_ = StartPhase::kReady;
+  } else if (now - phase_start_ >= kLogTimeout) {
+    phase_ = StartPhase::kJoining;
+  }
+}
+
+}  // namespace limpet
--- /dev/null
+++ b/src/distribution/repair.cc
@@ -0,0 +1,102 @@
+#include "limpet/distribution/repair.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace limpet {
+
+void Repair::Hear(TimePoint now,
+                  const std::string& peer,
+                  const PeerAddress& address,
+                  int64_t version,
+                  Duration grace) {
+  const auto found = peers_.find(peer);
+  if (found == peers_.end()) {
+    if (peers_.size() < kMaxPeers) {
+      peers_[peer] = {address, version, now + grace, 0, std::nullopt};
+    }
+    return;
+  }
+  found->second.address = address;
+  found->second.version = version;
+  found->second.not_before = std::min(found->second.not_before, now + kMaxBackoff);
+}
+
+std::optional<Repair::Request> Repair::Tick(TimePoint now, int64_t own_version) {
+  if (open_ && now - open_->sent_at >= kAnswerTimeout) {
+    const std::string silent = open_->peer;
+    Strike(now, silent);
+  }
+  std::erase_if(peers_, [&](const auto& entry) {
+    return entry.second.muted_until ? *entry.second.muted_until <= now
+                                    : entry.second.version <= own_version;
+  });
+  if (open_) {
+    return std::nullopt;
+  }
+  std::vector<const std::pair<const std::string, Peer>*> due;
+  for (const auto& entry : peers_) {
+    if (!entry.second.muted_until && entry.second.not_before <= now) {
+      due.push_back(&entry);
+    }
+  }
+  if (due.empty()) {
+    return std::nullopt;
+  }
+  // A random choice spreads the load and gets past a peer that claims a version it lacks.
+  const auto& [name, peer] = *due[random_.Below(due.size())];
+  open_ = Open{name, now};
+  return Request{name, peer.address};
+}
+
+void Repair::OnAnswer(TimePoint now, std::string_view peer, bool progress) {
+  if (!IsWaitingFor(peer)) {
+    return;
+  }
+  if (!progress) {
+    Strike(now, peer);
+    return;
+  }
+  open_.reset();
+  if (const auto found = peers_.find(peer); found != peers_.end()) {
+    found->second.strikes = 0;
+    found->second.not_before = now;
+  }
+}
+
+void Repair::OnRefusal(TimePoint now, std::string_view peer, Duration retry_after) {
+  if (!IsWaitingFor(peer)) {
+    return;
+  }
+  open_.reset();
+  if (const auto found = peers_.find(peer); found != peers_.end()) {
+    // Clamped, because the time comes from another process.
+    found->second.not_before =
+        now + random_.Jitter(std::clamp(retry_after, kMinBackoff, kMaxBackoff), 0.3);
+  }
+}
+
+bool Repair::IsBehind(int64_t own_version) const {
+  return std::ranges::any_of(peers_, [&](const auto& entry) {
+    return !entry.second.muted_until && entry.second.version > own_version;
+  });
+}
+
+void Repair::Strike(TimePoint now, std::string_view name) {
+  const auto found = peers_.find(name);
+  if (open_ && open_->peer == name) {
+    open_.reset();
+  }
+  if (found == peers_.end()) {
+    return;
+  }
+  Peer& peer = found->second;
+  if (++peer.strikes >= kMaxStrikes) {
+    peer.muted_until = now + kMuteTime;
+    return;
+  }
+  peer.not_before =
+      now + random_.Jitter(std::min(kMaxBackoff, kMinBackoff * (1 << peer.strikes)), 0.5);
+}
+
+}  // namespace limpet
--- a/src/gen/limpet_types.cpp
+++ b/src/gen/limpet_types.cpp
@@ -4959,6 +4959,18 @@
 void DeltaPush::__set_changes(const std::vector<AcceptedChange> & val) {
   this->changes = val;
 }
+
+void DeltaPush::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void DeltaPush::__set_next_offset(const int64_t val) {
+  this->next_offset = val;
+}
+
+void DeltaPush::__set_ready(const bool val) {
+  this->ready = val;
+}
 std::ostream& operator<<(std::ostream& out, const DeltaPush& obj)
 {
   obj.printTo(out);
@@ -5007,6 +5019,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->next_offset);
+          this->__isset.next_offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ready);
+          this->__isset.ready = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5036,6 +5072,18 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("next_offset", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->next_offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ready", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->ready);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5044,24 +5092,39 @@
 void swap(DeltaPush &a, DeltaPush &b) {
   using ::std::swap;
   swap(a.changes, b.changes);
+  swap(a.version, b.version);
+  swap(a.next_offset, b.next_offset);
+  swap(a.ready, b.ready);
   swap(a.__isset, b.__isset);
 }
 
 DeltaPush::DeltaPush(const DeltaPush& other268) {
   changes = other268.changes;
+  version = other268.version;
+  next_offset = other268.next_offset;
+  ready = other268.ready;
   __isset = other268.__isset;
 }
 DeltaPush::DeltaPush(DeltaPush&& other269) noexcept {
   changes = std::move(other269.changes);
+  version = other269.version;
+  next_offset = other269.next_offset;
+  ready = other269.ready;
   __isset = other269.__isset;
 }
 DeltaPush& DeltaPush::operator=(const DeltaPush& other270) {
   changes = other270.changes;
+  version = other270.version;
+  next_offset = other270.next_offset;
+  ready = other270.ready;
   __isset = other270.__isset;
   return *this;
 }
 DeltaPush& DeltaPush::operator=(DeltaPush&& other271) noexcept {
   changes = std::move(other271.changes);
+  version = other271.version;
+  next_offset = other271.next_offset;
+  ready = other271.ready;
   __isset = other271.__isset;
   return *this;
 }
@@ -5069,6 +5132,9 @@
   using ::apache::thrift::to_string;
   out << "DeltaPush(";
   out << "changes=" << to_string(changes);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "next_offset=" << to_string(next_offset);
+  out << ", " << "ready=" << to_string(ready);
   out << ")";
 }
 
@@ -5080,6 +5146,10 @@
 void DeltaRequest::__set_have(const int64_t val) {
   this->have = val;
 }
+
+void DeltaRequest::__set_version_only(const bool val) {
+  this->version_only = val;
+}
 std::ostream& operator<<(std::ostream& out, const DeltaRequest& obj)
 {
   obj.printTo(out);
@@ -5116,6 +5186,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->version_only);
+          this->__isset.version_only = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5137,6 +5215,10 @@
   xfer += oprot->writeI64(this->have);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("version_only", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->version_only);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5145,24 +5227,29 @@
 void swap(DeltaRequest &a, DeltaRequest &b) {
   using ::std::swap;
   swap(a.have, b.have);
+  swap(a.version_only, b.version_only);
   swap(a.__isset, b.__isset);
 }
 
 DeltaRequest::DeltaRequest(const DeltaRequest& other272) noexcept {
   have = other272.have;
+  version_only = other272.version_only;
   __isset = other272.__isset;
 }
 DeltaRequest::DeltaRequest(DeltaRequest&& other273) noexcept {
   have = other273.have;
+  version_only = other273.version_only;
   __isset = other273.__isset;
 }
 DeltaRequest& DeltaRequest::operator=(const DeltaRequest& other274) noexcept {
   have = other274.have;
+  version_only = other274.version_only;
   __isset = other274.__isset;
   return *this;
 }
 DeltaRequest& DeltaRequest::operator=(DeltaRequest&& other275) noexcept {
   have = other275.have;
+  version_only = other275.version_only;
   __isset = other275.__isset;
   return *this;
 }
@@ -5170,6 +5257,7 @@
   using ::apache::thrift::to_string;
   out << "DeltaRequest(";
   out << "have=" << to_string(have);
+  out << ", " << "version_only=" << to_string(version_only);
   out << ")";
 }
 
--- a/src/gen/limpet_types.h
+++ b/src/gen/limpet_types.h
@@ -1838,8 +1838,11 @@
 std::ostream& operator<<(std::ostream& out, const BucketContent& obj);
 
 typedef struct _DeltaPush__isset {
-  _DeltaPush__isset() : changes(false) {}
+  _DeltaPush__isset() : changes(false), version(false), next_offset(false), ready(false) {}
   bool changes :1;
+  bool version :1;
+  bool next_offset :1;
+  bool ready :1;
 } _DeltaPush__isset;
 
 class DeltaPush : public virtual ::apache::thrift::TBase {
@@ -1849,20 +1852,38 @@
   DeltaPush(DeltaPush&&) noexcept;
   DeltaPush& operator=(const DeltaPush&);
   DeltaPush& operator=(DeltaPush&&) noexcept;
-  DeltaPush() noexcept {
+  DeltaPush() noexcept
+            : version(0),
+              next_offset(0),
+              ready(0) {
   }
 
   virtual ~DeltaPush() noexcept;
   std::vector<AcceptedChange>  changes;
+  int64_t version;
+  int64_t next_offset;
+  bool ready;
 
   _DeltaPush__isset __isset;
 
   void __set_changes(const std::vector<AcceptedChange> & val);
 
+  void __set_version(const int64_t val);
+
+  void __set_next_offset(const int64_t val);
+
+  void __set_ready(const bool val);
+
   bool operator == (const DeltaPush & rhs) const
   {
     if (!(changes == rhs.changes))
       return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(next_offset == rhs.next_offset))
+      return false;
+    if (!(ready == rhs.ready))
+      return false;
     return true;
   }
   bool operator != (const DeltaPush &rhs) const {
@@ -1882,8 +1903,9 @@
 std::ostream& operator<<(std::ostream& out, const DeltaPush& obj);
 
 typedef struct _DeltaRequest__isset {
-  _DeltaRequest__isset() : have(false) {}
+  _DeltaRequest__isset() : have(false), version_only(false) {}
   bool have :1;
+  bool version_only :1;
 } _DeltaRequest__isset;
 
 class DeltaRequest : public virtual ::apache::thrift::TBase {
@@ -1894,20 +1916,26 @@
   DeltaRequest& operator=(const DeltaRequest&) noexcept;
   DeltaRequest& operator=(DeltaRequest&&) noexcept;
   DeltaRequest() noexcept
-               : have(0) {
+               : have(0),
+                 version_only(0) {
   }
 
   virtual ~DeltaRequest() noexcept;
   int64_t have;
+  bool version_only;
 
   _DeltaRequest__isset __isset;
 
   void __set_have(const int64_t val);
 
+  void __set_version_only(const bool val);
+
   bool operator == (const DeltaRequest & rhs) const
   {
     if (!(have == rhs.have))
       return false;
+    if (!(version_only == rhs.version_only))
+      return false;
     return true;
   }
   bool operator != (const DeltaRequest &rhs) const {
