--- a/src/traffic/balancer.cc
+++ b/src/traffic/balancer.cc
@@ -134,19 +134,17 @@
     return std::nullopt;
   }
   ServiceTable& table = position->second;
-  Candidates candidates = Acceptable(now, Collect(table.subset, excluded));
-  if (candidates.empty()) {
-    const Candidates all = Collect(table.nodes, excluded);
-    candidates = Acceptable(now, all);
-    if (candidates.empty()) {
-      // Every endpoint failed at once: rather a fault on this side than everywhere.
-      candidates = all;
-    }
+  Candidates good = Acceptable(now, Collect(table.subset, excluded));
+  Candidates all;
+  if (good.empty()) {
+    all = Collect(table.nodes, excluded);
+    good = Acceptable(now, all);
   }
-  if (candidates.empty()) {
+  if (good.empty() && all.empty()) {
     return std::nullopt;
   }
-  candidates = AllowSlowStart(now, PreferLocal(now, candidates));
+  // If every endpoint failed at once, the fault is rather on this side: any of them will do.
+  const Candidates candidates = good.empty() ? all : AllowSlowStart(now, PreferLocal(now, good));
   return candidates[table.strategy->Select(now, candidates, random_)]->endpoint;
 }
 
--- /dev/null
+++ b/tests/traffic/inbound_gate_test.cc
@@ -0,0 +1,150 @@
+#include "limpet/traffic/inbound_gate.h"
+
+#include <doctest/doctest.h>
+
+namespace limpet {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Outcome = wire::Outcome;
+using Reason = wire::RefusalReason;
+
+constexpr TimePoint kNow{seconds(100)};
+
+wire::CallRequest Request(const std::string& attempt, const std::string& caller = "c") {
+  wire::CallRequest request;
+  request.attempt_id = attempt;
+  request.request_id = "request of " + attempt;
+  request.target_incarnation = 7;
+  request.deadline_ms = 500;
+  request.caller = caller;
+  return request;
+}
+
+InboundGate Gate(int slots, size_t queue_length, size_t ledger_capacity = 1000) {
+  GateOptions options;
+  options.queue_length = queue_length;
+  options.ledger_capacity = ledger_capacity;
+  return {options, 7, std::make_unique<FixedLimit>(slots)};
+}
+
+void CheckRefused(const ArrivalDecision& decision, Outcome::type outcome, Reason::type reason) {
+  CHECK(decision.admission == Admission::kRefused);
+  CHECK(decision.outcome == outcome);
+  CHECK(decision.reason == reason);
+}
+
+TEST_CASE("requests beyond the limit wait and start when a slot is free") {
+  InboundGate gate = Gate(1, 1);
+  CHECK(gate.Arrive(kNow, Request("1")).admission == Admission::kAdmitted);
+  CHECK(gate.Arrive(kNow, Request("2")).admission == Admission::kQueued);
+  CheckRefused(gate.Arrive(kNow, Request("3")), Outcome::kNotRun, Reason::kOverloaded);
+  const auto events = gate.Finish(kNow, "1", Outcome::kRan, milliseconds(5));
+  REQUIRE(events.size() == 1);
+  CHECK(events[0].attempt_id == "2");
+  CHECK(events[0].starts);
+}
+
+TEST_CASE("a queued attempt is refused when its time is over") {
+  InboundGate gate = Gate(1, 1);
+  gate.Arrive(kNow, Request("1"));
+  gate.Arrive(kNow, Request("2"));
+  CHECK(gate.Expire(kNow + milliseconds(50)).empty());
+  const auto events = gate.Expire(kNow + milliseconds(100));
+  REQUIRE(events.size() == 1);
+  CHECK_FALSE(events[0].starts);
+  CHECK(events[0].reason == Reason::kQueueTimeout);
+  CHECK(gate.load().queued == 0);
+}
+
+TEST_CASE("a caller with a backlog gives way to another caller") {
+  InboundGate gate = Gate(1, 3);
+  for (const char* attempt : {"1", "2", "3", "4"}) {
+    gate.Arrive(kNow, Request(attempt, "busy"));
+  }
+  const ArrivalDecision decision = gate.Arrive(kNow, Request("5", "quiet"));
+  CHECK(decision.admission == Admission::kQueued);
+  REQUIRE(decision.events.size() == 1);
+  CHECK(decision.events[0].attempt_id == "4");
+  CHECK(decision.events[0].reason == Reason::kCallerShare);
+  gate.Finish(kNow, "1", Outcome::kRan, milliseconds(5));
+  CHECK(gate.Finish(kNow, "2", Outcome::kRan, milliseconds(5))[0].attempt_id == "5");
+}
+
+TEST_CASE("a copy of an attempt that may run is never answered as not_run") {
+  InboundGate gate = Gate(1, 0);
+  gate.Arrive(kNow, Request("1"));
+  CheckRefused(gate.Arrive(kNow, Request("1")), Outcome::kUnknown, Reason::kDuplicate);
+  gate.StartDraining(kNow);
+  CheckRefused(gate.Arrive(kNow, Request("1")), Outcome::kUnknown, Reason::kDuplicate);
+  gate.RaiseIncarnation(8);
+  CheckRefused(gate.Arrive(kNow, Request("1")), Outcome::kUnknown, Reason::kDuplicate);
+}
+
+TEST_CASE("a copy of a refused attempt does not run when a slot is free again") {
+  InboundGate gate = Gate(1, 0);
+  gate.Arrive(kNow, Request("1"));
+  gate.Arrive(kNow, Request("2"));
+  gate.Finish(kNow, "1", Outcome::kRan, milliseconds(5));
+  CheckRefused(gate.Arrive(kNow, Request("2")), Outcome::kNotRun, Reason::kDuplicate);
+}
+
+TEST_CASE("a request runs again in another attempt only if it is idempotent or did not run") {
+  InboundGate gate = Gate(4, 0);
+  wire::CallRequest second = Request("2");
+  second.request_id = Request("1").request_id;
+  gate.Arrive(kNow, Request("1"));
+  CheckRefused(gate.Arrive(kNow, second), Outcome::kUnknown, Reason::kDuplicate);
+  gate.Finish(kNow, "1", Outcome::kNotRun, milliseconds(0));
+  CHECK(gate.Arrive(kNow, second).admission == Admission::kAdmitted);
+  wire::CallRequest third = second;
+  third.attempt_id = "3";
+  third.idempotent = true;
+  CHECK(gate.Arrive(kNow, third).admission == Admission::kAdmitted);
+}
+
+TEST_CASE("a full ledger refuses without a claim that a later copy could make false") {
+  InboundGate gate = Gate(4, 0, 2);
+  gate.Arrive(kNow, Request("1"));
+  CheckRefused(gate.Arrive(kNow, Request("2")), Outcome::kUnknown, Reason::kOverloaded);
+  gate.Finish(kNow, "1", Outcome::kRan, milliseconds(5));
+  CHECK(gate.Arrive(kNow + seconds(6), Request("3")).admission == Admission::kAdmitted);
+}
+
+TEST_CASE("requests for another incarnation, after the deadline or while draining are refused") {
+  InboundGate gate = Gate(4, 0);
+  wire::CallRequest request = Request("1");
+  request.target_incarnation = 6;
+  CheckRefused(gate.Arrive(kNow, request), Outcome::kNotRun, Reason::kWrongIncarnation);
+  request = Request("2");
+  request.deadline_ms = 0;
+  CheckRefused(gate.Arrive(kNow, request), Outcome::kNotRun, Reason::kDeadlinePassed);
+  gate.StartDraining(kNow);
+  CheckRefused(gate.Arrive(kNow, Request("3")), Outcome::kNotRun, Reason::kDraining);
+}
+
+TEST_CASE("draining refuses the queue and lets attempts at the target finish") {
+  InboundGate gate = Gate(1, 1);
+  gate.Arrive(kNow, Request("1"));
+  gate.Arrive(kNow, Request("2"));
+  const auto events = gate.StartDraining(kNow);
+  REQUIRE(events.size() == 1);
+  CHECK(events[0].reason == Reason::kDraining);
+  CHECK(gate.in_flight() == 1);
+  CHECK(gate.Finish(kNow, "1", Outcome::kRan, milliseconds(5)).empty());
+  CHECK(gate.in_flight() == 0);
+}
+
+TEST_CASE("a cancellation removes a queued attempt and one that has not come yet") {
+  InboundGate gate = Gate(1, 1);
+  gate.Arrive(kNow, Request("1"));
+  gate.Arrive(kNow, Request("2"));
+  CHECK(gate.Cancel(kNow, "1") == CancelResult::kRunning);
+  CHECK(gate.Cancel(kNow, "2") == CancelResult::kRemoved);
+  CHECK(gate.Cancel(kNow, "3") == CancelResult::kUnknownAttempt);
+  CheckRefused(gate.Arrive(kNow, Request("3")), Outcome::kNotRun, Reason::kDuplicate);
+}
+
+}  // namespace
+}  // namespace limpet
