--- /dev/null
+++ b/src/load/policy_experiments.h
@@ -0,0 +1,17 @@
+#ifndef LIMPET_LOAD_POLICY_EXPERIMENTS_H_
+#define LIMPET_LOAD_POLICY_EXPERIMENTS_H_
+
+#include <cstdint>
+#include <ostream>
+
+namespace limpet {
+
+/// Each prints one table in Markdown, headed by its seed.
+void CompareBalancers(uint64_t seed, std::ostream& out);
+void CompareLimits(uint64_t seed, std::ostream& out);
+void CompareRetryBudgets(uint64_t seed, std::ostream& out);
+void CompareSubsetWidths(uint64_t seed, std::ostream& out);
+
+}  // namespace limpet
+
+#endif  // LIMPET_LOAD_POLICY_EXPERIMENTS_H_
