--- /dev/null
+++ b/src/net/http_message.cc
@@ -0,0 +1,83 @@
+#include "limpet/net/http_message.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace limpet {
+
+namespace {
+
+bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+wire::Header MakeHeader(const char* name, const char* value) {
+  wire::Header header;
+  header.name = name;
+  header.value = value;
+  return header;
+}
+
+constexpr std::array<std::pair<int, std::string_view>, 12> kPhrases = {{
+    {200, "OK"},
+    {204, "No Content"},
+    {400, "Bad Request"},
+    {404, "Not Found"},
+    {405, "Method Not Allowed"},
+    {413, "Content Too Large"},
+    {431, "Request Header Fields Too Large"},
+    {499, "Client Closed Request"},
+    {500, "Internal Server Error"},
+    {502, "Bad Gateway"},
+    {503, "Service Unavailable"},
+    {504, "Gateway Timeout"},
+}};
+
+}  // namespace
+
+std::string_view FindHeader(const HttpHeaders& headers, std::string_view name) {
+  for (const auto& header : headers) {
+    if (EqualsIgnoringCase(header.name, name)) {
+      return header.value;
+    }
+  }
+  return {};
+}
+
+bool IsConnectionHeader(std::string_view name) {
+  constexpr std::array<std::string_view, 11> kNames = {
+      "Connection", "Keep-Alive", "Proxy-Connection", "TE",   "Trailer", "Transfer-Encoding",
+      "Upgrade",    "Host",       "Content-Length",   "Date", "Server"};
+  return std::any_of(kNames.begin(), kNames.end(),
+                     [&](std::string_view known) { return EqualsIgnoringCase(known, name); });
+}
+
+int ParseNonNegative(std::string_view text, int fallback) {
+  int value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  const bool whole = error == std::errc() && end == text.data() + text.size();
+  return whole && value >= 0 ? value : fallback;
+}
+
+std::string_view ReasonPhrase(int status) {
+  for (const auto& [code, phrase] : kPhrases) {
+    if (code == status) {
+      return phrase;
+    }
+  }
+  return "Status";
+}
+
+HttpAnswer JsonAnswer(int status, std::string body) {
+  return {status, {MakeHeader("Content-Type", "application/json")}, std::move(body)};
+}
+
+HttpAnswer TextAnswer(int status, std::string body) {
+  return {status, {MakeHeader("Content-Type", "text/plain")}, std::move(body)};
+}
+
+}  // namespace limpet
--- /dev/null
+++ b/src/net/standin_target.cc
@@ -0,0 +1,183 @@
+#include "limpet/net/standin_target.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "limpet/net/clock.h"
+
+namespace limpet {
+
+namespace {
+
+/// Interval at which an execution looks for cancellation by its caller.
+constexpr Duration kWatchInterval = std::chrono::milliseconds(2);
+constexpr Duration kLongestLag = std::chrono::seconds(60);
+
+enum class Ending { kFinished, kCancelled, kDeadlineMissed };
+
+Ending Serve(Duration service_time, Duration deadline, const ConnectionWatch& watch) {
+  const TimePoint start = MonotonicNow();
+  const TimePoint end = start + std::min(service_time, deadline);
+  for (TimePoint now = start; now < end; now = MonotonicNow()) {
+    if (watch.IsClosed()) {
+      return Ending::kCancelled;
+    }
+    std::this_thread::sleep_for(std::min(kWatchInterval, end - now));
+  }
+  return service_time > deadline ? Ending::kDeadlineMissed : Ending::kFinished;
+}
+
+Duration DeadlineOf(const HttpRequest& request) {
+  const int millis = ParseNonNegative(request.Header(kDeadlineHeader), -1);
+  return millis < 0 ? Duration::max() : std::chrono::milliseconds(millis);
+}
+
+wire::Header MakeHeader(const char* name, std::string value) {
+  wire::Header header;
+  header.name = name;
+  header.value = std::move(value);
+  return header;
+}
+
+}  // namespace
+
+StandinTarget::StandinTarget(StandinTargetOptions options)
+    : options_(options), start_(MonotonicNow()), random_(options.seed) {}
+
+HttpAnswer StandinTarget::Handle(const HttpRequest& request, const ConnectionWatch& watch) {
+  if (request.path == "/health") {
+    return Health();
+  }
+  if (request.path == "/executions") {
+    return Executions();
+  }
+  if (request.path == "/faults") {
+    return ChangeFaults(request.body);
+  }
+  if (request.path == "/drain" || request.path == "/undrain") {
+    return Drain(request.path == "/drain");
+  }
+  return Execute(request, watch);
+}
+
+HttpAnswer StandinTarget::Execute(const HttpRequest& request, const ConnectionWatch& watch) {
+  const std::string request_id(request.Header(kRequestIdHeader));
+  if (!Take(request_id)) {
+    return MakeNotTakenAnswer(503, "no free slot");
+  }
+  Duration service_time;
+  {
+    const std::lock_guard lock(mutex_);
+    service_time = DrawServiceTime(MonotonicNow());
+  }
+  const Ending ending = Serve(service_time, DeadlineOf(request), watch);
+  const std::lock_guard lock(mutex_);
+  --in_flight_;
+  Observe(MonotonicNow());
+  cancelled_ += ending == Ending::kCancelled ? 1 : 0;
+  missed_deadlines_ += ending == Ending::kDeadlineMissed ? 1 : 0;
+  if (ending == Ending::kDeadlineMissed) {
+    return TextAnswer(504, "deadline passed during execution\n");
+  }
+  if (faults_.drop_answers) {
+    ::shutdown(watch.fd(), SHUT_RDWR);
+  }
+  HttpAnswer answer = TextAnswer(200, request_id + "\n" + request.body);
+  answer.headers.push_back(MakeHeader(kRequestIdHeader, request_id));
+  return answer;
+}
+
+bool StandinTarget::Take(const std::string& request_id) {
+  const std::lock_guard lock(mutex_);
+  if (draining_ || faults_.shed_all || in_flight_ >= options_.slots) {
+    ++shed_;
+    return false;
+  }
+  ++in_flight_;
+  ++executions_[request_id];
+  Observe(MonotonicNow());
+  return true;
+}
+
+Duration StandinTarget::DrawServiceTime(TimePoint now) {
+  const double cold = now - start_ < options_.cold_start ? options_.cold_factor : 1;
+  const auto mean =
+      std::chrono::duration_cast<Duration>(options_.service_time * cold * faults_.slow_factor);
+  return random_.Jitter(mean, options_.spread);
+}
+
+std::string StandinTarget::State(TimePoint now) const {
+  if (draining_) {
+    return "draining";
+  }
+  return now - start_ < options_.cold_start ? "starting" : "up";
+}
+
+void StandinTarget::Observe(TimePoint now) {
+  observations_.push_back({now, State(now), in_flight_});
+  while (observations_.size() > 1 && observations_[1].time < now - kLongestLag) {
+    observations_.pop_front();
+  }
+}
+
+HttpAnswer StandinTarget::Health() {
+  const std::lock_guard lock(mutex_);
+  const TimePoint now = MonotonicNow();
+  Observe(now);
+  Observation seen = observations_.front();
+  for (const auto& observation : observations_) {
+    if (observation.time <= now - faults_.health_lag) {
+      seen = observation;
+    }
+  }
+  const std::string state = faults_.health_state.empty() ? seen.state : faults_.health_state;
+  const int in_flight = faults_.health_in_flight < 0 ? seen.in_flight : faults_.health_in_flight;
+  const nlohmann::json json = {
+      {"state", state}, {"in_flight", in_flight}, {"slots", options_.slots}};
+  return JsonAnswer(200, json.dump());
+}
+
+HttpAnswer StandinTarget::Executions() {
+  const std::lock_guard lock(mutex_);
+  const auto doubled = std::count_if(executions_.begin(), executions_.end(),
+                                     [](const auto& entry) { return entry.second > 1; });
+  const nlohmann::json json = {{"executions", executions_},
+                               {"doubled", doubled},
+                               {"shed", shed_},
+                               {"cancelled", cancelled_},
+                               {"in_flight", in_flight_},
+                               {"missed_deadlines", missed_deadlines_}};
+  return JsonAnswer(200, json.dump());
+}
+
+HttpAnswer StandinTarget::ChangeFaults(const std::string& json) {
+  const std::lock_guard lock(mutex_);
+  try {
+    const auto change = nlohmann::json::parse(json);
+    StandinTargetFaults faults = faults_;
+    faults.slow_factor = change.value("slow_factor", faults.slow_factor);
+    faults.shed_all = change.value("shed_all", faults.shed_all);
+    faults.drop_answers = change.value("drop_answers", faults.drop_answers);
+    faults.health_state = change.value("health_state", faults.health_state);
+    faults.health_in_flight = change.value("health_in_flight", faults.health_in_flight);
+    if (change.contains("health_lag_ms")) {
+      faults.health_lag = std::chrono::milliseconds(change.at("health_lag_ms").get<int>());
+    }
+    faults_ = faults;
+  } catch (const nlohmann::json::exception& error) {
+    return TextAnswer(400, std::string(error.what()) + "\n");
+  }
+  return JsonAnswer(200, "{}");
+}
+
+HttpAnswer StandinTarget::Drain(bool draining) {
+  const std::lock_guard lock(mutex_);
+  draining_ = draining;
+  Observe(MonotonicNow());
+  return JsonAnswer(200, "{}");
+}
+
+}  // namespace limpet
