--- /dev/null
+++ b/src/net/target_client.cc
@@ -0,0 +1,201 @@
+#include "limpet/net/target_client.h"
+
+#include <cxxtools/http/client.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/selector.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <string_view>
+#include <utility>
+
+#include "limpet/core/fault.h"
+#include "limpet/net/clock.h"
+
+namespace limpet {
+
+namespace {
+
+/// Bound on the delay until a cancellation is seen.
+constexpr Duration kCancelInterval = std::chrono::milliseconds(10);
+
+/// cxxtools has no type for a failed connect; its message is the only mark. A message that does not
+/// match counts as a loss after the send, which is the safe side.
+bool IsConnectFailure(std::string_view message) {
+  return message.starts_with("while trying to connect") || message.starts_with("failed to connect");
+}
+
+bool MayHaveBody(int status) {
+  return status >= 200 && status != 204 && status != 304;
+}
+
+cxxtools::http::Request Convert(const HttpRequest& from) {
+  cxxtools::http::Request request(from.path);
+  request.method(from.method);
+  request.qparams(from.query);
+  for (const auto& header : from.headers) {
+    if (!IsConnectionHeader(header.name)) {
+      request.addHeader(header.name.c_str(), header.value.c_str());
+    }
+  }
+  request.body() << from.body;
+  return request;
+}
+
+cxxtools::Milliseconds ToMilliseconds(Duration duration) {
+  // At least 1 ms, because 0 would poll without waiting.
+  return cxxtools::Milliseconds(std::max<double>(1, static_cast<double>(duration.count()) / 1000));
+}
+
+}  // namespace
+
+ExchangeError::ExchangeError(ExchangeFailure failure, const std::string& detail)
+    : Error(std::string(NameOf(kExchangeFailureNames, failure)) + ": " + detail),
+      failure_(failure) {}
+
+/// One cxxtools client with the state of its current exchange. Runs in asynchronous mode, which can
+/// be cancelled and which reports a body shorter than its Content-Length.
+class TargetClient::Connection : public cxxtools::Connectable {
+ public:
+  Connection(const std::string& host, int port)
+      : client_(selector_, host, static_cast<unsigned short>(port)) {
+    cxxtools::connect(client_.replyFinished, *this, &Connection::OnFinished);
+    cxxtools::connect(client_.bodyAvailable, *this, &Connection::OnBody);
+  }
+
+  HttpAnswer Exchange(const HttpRequest& request,
+                      Duration timeout,
+                      const std::function<bool()>& is_cancelled) {
+    finished_ = false;
+    body_.clear();
+    const cxxtools::http::Request converted = ConvertOrThrow(request);
+    try {
+      client_.beginExecute(converted);
+      Wait(MonotonicNow() + timeout, is_cancelled);
+      client_.endExecute();
+    } catch (const ExchangeError&) {
+      throw;
+    } catch (const std::exception& error) {
+      throw ExchangeError(IsConnectFailure(error.what()) ? ExchangeFailure::kNotConnected
+                                                         : ExchangeFailure::kConnectionLost,
+                          error.what());
+    }
+    return Answer();
+  }
+
+  bool IsReusable() const { return client_.header().keepAlive(); }
+
+ private:
+  static cxxtools::http::Request ConvertOrThrow(const HttpRequest& request) {
+    try {
+      return Convert(request);
+    } catch (const std::exception& error) {
+      throw ExchangeError(ExchangeFailure::kRequestTooLarge, error.what());
+    }
+  }
+
+  void Wait(TimePoint end, const std::function<bool()>& is_cancelled) {
+    while (!finished_) {
+      const TimePoint now = MonotonicNow();
+      if (now >= end) {
+        throw ExchangeError(ExchangeFailure::kTimeout, "no reply within the deadline");
+      }
+      if (is_cancelled()) {
+        throw ExchangeError(ExchangeFailure::kCancelled, "cancelled by the caller");
+      }
+      client_.wait(ToMilliseconds(std::min(kCancelInterval, end - now)));
+      CheckFraming();
+    }
+  }
+
+  /// cxxtools neither ends a chunked body in asynchronous mode nor notices a cut one in synchronous
+  /// mode, so that a chunked reply cannot be known to be whole.
+  void CheckFraming() {
+    if (header_seen_chunked_) {
+      throw ExchangeError(ExchangeFailure::kTruncatedReply, "chunked reply cannot be verified");
+    }
+  }
+
+  HttpAnswer Answer() {
+    const auto& header = client_.header();
+    HttpAnswer answer;
+    answer.status = static_cast<int>(header.httpReturnCode());
+    if (MayHaveBody(answer.status) && !header.hasHeader("Content-Length") &&
+        !IsFaultActive(Fault::kAcceptTruncated)) {
+      throw ExchangeError(ExchangeFailure::kTruncatedReply, "reply without Content-Length");
+    }
+    for (const auto& [name, value] : header) {
+      wire::Header copy;
+      copy.name = name;
+      copy.value = value + std::strspn(value, " \t");
+      answer.headers.push_back(std::move(copy));
+    }
+    answer.body = std::move(body_);
+    return answer;
+  }
+
+  void OnFinished(cxxtools::http::Client& /*client*/) { finished_ = true; }
+
+  std::size_t OnBody(cxxtools::http::Client& client) {
+    if (client.header().chunkedTransferEncoding()) {
+      header_seen_chunked_ = true;
+      return 0;
+    }
+    std::array<char, 8192> buffer;
+    std::size_t total = 0;
+    auto* source = client.in().rdbuf();
+    for (auto available = source->in_avail(); available > 0; available = source->in_avail()) {
+      const auto wanted = std::min<std::streamsize>(available, buffer.size());
+      const auto count = source->sgetn(buffer.data(), wanted);
+      body_.append(buffer.data(), static_cast<size_t>(count));
+      total += static_cast<std::size_t>(count);
+    }
+    return total;
+  }
+
+  cxxtools::Selector selector_;
+  cxxtools::http::Client client_;
+  bool finished_ = false;
+  bool header_seen_chunked_ = false;
+  std::string body_;
+};
+
+TargetClient::TargetClient(std::string host, int port, size_t max_kept_connections)
+    : host_(std::move(host)), port_(port), max_kept_connections_(max_kept_connections) {}
+
+TargetClient::~TargetClient() = default;
+
+HttpAnswer TargetClient::Exchange(const HttpRequest& request,
+                                  bool idempotent,
+                                  Duration timeout,
+                                  const std::function<bool()>& is_cancelled) {
+  auto connection = Take(idempotent);
+  // A connection whose exchange throws is closed by its destructor.
+  HttpAnswer answer = connection->Exchange(request, timeout, is_cancelled);
+  if (connection->IsReusable()) {
+    Keep(std::move(connection));
+  }
+  return answer;
+}
+
+std::unique_ptr<TargetClient::Connection> TargetClient::Take(bool idempotent) {
+  if (idempotent) {
+    const std::lock_guard lock(mutex_);
+    if (!kept_.empty()) {
+      auto connection = std::move(kept_.back());
+      kept_.pop_back();
+      return connection;
+    }
+  }
+  return std::make_unique<Connection>(host_, port_);
+}
+
+void TargetClient::Keep(std::unique_ptr<Connection> connection) {
+  const std::lock_guard lock(mutex_);
+  if (kept_.size() < max_kept_connections_) {
+    kept_.push_back(std::move(connection));
+  }
+}
+
+}  // namespace limpet
