--- a/include/limpet/net/http_message.h
+++ b/include/limpet/net/http_message.h
@@ -43,6 +43,11 @@
 /// Reason phrase of a status; "Status" if it is not in the table.
 std::string_view ReasonPhrase(int status);
 
+wire::Header MakeHeader(std::string_view name, std::string_view value);
+
+/// Replaces all headers of this name by one.
+void SetHeader(HttpHeaders& headers, std::string_view name, std::string_view value);
+
 HttpAnswer JsonAnswer(int status, std::string body);
 HttpAnswer TextAnswer(int status, std::string body);
 
@@ -55,6 +60,10 @@
 inline constexpr const char* kReasonHeader = "X-Limpet-Reason";
 /// Present with value 1 on a refusal that a level below has retried already.
 inline constexpr const char* kRetriedHeader = "X-Limpet-Already-Retried";
+/// Set by a target on a 503 if it refused before running the request. Not the outcome header,
+/// because a target may pass on the headers of a refusal that it got itself from a downstream
+/// service.
+inline constexpr const char* kTargetNotRunHeader = "X-Limpet-Target-Not-Run";
 inline constexpr const char* kTraceparentHeader = "traceparent";
 
 }  // namespace limpet
--- /dev/null
+++ b/include/limpet/net/inbound_service.h
@@ -0,0 +1,67 @@
+#ifndef LIMPET_NET_INBOUND_SERVICE_H_
+#define LIMPET_NET_INBOUND_SERVICE_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "limpet/core/counters.h"
+#include "limpet/net/http_server.h"
+#include "limpet/net/target_client.h"
+#include "limpet/traffic/inbound_gate.h"
+#include "limpet_types.h"
+
+namespace limpet {
+
+/// The only path to the target of this node: admission by `InboundGate`, then one HTTP exchange.
+/// Blocks the calling thread; safe for concurrent use.
+class InboundService {
+ public:
+  InboundService(InboundGate gate, TargetClient& target, Counters& counters);
+
+  wire::CallReply OnCall(const wire::CallRequest& request, const ConnectionWatch& caller);
+
+  void RaiseIncarnation(int64_t incarnation);
+  /// While the target drains, attempts are refused as `not_run`.
+  void SetTargetState(wire::TargetState::type state) { target_state_ = state; }
+  /// Refuses all later attempts and those that wait; attempts at the target finish.
+  void StartDraining();
+  int in_flight() const;
+
+ private:
+  struct Waiter {
+    std::condition_variable changed;
+    bool decided = false;
+    bool starts = false;
+    wire::RefusalReason::type reason = wire::RefusalReason::kNone;
+  };
+
+  /// `kNone` once the attempt may start.
+  wire::RefusalReason::type WaitForTurn(std::unique_lock<std::mutex>& lock,
+                                        const wire::CallRequest& request,
+                                        const ConnectionWatch& caller);
+  void Apply(const std::vector<QueueEvent>& events);
+  wire::CallReply Run(const wire::CallRequest& request,
+                      TimePoint deadline,
+                      const ConnectionWatch& caller);
+  wire::CallReply AskTarget(const wire::CallRequest& request,
+                            TimePoint deadline,
+                            const ConnectionWatch& caller);
+  wire::CallReply Complete(wire::CallReply reply, const wire::CallRequest& request);
+
+  mutable std::mutex mutex_;
+  InboundGate gate_;
+  std::map<std::string, Waiter*> waiters_;
+  std::atomic<wire::TargetState::type> target_state_{wire::TargetState::kStarting};
+  TargetClient& target_;
+  Counter& calls_;
+  Counter& refusals_;
+  Counter& cancelled_;
+};
+
+}  // namespace limpet
+
+#endif  // LIMPET_NET_INBOUND_SERVICE_H_
--- /dev/null
+++ b/include/limpet/net/node.h
@@ -0,0 +1,65 @@
+#ifndef LIMPET_NET_NODE_H_
+#define LIMPET_NET_NODE_H_
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include "limpet/core/counters.h"
+#include "limpet/net/control_loop.h"
+#include "limpet/net/http_server.h"
+#include "limpet/net/inbound_service.h"
+#include "limpet/net/outbound_service.h"
+#include "limpet/net/peer_client.h"
+#include "limpet/net/peer_server.h"
+#include "limpet/net/target_client.h"
+#include "limpet/net/target_monitor.h"
+#include "limpet/settings/node_settings.h"
+
+namespace limpet {
+
+/// One node process: control loop, peer service, HTTP front for callers and admin requests.
+class Node : private PeerHandler {
+ public:
+  /// Listens and joins. Throws `ListenError`.
+  explicit Node(const NodeSettings& settings);
+  ~Node() override;
+
+  /// Planned stop: announces that the node leaves, refuses new work as `not_run` and waits until
+  /// work in flight has ended, at most for the setting drain_timeout_ms. Returns false if work was
+  /// cut off at that bound.
+  bool Stop();
+
+ private:
+  wire::CallReply OnCall(const wire::CallRequest& request, const ConnectionWatch& watch) override;
+  void OnDeliver(const wire::Envelope& envelope) override;
+
+  void OnControlState(const ControlState& state);
+  HttpAnswer OnHttp(const HttpRequest& request, const ConnectionWatch& watch);
+  HttpAnswer OnCallerRequest(const HttpRequest& request, const ConnectionWatch& watch);
+  HttpAnswer AnswerMetrics();
+  HttpAnswer AnswerHealth();
+  HttpAnswer AnswerReady();
+  HttpAnswer AnswerMembers();
+  HttpAnswer AnswerConfig();
+  HttpAnswer StartDrain();
+  HttpAnswer ChangeTargetState(const std::string& body);
+  bool WaitUntilIdle();
+
+  const NodeSettings settings_;
+  Counters counters_;
+  PeerClient peers_;
+  TargetClient target_;
+  std::atomic<bool> draining_{false};
+  std::atomic<int> callers_in_flight_{0};
+  std::unique_ptr<InboundService> inbound_;
+  std::unique_ptr<OutboundService> outbound_;
+  std::unique_ptr<ControlLoop> control_;
+  std::unique_ptr<TargetMonitor> monitor_;
+  std::unique_ptr<PeerServer> peer_server_;
+  std::unique_ptr<HttpServer> http_server_;
+};
+
+}  // namespace limpet
+
+#endif  // LIMPET_NET_NODE_H_
--- /dev/null
+++ b/include/limpet/net/outbound_service.h
@@ -0,0 +1,64 @@
+#ifndef LIMPET_NET_OUTBOUND_SERVICE_H_
+#define LIMPET_NET_OUTBOUND_SERVICE_H_
+
+#include <functional>
+#include <mutex>
+#include <string>
+
+#include "limpet/config/snapshot.h"
+#include "limpet/core/counters.h"
+#include "limpet/core/random.h"
+#include "limpet/net/http_server.h"
+#include "limpet/net/peer_client.h"
+#include "limpet/traffic/balancer.h"
+#include "limpet/traffic/outbound_call.h"
+#include "limpet/traffic/retry_policy.h"
+
+namespace limpet {
+
+/// Carries the calls of local callers to other nodes: matches the route, drives `OutboundCall` and
+/// answers over HTTP. Blocks the calling thread; safe for concurrent use.
+///
+/// Every answer has the header `X-Limpet-Outcome`; a refusal has `X-Limpet-Reason` as well.
+class OutboundService {
+ public:
+  using SnapshotSource = std::function<ConfigSnapshotPtr()>;
+
+  OutboundService(std::string node,
+                  std::string data_centre,
+                  Random random,
+                  PeerClient& peers,
+                  SnapshotSource snapshots,
+                  Counters& counters);
+
+  HttpAnswer Handle(const HttpRequest& request, const ConnectionWatch& caller);
+  void UpdateEndpoints(const EndpointView& view);
+
+ private:
+  struct Call;
+
+  OutboundCallOptions MakeOptions(const ConfigSnapshot& snapshot,
+                                  const wire::Route& route,
+                                  const HttpRequest& request) const;
+  wire::CallRequest MakeTemplate(const HttpRequest& request) const;
+  CallActions Attempt(Call& call, const SendAttempt& send, const ConnectionWatch& caller);
+  CallActions Send(Call& call, const SendAttempt& send, const ConnectionWatch& caller);
+  HttpAnswer ToAnswer(CallResult result) const;
+
+  Counter& calls_;
+  Counter& attempts_;
+  Counter& refusals_;
+  PeerClient& peers_;
+  SnapshotSource snapshots_;
+  std::mutex mutex_;
+  Random random_;
+  Balancer balancer_;
+  RetryPolicy retry_policy_;
+};
+
+/// Refusal of a call as HTTP status, outcome and reason headers.
+HttpAnswer MakeRefusal(wire::Outcome::type outcome, wire::RefusalReason::type reason);
+
+}  // namespace limpet
+
+#endif  // LIMPET_NET_OUTBOUND_SERVICE_H_
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -15,13 +15,6 @@
   return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
-wire::Header MakeHeader(const char* name, const char* value) {
-  wire::Header header;
-  header.name = name;
-  header.value = value;
-  return header;
-}
-
 constexpr std::array<std::pair<int, std::string_view>, 12> kPhrases = {{
     {200, "OK"},
     {204, "No Content"},
@@ -72,6 +65,19 @@
   return "Status";
 }
 
+wire::Header MakeHeader(std::string_view name, std::string_view value) {
+  wire::Header header;
+  header.name = name;
+  header.value = value;
+  return header;
+}
+
+void SetHeader(HttpHeaders& headers, std::string_view name, std::string_view value) {
+  std::erase_if(headers,
+                [&](const wire::Header& header) { return EqualsIgnoringCase(header.name, name); });
+  headers.push_back(MakeHeader(name, value));
+}
+
 HttpAnswer JsonAnswer(int status, std::string body) {
   return {status, {MakeHeader("Content-Type", "application/json")}, std::move(body)};
 }
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -137,10 +137,7 @@
 
 HttpAnswer MakeNotTakenAnswer(int status, const std::string& reason) {
   HttpAnswer answer = TextAnswer(status, reason + "\n");
-  wire::Header outcome;
-  outcome.name = kOutcomeHeader;
-  outcome.value = "not_run";
-  answer.headers.push_back(std::move(outcome));
+  answer.headers.push_back(MakeHeader(kOutcomeHeader, "not_run"));
   return answer;
 }
 
--- /dev/null
+++ b/src/net/inbound_service.cc
@@ -0,0 +1,199 @@
+#include "limpet/net/inbound_service.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "limpet/core/fault.h"
+#include "limpet/net/clock.h"
+
+namespace limpet {
+
+namespace {
+
+/// Interval at which a queued attempt looks for cancellation and for its end in the queue.
+constexpr Duration kQueueInterval = std::chrono::milliseconds(10);
+
+wire::CallReply MakeReply(wire::Outcome::type outcome, wire::RefusalReason::type reason) {
+  wire::CallReply reply;
+  reply.outcome = outcome;
+  reply.reason = reason;
+  return reply;
+}
+
+HttpRequest ToHttp(const wire::CallRequest& call, Duration remaining) {
+  HttpRequest request;
+  request.method = call.method;
+  const size_t mark = call.path.find('?');
+  request.path = call.path.substr(0, mark);
+  request.query = mark == std::string::npos ? "" : call.path.substr(mark + 1);
+  request.headers = call.headers;
+  SetHeader(request.headers, kDeadlineHeader, std::to_string(remaining.count() / 1000));
+  SetHeader(request.headers, kDepthHeader, std::to_string(call.depth));
+  if (!call.traceparent.empty()) {
+    SetHeader(request.headers, kTraceparentHeader, call.traceparent);
+  }
+  request.body = call.body;
+  return request;
+}
+
+wire::CallReply FromHttp(HttpAnswer answer) {
+  if (answer.status == 503 && !answer.Header(kTargetNotRunHeader).empty()) {
+    return MakeReply(wire::Outcome::kNotRun, wire::RefusalReason::kOverloaded);
+  }
+  wire::CallReply reply = MakeReply(wire::Outcome::kRan, wire::RefusalReason::kNone);
+  reply.already_retried = !answer.Header(kRetriedHeader).empty();
+  reply.http_status = answer.status;
+  reply.headers = std::move(answer.headers);
+  reply.body = std::move(answer.body);
+  return reply;
+}
+
+wire::CallReply FromError(const ExchangeError& error) {
+  using enum ExchangeFailure;
+  switch (error.failure()) {
+    case kNotConnected:
+    case kRequestTooLarge:
+      return MakeReply(wire::Outcome::kNotRun, wire::RefusalReason::kTargetUnavailable);
+    case kTimeout:
+      return MakeReply(wire::Outcome::kUnknown, wire::RefusalReason::kTargetTimeout);
+    case kTruncatedReply:
+      return MakeReply(wire::Outcome::kUnknown, wire::RefusalReason::kTruncatedReply);
+    case kCancelled:
+      return MakeReply(wire::Outcome::kUnknown, wire::RefusalReason::kCancelled);
+    case kConnectionLost:
+      break;
+  }
+  return MakeReply(wire::Outcome::kUnknown, wire::RefusalReason::kConnectionLost);
+}
+
+}  // namespace
+
+InboundService::InboundService(InboundGate gate, TargetClient& target, Counters& counters)
+    : gate_(std::move(gate)),
+      target_(target),
+      calls_(counters.Get("inbound_calls")),
+      refusals_(counters.Get("inbound_refusals")),
+      cancelled_(counters.Get("inbound_cancelled")) {}
+
+wire::CallReply InboundService::OnCall(const wire::CallRequest& request,
+                                       const ConnectionWatch& caller) {
+  calls_.Add();
+  const TimePoint now = MonotonicNow();
+  if (target_state_ == wire::TargetState::kDraining && !IsFaultActive(Fault::kAdmitWhileDraining)) {
+    return Complete(MakeReply(wire::Outcome::kNotRun, wire::RefusalReason::kDraining), request);
+  }
+  {
+    std::unique_lock lock(mutex_);
+    const ArrivalDecision decision = gate_.Arrive(now, request);
+    Apply(decision.events);
+    if (decision.admission == Admission::kRefused) {
+      lock.unlock();
+      return Complete(MakeReply(decision.outcome, decision.reason), request);
+    }
+    if (decision.admission == Admission::kQueued) {
+      const auto reason = WaitForTurn(lock, request, caller);
+      if (reason != wire::RefusalReason::kNone) {
+        lock.unlock();
+        return Complete(MakeReply(wire::Outcome::kNotRun, reason), request);
+      }
+    }
+  }
+  return Complete(Run(request, now + std::chrono::milliseconds(request.deadline_ms), caller),
+                  request);
+}
+
+wire::RefusalReason::type InboundService::WaitForTurn(std::unique_lock<std::mutex>& lock,
+                                                      const wire::CallRequest& request,
+                                                      const ConnectionWatch& caller) {
+  Waiter waiter;
+  waiters_[request.attempt_id] = &waiter;
+  while (!waiter.decided) {
+    waiter.changed.wait_for(lock, kQueueInterval);
+    if (waiter.decided) {
+      break;
+    }
+    if (caller.IsClosed() &&
+        gate_.Cancel(MonotonicNow(), request.attempt_id) == CancelResult::kRemoved) {
+      waiter.decided = true;
+      waiter.reason = wire::RefusalReason::kCancelled;
+      cancelled_.Add();
+      break;
+    }
+    Apply(gate_.Expire(MonotonicNow()));
+  }
+  waiters_.erase(request.attempt_id);
+  return waiter.starts ? wire::RefusalReason::kNone : waiter.reason;
+}
+
+void InboundService::Apply(const std::vector<QueueEvent>& events) {
+  for (const auto& event : events) {
+    const auto found = waiters_.find(event.attempt_id);
+    if (found == waiters_.end()) {
+      spdlog::error("[inbound] no thread waits for attempt {}", event.attempt_id);
+      continue;
+    }
+    found->second->decided = true;
+    found->second->starts = event.starts;
+    found->second->reason = event.reason;
+    found->second->changed.notify_one();
+  }
+}
+
+wire::CallReply InboundService::Run(const wire::CallRequest& request,
+                                    TimePoint deadline,
+                                    const ConnectionWatch& caller) {
+  const TimePoint start = MonotonicNow();
+  wire::CallReply reply = AskTarget(request, deadline, caller);
+  const TimePoint end = MonotonicNow();
+  const std::lock_guard lock(mutex_);
+  Apply(gate_.Finish(end, request.attempt_id, reply.outcome, end - start));
+  return reply;
+}
+
+wire::CallReply InboundService::AskTarget(const wire::CallRequest& request,
+                                          TimePoint deadline,
+                                          const ConnectionWatch& caller) {
+  const Duration remaining = deadline - MonotonicNow();
+  if (remaining <= Duration(0)) {
+    return MakeReply(wire::Outcome::kNotRun, wire::RefusalReason::kDeadlinePassed);
+  }
+  try {
+    return FromHttp(target_.Exchange(ToHttp(request, remaining), request.idempotent, remaining,
+                                     [&] { return caller.IsClosed(); }));
+  } catch (const ExchangeError& error) {
+    if (error.failure() == ExchangeFailure::kCancelled) {
+      cancelled_.Add();
+    }
+    spdlog::debug("[inbound] attempt {}: {}", request.attempt_id, error.what());
+    return FromError(error);
+  }
+}
+
+wire::CallReply InboundService::Complete(wire::CallReply reply, const wire::CallRequest& request) {
+  if (reply.outcome != wire::Outcome::kRan) {
+    refusals_.Add();
+  }
+  reply.attempt_id = request.attempt_id;
+  const std::lock_guard lock(mutex_);
+  reply.load = gate_.load();
+  return reply;
+}
+
+void InboundService::RaiseIncarnation(int64_t incarnation) {
+  const std::lock_guard lock(mutex_);
+  gate_.RaiseIncarnation(incarnation);
+}
+
+void InboundService::StartDraining() {
+  const std::lock_guard lock(mutex_);
+  Apply(gate_.StartDraining(MonotonicNow()));
+}
+
+int InboundService::in_flight() const {
+  const std::lock_guard lock(mutex_);
+  return gate_.in_flight();
+}
+
+}  // namespace limpet
--- /dev/null
+++ b/src/net/node.cc
@@ -0,0 +1,283 @@
+#include "limpet/net/node.h"
+
+#include <spdlog/spdlog.h>
+
+#include <nlohmann/json.hpp>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include "limpet/core/fault.h"
+#include "limpet/net/clock.h"
+
+namespace limpet {
+
+namespace {
+
+/// Every node takes new work away from a leaving node within 2 s (I7). Until then the node still
+/// answers calls with a `not_run` refusal, instead of closing connections under them.
+constexpr Duration kLeaveNotice = std::chrono::seconds(2);
+constexpr Duration kIdlePoll = std::chrono::milliseconds(10);
+/// Threads beyond those of the callers' connections, for admin requests and target announcements.
+constexpr int kSpareHttpThreads = 8;
+
+uint64_t DrawSeed() {
+  std::random_device device;
+  return (uint64_t{device()} << 32) | device();
+}
+
+/// Wall clock in milliseconds: a later start has a higher incarnation, unless the clock went back;
+/// then the node raises it when it learns of the earlier one.
+int64_t MakeIncarnation() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+ControlLoopOptions MakeControlOptions(const NodeSettings& settings) {
+  ControlLoopOptions options;
+  options.control.name = settings.name;
+  options.control.data_centre = settings.data_centre;
+  options.control.service = settings.service;
+  options.control.host = settings.host;
+  options.control.port = settings.peer_port;
+  options.control.incarnation = MakeIncarnation();
+  options.control.seeds = settings.seeds;
+  options.control.log_configured = !settings.log_host.empty();
+  options.seed = DrawSeed();
+  options.tick = std::chrono::milliseconds(settings.tick_ms);
+  options.peer_timeout = std::chrono::milliseconds(settings.peer_timeout_ms);
+  options.log = {settings.log_host, settings.log_port};
+  options.log_timeout = std::chrono::milliseconds(settings.log_timeout_ms);
+  return options;
+}
+
+InboundGate MakeGate(const NodeSettings& settings, int64_t incarnation) {
+  GateOptions options;
+  options.queue_length = static_cast<size_t>(settings.queue_length);
+  return {options, incarnation, MakeLimitStrategy(LimitKind::kGradient, settings.slots)};
+}
+
+class InFlight {
+ public:
+  explicit InFlight(std::atomic<int>& count) : count_(count) { ++count_; }
+  ~InFlight() { --count_; }
+  InFlight(const InFlight&) = delete;
+  InFlight& operator=(const InFlight&) = delete;
+
+ private:
+  std::atomic<int>& count_;
+};
+
+}  // namespace
+
+Node::Node(const NodeSettings& settings)
+    : settings_(settings), target_(settings.target_host, settings.target_port) {
+  const ControlLoopOptions options = MakeControlOptions(settings);
+  inbound_ = std::make_unique<InboundService>(MakeGate(settings, options.control.incarnation),
+                                              target_, counters_);
+  control_ = std::make_unique<ControlLoop>(
+      options, counters_, peers_, [this](const ControlState& state) { OnControlState(state); });
+  outbound_ = std::make_unique<OutboundService>(
+      settings.name, settings.data_centre, Random(DrawSeed()), peers_,
+      [this] { return control_->state().snapshot; }, counters_);
+  peer_server_ = std::make_unique<PeerServer>(
+      PeerServerOptions{settings.host, settings.peer_port, settings.connections}, *this);
+  HttpServerOptions http;
+  http.host = settings.host;
+  http.port = settings.http_port;
+  http.max_threads = settings.connections + kSpareHttpThreads;
+  http.max_body_bytes = static_cast<size_t>(settings.max_body_bytes);
+  http_server_ = std::make_unique<HttpServer>(
+      http, [this](const HttpRequest& request, const ConnectionWatch& watch) {
+        return OnHttp(request, watch);
+      });
+  control_->Start();
+  monitor_ = std::make_unique<TargetMonitor>(
+      TargetMonitorOptions{settings.target_health_path,
+                           std::chrono::milliseconds(settings.target_health_interval_ms),
+                           std::chrono::milliseconds(settings.target_health_timeout_ms)},
+      target_, [this](wire::TargetState::type state) {
+        inbound_->SetTargetState(state);
+        control_->SetTargetState(state);
+      });
+}
+
+Node::~Node() {
+  monitor_->Stop();
+  http_server_->Stop();
+  peer_server_->Stop();
+  control_->Stop();
+}
+
+bool Node::Stop() {
+  spdlog::info("[node] leaving");
+  StartDrain();
+  if (IsFaultActive(Fault::kCutInFlightOnStop)) {
+    return false;
+  }
+  std::this_thread::sleep_for(kLeaveNotice);
+  const bool idle = WaitUntilIdle();
+  if (!idle) {
+    spdlog::warn("[node] stopping with work in flight after {} ms", settings_.drain_timeout_ms);
+  }
+  return idle;
+}
+
+bool Node::WaitUntilIdle() {
+  const TimePoint end = MonotonicNow() + std::chrono::milliseconds(settings_.drain_timeout_ms);
+  while (callers_in_flight_ > 0 || inbound_->in_flight() > 0) {
+    if (MonotonicNow() >= end) {
+      return false;
+    }
+    std::this_thread::sleep_for(kIdlePoll);
+  }
+  return true;
+}
+
+wire::CallReply Node::OnCall(const wire::CallRequest& request, const ConnectionWatch& watch) {
+  return inbound_->OnCall(request, watch);
+}
+
+void Node::OnDeliver(const wire::Envelope& envelope) {
+  control_->Deliver(envelope);
+}
+
+void Node::OnControlState(const ControlState& state) {
+  inbound_->RaiseIncarnation(state.incarnation);
+  outbound_->UpdateEndpoints(*state.endpoints);
+}
+
+HttpAnswer Node::OnHttp(const HttpRequest& request, const ConnectionWatch& watch) {
+  if (request.path == "/metrics") {
+    return AnswerMetrics();
+  }
+  if (request.path == "/health") {
+    return AnswerHealth();
+  }
+  if (request.path == "/ready") {
+    return AnswerReady();
+  }
+  if (request.path == "/members") {
+    return AnswerMembers();
+  }
+  if (request.path == "/config") {
+    return AnswerConfig();
+  }
+  if (request.path == "/drain" || request.path == "/target-state") {
+    if (request.method != "POST") {
+      return MakeNotTakenAnswer(405, "use POST");
+    }
+    return request.path == "/drain" ? StartDrain() : ChangeTargetState(request.body);
+  }
+  return OnCallerRequest(request, watch);
+}
+
+HttpAnswer Node::OnCallerRequest(const HttpRequest& request, const ConnectionWatch& watch) {
+  const InFlight in_flight(callers_in_flight_);
+  if (draining_) {
+    return MakeRefusal(wire::Outcome::kNotRun, wire::RefusalReason::kDraining);
+  }
+  if (request.method == "HEAD" || request.method == "CONNECT") {
+    // The HTTP client waits for the announced body of a HEAD reply, which never comes.
+    return MakeNotTakenAnswer(405, request.method + " is not supported");
+  }
+  return outbound_->Handle(request, watch);
+}
+
+HttpAnswer Node::AnswerMetrics() {
+  counters_.Get("inbound_in_flight").Set(inbound_->in_flight());
+  counters_.Get("callers_in_flight").Set(callers_in_flight_);
+  counters_.Get("peer_connections").Set(peer_server_->connections());
+  return TextAnswer(200, counters_.Render());
+}
+
+HttpAnswer Node::AnswerHealth() {
+  const nlohmann::json json = {{"node", settings_.name},
+                               {"draining", draining_.load()},
+                               {"target", NameOf(kTargetStateNames, monitor_->state())},
+                               {"version", control_->state().snapshot->version()}};
+  return JsonAnswer(200, json.dump());
+}
+
+HttpAnswer Node::AnswerReady() {
+  const bool ready = control_->state().ready && !draining_;
+  return TextAnswer(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+}
+
+HttpAnswer Node::AnswerMembers() {
+  constexpr EnumNames<wire::MemberState::type, 4> kMemberStateNames = {{
+      {wire::MemberState::kAlive, "alive"},
+      {wire::MemberState::kSuspect, "suspect"},
+      {wire::MemberState::kLeft, "left"},
+      {wire::MemberState::kDead, "dead"},
+  }};
+  nlohmann::json json = nlohmann::json::array();
+  for (const auto& member : control_->Members()) {
+    json.push_back({{"name", member.name},
+                    {"incarnation", member.incarnation},
+                    {"sequence", member.sequence},
+                    {"state", NameOf(kMemberStateNames, member.state)},
+                    {"target", NameOf(kTargetStateNames, member.target_state)},
+                    {"data_centre", member.data_centre},
+                    {"service", member.service_name},
+                    {"host", member.host},
+                    {"port", member.port}});
+  }
+  return JsonAnswer(200, json.dump());
+}
+
+HttpAnswer Node::AnswerConfig() {
+  const auto snapshot = control_->state().snapshot;
+  const auto& config = snapshot->config();
+  nlohmann::json json = {{"version", snapshot->version()},
+                         {"services", nlohmann::json::array()},
+                         {"targets", nlohmann::json::array()},
+                         {"rules", nlohmann::json::array()},
+                         {"routes", nlohmann::json::array()}};
+  for (const auto& service : config.services) {
+    json["services"].push_back({{"name", service.name},
+                                {"timeout_ms", service.timeout_ms},
+                                {"idempotent_methods", service.idempotent_methods},
+                                {"slots", service.slots},
+                                {"connections", service.connections}});
+  }
+  for (const auto& target : config.targets) {
+    json["targets"].push_back({{"name", target.name},
+                               {"service", target.service_name},
+                               {"data_centre", target.data_centre},
+                               {"address", target.address}});
+  }
+  for (const auto& rule : config.rules) {
+    json["rules"].push_back({{"name", rule.name},
+                             {"retry", rule.retry_enabled},
+                             {"max_attempts", rule.max_attempts},
+                             {"deadline_ms", rule.deadline_ms}});
+  }
+  for (const auto& route : config.routes) {
+    json["routes"].push_back({{"name", route.name},
+                              {"path_prefix", route.path_prefix},
+                              {"service", route.service_name},
+                              {"rule", route.rule},
+                              {"callers", route.callers}});
+  }
+  return JsonAnswer(200, json.dump());
+}
+
+HttpAnswer Node::StartDrain() {
+  draining_ = true;
+  inbound_->StartDraining();
+  control_->Leave();
+  return JsonAnswer(200, "{}");
+}
+
+HttpAnswer Node::ChangeTargetState(const std::string& body) {
+  const auto json = nlohmann::json::parse(body, nullptr, false);
+  const bool has_state = json.is_object() && json.contains("state") && json["state"].is_string();
+  if (!has_state || !monitor_->Announce(json["state"].get<std::string>())) {
+    return TextAnswer(400, "expected {\"state\": \"starting\"|\"up\"|\"draining\"|\"down\"}\n");
+  }
+  return JsonAnswer(200, "{}");
+}
+
+}  // namespace limpet
--- /dev/null
+++ b/src/net/outbound_service.cc
@@ -0,0 +1,217 @@
+#include "limpet/net/outbound_service.h"
+
+#include <algorithm>
+#include <array>
+#include <thread>
+#include <utility>
+
+#include "limpet/core/enum_names.h"
+#include "limpet/net/clock.h"
+
+namespace limpet {
+
+namespace {
+
+constexpr EnumNames<wire::Outcome::type, 3> kOutcomeNames = {{
+    {wire::Outcome::kRan, "ran"},
+    {wire::Outcome::kNotRun, "not_run"},
+    {wire::Outcome::kUnknown, "unknown"},
+}};
+
+struct ReasonEntry {
+  wire::RefusalReason::type reason;
+  std::string_view name;
+  int status;
+};
+
+constexpr std::array<ReasonEntry, 15> kReasons = {{
+    {wire::RefusalReason::kNone, "none", 502},
+    {wire::RefusalReason::kOverloaded, "overloaded", 503},
+    {wire::RefusalReason::kQueueTimeout, "queue_timeout", 503},
+    {wire::RefusalReason::kDraining, "draining", 503},
+    {wire::RefusalReason::kDeadlinePassed, "deadline_passed", 504},
+    {wire::RefusalReason::kDuplicate, "duplicate", 503},
+    {wire::RefusalReason::kWrongIncarnation, "wrong_incarnation", 503},
+    {wire::RefusalReason::kTargetUnavailable, "target_unavailable", 503},
+    {wire::RefusalReason::kNoEndpoint, "no_endpoint", 503},
+    {wire::RefusalReason::kNoRoute, "no_route", 404},
+    {wire::RefusalReason::kCallerShare, "caller_share", 503},
+    {wire::RefusalReason::kTruncatedReply, "truncated_reply", 502},
+    {wire::RefusalReason::kTargetTimeout, "target_timeout", 504},
+    {wire::RefusalReason::kConnectionLost, "connection_lost", 502},
+    {wire::RefusalReason::kCancelled, "cancelled", 499},
+}};
+
+const ReasonEntry& EntryOf(wire::RefusalReason::type reason) {
+  const auto found = std::find_if(kReasons.begin(), kReasons.end(),
+                                  [&](const ReasonEntry& entry) { return entry.reason == reason; });
+  return found == kReasons.end() ? kReasons[0] : *found;
+}
+
+/// Headers that the outbound side reads and the inbound side writes anew.
+bool IsReplacedHeader(std::string_view name) {
+  return !FindHeader({MakeHeader(kDeadlineHeader, "1"), MakeHeader(kDepthHeader, "1"),
+                      MakeHeader(kTraceparentHeader, "1"), MakeHeader(kRequestIdHeader, "1")},
+                     name)
+              .empty();
+}
+
+}  // namespace
+
+struct OutboundService::Call {
+  OutboundCall machine;
+  wire::CallRequest request;
+};
+
+OutboundService::OutboundService(std::string node,
+                                 std::string data_centre,
+                                 Random random,
+                                 PeerClient& peers,
+                                 SnapshotSource snapshots,
+                                 Counters& counters)
+    : calls_(counters.Get("outbound_calls")),
+      attempts_(counters.Get("outbound_attempts")),
+      refusals_(counters.Get("outbound_refusals")),
+      peers_(peers),
+      snapshots_(std::move(snapshots)),
+      random_(random),
+      balancer_(BalancerOptions(), std::move(node), std::move(data_centre), Random(random_.Next())),
+      retry_policy_(RetryOptions(), Random(random_.Next())) {}
+
+HttpAnswer OutboundService::Handle(const HttpRequest& request, const ConnectionWatch& caller) {
+  calls_.Add();
+  const ConfigSnapshotPtr snapshot = snapshots_();
+  const wire::Route* route = snapshot->FindRoute(request.path, request.Header(kCallerHeader));
+  if (route == nullptr) {
+    refusals_.Add();
+    return MakeRefusal(wire::Outcome::kNotRun, wire::RefusalReason::kNoRoute);
+  }
+  const OutboundCallOptions options = MakeOptions(*snapshot, *route, request);
+  Call call{OutboundCall(options, balancer_, retry_policy_, random_), MakeTemplate(request)};
+  call.request.service_name = options.service;
+  call.request.idempotent = options.idempotent;
+  CallActions actions;
+  {
+    const std::lock_guard lock(mutex_);
+    actions = call.machine.Start(MonotonicNow());
+  }
+  call.request.request_id = call.machine.request_id();
+  const std::string_view given_id = request.Header(kRequestIdHeader);
+  call.request.headers.push_back(MakeHeader(
+      kRequestIdHeader, given_id.empty() ? std::string_view(call.request.request_id) : given_id));
+  while (!actions.finish && actions.send) {
+    actions = Attempt(call, *actions.send, caller);
+  }
+  return ToAnswer(actions.finish.value_or(CallResult()));
+}
+
+OutboundCallOptions OutboundService::MakeOptions(const ConfigSnapshot& snapshot,
+                                                 const wire::Route& route,
+                                                 const HttpRequest& request) const {
+  // A snapshot is valid as a whole, so that both exist.
+  const wire::Service& service = *snapshot.FindService(route.service_name);
+  const wire::Rule& rule = *snapshot.FindRule(route.rule);
+  const auto& methods = service.idempotent_methods;
+  OutboundCallOptions options;
+  options.service = service.name;
+  options.idempotent = std::find(methods.begin(), methods.end(), request.method) != methods.end();
+  const int asked = ParseNonNegative(request.Header(kDeadlineHeader), rule.deadline_ms);
+  options.deadline = std::chrono::milliseconds(std::min(asked, rule.deadline_ms));
+  options.attempt_timeout = std::chrono::milliseconds(service.timeout_ms);
+  options.max_attempts = rule.retry_enabled ? rule.max_attempts : 1;
+  return options;
+}
+
+wire::CallRequest OutboundService::MakeTemplate(const HttpRequest& request) const {
+  wire::CallRequest call;
+  call.method = request.method;
+  call.path = request.query.empty() ? request.path : request.path + "?" + request.query;
+  for (const auto& header : request.headers) {
+    if (!IsConnectionHeader(header.name) && !IsReplacedHeader(header.name)) {
+      call.headers.push_back(header);
+    }
+  }
+  call.body = request.body;
+  call.caller = request.Header(kCallerHeader);
+  call.depth = ParseNonNegative(request.Header(kDepthHeader), 0) + 1;
+  call.traceparent = request.Header(kTraceparentHeader);
+  return call;
+}
+
+CallActions OutboundService::Attempt(Call& call,
+                                     const SendAttempt& send,
+                                     const ConnectionWatch& caller) {
+  if (send.delay > Duration(0)) {
+    std::this_thread::sleep_for(send.delay);
+  }
+  if (caller.IsClosed()) {
+    const std::lock_guard lock(mutex_);
+    return call.machine.Cancel(MonotonicNow());
+  }
+  attempts_.Add();
+  return Send(call, send, caller);
+}
+
+CallActions OutboundService::Send(Call& call,
+                                  const SendAttempt& send,
+                                  const ConnectionWatch& caller) {
+  call.request.attempt_id = send.attempt_id;
+  call.request.target_incarnation = send.endpoint.incarnation;
+  call.request.deadline_ms = send.deadline_ms;
+  PeerFailure failure;
+  try {
+    const wire::CallReply reply =
+        peers_.Call({send.endpoint.host, send.endpoint.port}, call.request, send.timeout, caller);
+    const std::lock_guard lock(mutex_);
+    return call.machine.OnReply(MonotonicNow(), reply);
+  } catch (const PeerError& error) {
+    failure = error.failure();
+  }
+  const std::lock_guard lock(mutex_);
+  const TimePoint now = MonotonicNow();
+  if (failure == PeerFailure::kTimeout) {
+    return call.machine.OnTimeout(now, send.attempt_id);
+  }
+  if (failure == PeerFailure::kCallerClosed) {
+    return call.machine.Cancel(now);
+  }
+  return call.machine.OnConnectionFailure(now, send.attempt_id,
+                                          failure == PeerFailure::kConnectionLost);
+}
+
+HttpAnswer OutboundService::ToAnswer(CallResult result) const {
+  if (result.outcome != wire::Outcome::kRan || !result.reply) {
+    refusals_.Add();
+    HttpAnswer answer = MakeRefusal(result.outcome, result.reason);
+    if (result.already_retried) {
+      answer.headers.push_back(MakeHeader(kRetriedHeader, "1"));
+    }
+    return answer;
+  }
+  HttpAnswer answer;
+  answer.status = result.reply->http_status;
+  for (auto& header : result.reply->headers) {
+    if (!IsConnectionHeader(header.name)) {
+      answer.headers.push_back(std::move(header));
+    }
+  }
+  SetHeader(answer.headers, kOutcomeHeader, NameOf(kOutcomeNames, result.outcome));
+  answer.body = std::move(result.reply->body);
+  return answer;
+}
+
+void OutboundService::UpdateEndpoints(const EndpointView& view) {
+  const std::lock_guard lock(mutex_);
+  balancer_.Update(MonotonicNow(), view);
+}
+
+HttpAnswer MakeRefusal(wire::Outcome::type outcome, wire::RefusalReason::type reason) {
+  const ReasonEntry& entry = EntryOf(reason);
+  HttpAnswer answer = TextAnswer(entry.status, std::string(NameOf(kOutcomeNames, outcome)) + ": " +
+                                                   std::string(entry.name) + "\n");
+  answer.headers.push_back(MakeHeader(kOutcomeHeader, NameOf(kOutcomeNames, outcome)));
+  answer.headers.push_back(MakeHeader(kReasonHeader, entry.name));
+  return answer;
+}
+
+}  // namespace limpet
--- a/src/net/standin_target.cc
+++ b/src/net/standin_target.cc
@@ -35,13 +35,6 @@
   return millis < 0 ? Duration::max() : std::chrono::milliseconds(millis);
 }
 
-wire::Header MakeHeader(const char* name, std::string value) {
-  wire::Header header;
-  header.name = name;
-  header.value = std::move(value);
-  return header;
-}
-
 }  // namespace
 
 StandinTarget::StandinTarget(StandinTargetOptions options)
@@ -66,7 +59,9 @@
 HttpAnswer StandinTarget::Execute(const HttpRequest& request, const ConnectionWatch& watch) {
   const std::string request_id(request.Header(kRequestIdHeader));
   if (!Take(request_id)) {
-    return MakeNotTakenAnswer(503, "no free slot");
+    HttpAnswer answer = TextAnswer(503, "no free slot\n");
+    answer.headers.push_back(MakeHeader(kTargetNotRunHeader, "1"));
+    return answer;
   }
   Duration service_time;
   {
--- /dev/null
+++ b/tests/net/raw_peer.h
@@ -0,0 +1,117 @@
+#ifndef LIMPET_TESTS_NET_RAW_PEER_H_
+#define LIMPET_TESTS_NET_RAW_PEER_H_
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace limpet {
+
+/// Scripted HTTP peer on a raw socket. For each request that arrives it sends the bytes that the
+/// script returns for (number of the request on its connection, from 0), or closes on an empty text.
+class RawPeer {
+ public:
+  struct Answer {
+    std::string bytes;
+    bool close = true;
+  };
+  using Script = std::function<Answer(int)>;
+
+  explicit RawPeer(Script script) : script_(std::move(script)) {
+    listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    ::listen(listener_, 16);
+    socklen_t size = sizeof address;
+    ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+    port_ = ntohs(address.sin_port);
+    thread_ = std::thread([this] { Accept(); });
+  }
+
+  ~RawPeer() {
+    ::shutdown(listener_, SHUT_RDWR);
+    thread_.join();
+    {
+      const std::lock_guard lock(mutex_);
+      for (const int fd : connections_) {
+        ::shutdown(fd, SHUT_RDWR);
+      }
+    }
+    for (auto& thread : threads_) {
+      thread.join();
+    }
+    for (const int fd : connections_) {
+      ::close(fd);
+    }
+    ::close(listener_);
+  }
+
+  int port() const { return port_; }
+  int arrivals() const { return arrivals_; }
+  /// Connections that the client has closed.
+  int closed_by_client() const { return closed_by_client_; }
+
+ private:
+  void Accept() {
+    for (int fd = ::accept(listener_, nullptr, nullptr); fd >= 0;
+         fd = ::accept(listener_, nullptr, nullptr)) {
+      const std::lock_guard lock(mutex_);
+      connections_.push_back(fd);
+      threads_.emplace_back([this, fd] { Serve(fd); });
+    }
+  }
+
+  void Serve(int fd) {
+    for (int number = 0; ReadRequest(fd); ++number) {
+      ++arrivals_;
+      const Answer answer = script_(number);
+      ::send(fd, answer.bytes.data(), answer.bytes.size(), MSG_NOSIGNAL);
+      if (answer.close) {
+        ::shutdown(fd, SHUT_RDWR);
+        return;
+      }
+    }
+    ++closed_by_client_;
+  }
+
+  /// Takes a request with the body "body" or without a body.
+  bool ReadRequest(int fd) {
+    std::string text;
+    char buffer[4096];
+    for (;;) {
+      const ssize_t count = ::recv(fd, buffer, sizeof buffer, 0);
+      if (count <= 0) {
+        return false;
+      }
+      text.append(buffer, static_cast<size_t>(count));
+      const size_t end = text.find("\r\n\r\n");
+      const size_t body = text.starts_with("POST") ? 4 : 0;
+      if (end != std::string::npos && text.size() >= end + 4 + body) {
+        return true;
+      }
+    }
+  }
+
+  Script script_;
+  int listener_ = -1;
+  int port_ = 0;
+  std::atomic<int> arrivals_{0};
+  std::atomic<int> closed_by_client_{0};
+  std::mutex mutex_;
+  std::vector<int> connections_;
+  std::vector<std::thread> threads_;
+  std::thread thread_;
+};
+
+}  // namespace limpet
+
+#endif  // LIMPET_TESTS_NET_RAW_PEER_H_
