--- a/apps/limpetd.cc
+++ b/apps/limpetd.cc
@@ -111,7 +111,7 @@
 int main(int argc, char** argv) {
   try {
     return Run(argc, argv);
-  } catch (const cxxopts::OptionException& error) {
+  } catch (const cxxopts::exceptions::exception& error) {
     std::cerr << "limpetd: " << error.what() << "; see --help\n";
     return kExitUsage;
   } catch (const limpet::FileError& error) {
--- a/src/net/node.cc
+++ b/src/net/node.cc
@@ -82,7 +82,8 @@
       settings.name, settings.data_centre, Random(DrawSeed()), peers_,
       [this] { return control_->state().snapshot; }, counters_);
   peer_server_ = std::make_unique<PeerServer>(
-      PeerServerOptions{settings.host, settings.peer_port, settings.connections}, *this);
+      PeerServerOptions{settings.host, settings.peer_port, settings.connections},
+      static_cast<PeerHandler&>(*this));
   HttpServerOptions http;
   http.host = settings.host;
   http.port = settings.http_port;
