Add the log reader and the publish procedure

A publisher reads the current version, appends one record and reads back by id after a lost answer before it tries again. Results are typed; a record that may be in the log is never reported as not appended, and the loser of a race gets author, id and version of the winner. A file edited from an older version loses without an append.

The reader starts from the newest checkpoint once the stream is longer than 300 records, found by a backward search in the system stream.

--- a/include/limpet/configlog/log_access.h
+++ b/include/limpet/configlog/log_access.h
@@ -2,9 +2,20 @@
 #define LIMPET_CONFIGLOG_LOG_ACCESS_H_
 
 #include "limpet/control/control_output.h"
+#include "limpet/core/enum_names.h"
 
 namespace limpet {
 
+inline constexpr EnumNames<LogStatus, 7> kLogStatusNames = {{
+    {LogStatus::kOk, "ok"},
+    {LogStatus::kUnavailable, "unavailable"},
+    {LogStatus::kUnknownOutcome, "unknown_outcome"},
+    {LogStatus::kThrottled, "throttled"},
+    {LogStatus::kTooLarge, "too_large"},
+    {LogStatus::kOffsetExpired, "offset_expired"},
+    {LogStatus::kMalformedAnswer, "malformed_answer"},
+}};
+
 /// The platform's log as a blocking caller sees it. Every failure is a `LogStatus`; no
 /// implementation throws.
 class LogAccess {
--- /dev/null
+++ b/src/configlog/log_reader.cc
@@ -0,0 +1,116 @@
+#include "limpet/configlog/log_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "limpet/config/config.h"
+
+namespace limpet {
+namespace {
+
+/// First window of the backward search for a checkpoint, in records; each further one is larger by
+/// this factor.
+constexpr int64_t kCheckpointWindow = 1000;
+constexpr int64_t kWindowGrowth = 8;
+
+/// Passes the records in [from, end of stream) to `replay`, in batches.
+template <typename Replay>
+LogStatus ReadToEnd(LogAccess& log, const char* stream, int64_t from, const Replay& replay) {
+  for (;;) {
+    const LogResult result = log.Read({0, stream, from, kReadBatch});
+    if (result.status != LogStatus::kOk) {
+      return result.status;
+    }
+    for (const LogRecord& record : result.records) {
+      if (record.offset != from) {
+        return LogStatus::kMalformedAnswer;
+      }
+      replay(record);
+      ++from;
+    }
+    if (from >= result.end_offset) {
+      return LogStatus::kOk;
+    }
+    if (result.records.empty()) {
+      return LogStatus::kMalformedAnswer;
+    }
+  }
+}
+
+LogStatus ReadSystemFrom(LogAccess& log, int64_t from, TimePoint now, SystemReplay& system) {
+  return ReadToEnd(log, kSystemStream, from,
+                   [&](const LogRecord& record) { system.Apply(record, now); });
+}
+
+/// The range of a stream; a read below the first offset still tells it.
+LogResult ReadRange(LogAccess& log, const char* stream) {
+  LogResult result = log.Read({0, stream, 1, 1});
+  if (result.status == LogStatus::kOffsetExpired) {
+    result.status = LogStatus::kOk;
+  }
+  return result;
+}
+
+}  // namespace
+
+LogStatus LogReader::CatchUp() {
+  if (!started_) {
+    const LogStatus status = Start();
+    if (status != LogStatus::kOk) {
+      return status;
+    }
+    started_ = true;
+  }
+  return ReadToEnd(log_, kConfigStream, replay_.next_offset(),
+                   [this](const LogRecord& record) { replay_.Apply(record); });
+}
+
+LogStatus LogReader::Start() {
+  const LogResult range = ReadRange(log_, kConfigStream);
+  if (range.status != LogStatus::kOk) {
+    return range.status;
+  }
+  if (range.first_offset == 1 && range.end_offset <= kMaxDirectReplay) {
+    return LogStatus::kOk;
+  }
+  const LogStatus status = StartFromCheckpoint(range.first_offset);
+  // Without a usable checkpoint a complete stream can still be replayed.
+  return status == LogStatus::kOffsetExpired && range.first_offset == 1 ? LogStatus::kOk : status;
+}
+
+LogStatus LogReader::StartFromCheckpoint(int64_t first_retained) {
+  const LogResult range = ReadRange(log_, kSystemStream);
+  if (range.status != LogStatus::kOk) {
+    return range.status;
+  }
+  for (int64_t window = kCheckpointWindow;; window *= kWindowGrowth) {
+    const int64_t from = std::max(range.first_offset, range.end_offset - window);
+    SystemReplay system(from);
+    const LogStatus status = ReadSystemFrom(log_, from, TimePoint(), system);
+    if (status != LogStatus::kOk) {
+      return status;
+    }
+    if (system.checkpoint() && system.checkpoint()->next_offset >= first_retained) {
+      try {
+        replay_ = LogReplay(*system.checkpoint());
+        return LogStatus::kOk;
+      } catch (const ValidationError&) {
+        return LogStatus::kOffsetExpired;
+      }
+    }
+    if (from == range.first_offset) {
+      return LogStatus::kOffsetExpired;
+    }
+  }
+}
+
+LogStatus ReadSystemStream(LogAccess& log, TimePoint now, std::optional<SystemReplay>& system) {
+  const LogResult range = ReadRange(log, kSystemStream);
+  if (range.status != LogStatus::kOk) {
+    return range.status;
+  }
+  system.emplace(range.first_offset);
+  return ReadSystemFrom(log, range.first_offset, now, *system);
+}
+
+}  // namespace limpet
--- /dev/null
+++ b/src/configlog/publisher.cc
@@ -0,0 +1,130 @@
+#include "limpet/configlog/publisher.h"
+
+#include <utility>
+
+#include "limpet/config/config.h"
+#include "limpet/wire/codec.h"
+
+namespace limpet {
+namespace {
+
+/// Keeps publishers that were refused together from returning together.
+constexpr double kPauseSpread = 0.5;
+
+/// True if the record may be in the log although the append was not confirmed.
+bool MayHaveTakenEffect(LogStatus status) {
+  return status == LogStatus::kOk || status == LogStatus::kUnknownOutcome ||
+         status == LogStatus::kMalformedAnswer;
+}
+
+}  // namespace
+
+Publisher::Publisher(LogAccess& log, Random random, std::function<void(Duration)> pause)
+    : log_(log), reader_(log), random_(std::move(random)), pause_(std::move(pause)) {}
+
+PublishResult Publisher::Publish(const PublishRequest& request) {
+  std::vector<std::string> problems = FindProblems(request.config);
+  if (!problems.empty()) {
+    return InvalidChange{std::move(problems)};
+  }
+  const LogStatus status = CatchUpWithRetries();
+  if (status != LogStatus::kOk) {
+    return LogUnavailable{status};
+  }
+  const LogReplay& replay = reader_.replay();
+  wire::ChangeRecord record;
+  record.delta = Diff(replay.snapshot()->config(), request.config);
+  if (IsEmpty(record.delta)) {
+    return NothingToPublish{replay.version()};
+  }
+  record.base = request.config.version;
+  if (record.base != replay.version()) {
+    return std::get<LostRace>(Fate(record));
+  }
+  record.id = random_.HexId();
+  record.author = request.author;
+  record.comment = request.comment;
+  return AppendUntilDecided(record);
+}
+
+PublishResult Publisher::AppendUntilDecided(const wire::ChangeRecord& record) {
+  const std::string payload = wire::Encode(record);
+  bool may_be_appended = false;
+  LogStatus status = LogStatus::kOk;
+  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    Pause(attempt);
+    status = log_.Append({0, kConfigStream, payload}).status;
+    may_be_appended = may_be_appended || MayHaveTakenEffect(status);
+    if (!may_be_appended) {
+      if (status == LogStatus::kTooLarge) {
+        return ChangeTooLarge{payload.size()};
+      }
+      continue;
+    }
+    // The record is read back by its id before it is appended again.
+    status = CatchUpWithRetries();
+    if (status != LogStatus::kOk) {
+      return UnknownResult{record.id, status};
+    }
+    auto fate = Fate(record);
+    if (auto* published = std::get_if<Published>(&fate)) {
+      return std::move(*published);
+    }
+    if (auto* lost = std::get_if<LostRace>(&fate)) {
+      return std::move(*lost);
+    }
+    if (auto* invalid = std::get_if<InvalidChange>(&fate)) {
+      return std::move(*invalid);
+    }
+  }
+  if (may_be_appended) {
+    return UnknownResult{record.id, LogStatus::kUnknownOutcome};
+  }
+  return LogUnavailable{status};
+}
+
+std::variant<std::monostate, Published, LostRace, InvalidChange> Publisher::Fate(
+    const wire::ChangeRecord& record) const {
+  const LogReplay& replay = reader_.replay();
+  if (!record.id.empty()) {
+    if (const auto* change = replay.FindAccepted(record.id)) {
+      return Published{record.id, change->version, record.delta};
+    }
+    const Rejection* rejection = replay.FindRejection(record.id);
+    if (rejection != nullptr && rejection->reason == RejectReason::kInvalid) {
+      return InvalidChange{{rejection->detail}};
+    }
+  }
+  if (record.base == replay.version()) {
+    return std::monostate();
+  }
+  // The base never becomes current again, so this record cannot be accepted any more, even if an
+  // earlier append takes effect later.
+  LostRace lost{record.id, record.base, {replay.version(), "", ""}};
+  for (const wire::AcceptedChange& change : replay.accepted()) {
+    if (change.record.base == record.base) {
+      lost.winner = {change.version, change.record.id, change.record.author};
+    }
+  }
+  return lost;
+}
+
+LogStatus Publisher::CatchUpWithRetries() {
+  LogStatus status = LogStatus::kOk;
+  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    Pause(attempt);
+    status = reader_.CatchUp();
+    if (status == LogStatus::kOk || status == LogStatus::kOffsetExpired) {
+      break;
+    }
+  }
+  return status;
+}
+
+void Publisher::Pause(int attempt) {
+  if (attempt > 0) {
+    pause_(random_.Jitter(kFirstPause * (1 << (attempt - 1)), kPauseSpread));
+  }
+}
+
+}  // namespace limpet
--- /dev/null
+++ b/tests/configlog/log_reader_test.cc
@@ -0,0 +1,113 @@
+#include "limpet/configlog/log_reader.h"
+
+#include <doctest/doctest.h>
+
+#include "config/sample_config.h"
+#include "configlog/memory_log.h"
+#include "limpet/wire/codec.h"
+
+namespace limpet {
+namespace {
+
+/// Appends `count` changes that follow one another; the first defines the sample configuration.
+void AppendChanges(MemoryLog& log, int64_t base, int count) {
+  for (int i = 0; i < count; ++i, ++base) {
+    wire::ChangeRecord record;
+    record.id = std::to_string(base + 1);
+    record.base = base;
+    if (base == 0) {
+      record.delta.set_services = SampleConfig().services;
+      record.delta.set_rules = SampleConfig().rules;
+    }
+    record.delta.set_rules.push_back(MakeRule("rule" + std::to_string(base)));
+    log.Append({0, kConfigStream, wire::Encode(record)});
+  }
+}
+
+void AppendSystem(MemoryLog& log, const wire::SystemRecord& record) {
+  log.Append({0, kSystemStream, wire::Encode(record)});
+}
+
+/// A claim of the checkpoint lease and a checkpoint of `config` under it.
+void AppendCheckpoint(MemoryLog& log, const wire::FullConfig& config) {
+  wire::LeaseClaim claim;
+  claim.lease = kCheckpointLease;
+  claim.holder = "n1";
+  wire::SystemRecord record;
+  record.__set_claim(claim);
+  AppendSystem(log, record);
+  wire::Checkpoint checkpoint;
+  checkpoint.token = log.log.Read({0, kSystemStream, 1, 1}).end_offset - 1;
+  checkpoint.config = config;
+  wire::SystemRecord second;
+  second.__set_checkpoint(checkpoint);
+  AppendSystem(log, second);
+}
+
+TEST_CASE("a reader follows the stream from call to call") {
+  MemoryLog log;
+  LogReader reader(log);
+  CHECK(reader.CatchUp() == LogStatus::kOk);
+  CHECK(reader.replay().version() == 0);
+  AppendChanges(log, 0, 3);
+  CHECK(reader.CatchUp() == LogStatus::kOk);
+  CHECK(reader.replay().version() == 3);
+}
+
+TEST_CASE("when the start of the stream is gone, a reader starts from the checkpoint") {
+  MemoryLog log({.max_records = 20, .appends_per_second = 0});
+  AppendChanges(log, 0, 30);
+  CHECK(LogReader(log).CatchUp() == LogStatus::kOffsetExpired);
+
+  LogReplay full;
+  MemoryLog unlimited;
+  AppendChanges(unlimited, 0, 25);
+  for (const LogRecord& record : unlimited.log.Read({0, kConfigStream, 1, 100}).records) {
+    full.Apply(record);
+  }
+  AppendCheckpoint(log, full.FullConfig());
+  LogReader reader(log);
+  CHECK(reader.CatchUp() == LogStatus::kOk);
+  CHECK(reader.replay().version() == 30);
+}
+
+TEST_CASE("a checkpoint is found behind many other records") {
+  MemoryLog log;
+  AppendChanges(log, 0, 320);
+  LogReplay full;
+  for (const LogRecord& record : log.log.Read({0, kConfigStream, 1, 310}).records) {
+    full.Apply(record);
+  }
+  AppendCheckpoint(log, full.FullConfig());
+  wire::SystemRecord status;
+  status.__set_status(wire::StatusRecord());
+  for (int i = 0; i < 2500; ++i) {
+    AppendSystem(log, status);
+  }
+  LogReader reader(log);
+  CHECK(reader.CatchUp() == LogStatus::kOk);
+  CHECK(reader.replay().version() == 320);
+  // Only the tail after the checkpoint was replayed.
+  CHECK(reader.replay().accepted().size() == 10);
+}
+
+TEST_CASE("a long stream without a checkpoint is replayed from the start") {
+  MemoryLog log;
+  AppendChanges(log, 0, 320);
+  LogReader reader(log);
+  CHECK(reader.CatchUp() == LogStatus::kOk);
+  CHECK(reader.replay().version() == 320);
+}
+
+TEST_CASE("a failed read keeps the position, and the next call continues") {
+  MemoryLog log;
+  AppendChanges(log, 0, 2);
+  LogReader reader(log);
+  log.read_faults = {LogStatus::kOk, LogStatus::kUnavailable};
+  CHECK(reader.CatchUp() == LogStatus::kUnavailable);
+  CHECK(reader.CatchUp() == LogStatus::kOk);
+  CHECK(reader.replay().version() == 2);
+}
+
+}  // namespace
+}  // namespace limpet
--- /dev/null
+++ b/tests/configlog/publisher_test.cc
@@ -0,0 +1,141 @@
+#include "limpet/configlog/publisher.h"
+
+#include <doctest/doctest.h>
+
+#include "config/sample_config.h"
+#include "configlog/memory_log.h"
+#include "limpet/wire/codec.h"
+
+namespace limpet {
+namespace {
+
+PublishResult PublishTo(MemoryLog& log, const wire::FullConfig& config, uint64_t seed = 1) {
+  return Publisher(log, Random(seed), [](Duration) {}).Publish({config, "ada", "first"});
+}
+
+/// Publishes a configuration that differs from the sample, on version 0.
+void PublishAsRival(MemoryLog& log) {
+  wire::FullConfig config = SampleConfig();
+  config.services[0].slots = 99;
+  Publisher rival(log, Random(2), [](Duration) {});
+  CHECK(std::holds_alternative<Published>(rival.Publish({config, "grace", ""})));
+}
+
+TEST_CASE("a change is published with the offset of its record as version") {
+  MemoryLog log;
+  CHECK(std::get<Published>(PublishTo(log, SampleConfig())).version == 1);
+  wire::FullConfig next = SampleConfig();
+  next.version = 1;
+  CHECK(std::get<NothingToPublish>(PublishTo(log, next)).version == 1);
+  next.services[0].slots = 13;
+  const auto second = std::get<Published>(PublishTo(log, next, 3));
+  CHECK(second.version == 2);
+  CHECK(second.delta.set_services.size() == 1);
+  CHECK(second.delta.set_targets.empty());
+}
+
+TEST_CASE("an invalid configuration is refused before the log is asked") {
+  MemoryLog log;
+  wire::FullConfig config = SampleConfig();
+  config.rules.clear();
+  CHECK(std::get<InvalidChange>(PublishTo(log, config)).problems.size() == 1);
+  CHECK(log.reads == 0);
+}
+
+TEST_CASE("the loser of a race is told author, id and version of the winner") {
+  MemoryLog log;
+  SUBCASE("the rival is first by the time of the append") {
+    log.before_append = [&log] { PublishAsRival(log); };
+  }
+  SUBCASE("the rival is first by the time of the read: nothing is appended") {
+    PublishAsRival(log);
+  }
+  const auto lost = std::get<LostRace>(PublishTo(log, SampleConfig()));
+  CHECK(lost.winner.author == "grace");
+  CHECK(lost.winner.version == 1);
+  CHECK(lost.winner.id == Random(2).HexId());
+}
+
+// A blind second append would be harmless only by luck of its stale base; the point is that the
+// result names the first append's version.
+TEST_CASE("after a lost answer the record is found by its id and not appended again") {
+  MemoryLog log;
+  log.append_faults = {AppendFault::kLoseAnswer};
+  CHECK(std::get<Published>(PublishTo(log, SampleConfig())).version == 1);
+  CHECK(log.appends == 1);
+}
+
+TEST_CASE("after a lost request the record is appended again") {
+  MemoryLog log;
+  log.append_faults = {AppendFault::kLoseRequest, AppendFault::kThrottle, AppendFault::kLoseAnswer};
+  CHECK(std::get<Published>(PublishTo(log, SampleConfig())).version == 1);
+  CHECK(log.appends == 3);
+}
+
+TEST_CASE("a lost answer and a rival's change give a lost race") {
+  MemoryLog log;
+  log.append_faults = {AppendFault::kLoseRequest};
+  log.before_append = [&log] {
+    // The rival's own append must not take the scripted fault.
+    auto faults = std::exchange(log.append_faults, {});
+    PublishAsRival(log);
+    log.append_faults = faults;
+  };
+  CHECK(std::get<LostRace>(PublishTo(log, SampleConfig())).winner.author == "grace");
+}
+
+TEST_CASE("a result is unknown only when reading back fails") {
+  MemoryLog log;
+  log.append_faults = {AppendFault::kLoseAnswer};
+  // Two successful reads before the append, then an outage.
+  log.read_faults = {LogStatus::kOk, LogStatus::kOk};
+  log.read_faults.insert(log.read_faults.end(), 10, LogStatus::kUnavailable);
+  const auto unknown = std::get<UnknownResult>(PublishTo(log, SampleConfig()));
+  CHECK(unknown.id == Random(1).HexId());
+}
+
+TEST_CASE("a record that may be in the log is never reported as not appended") {
+  MemoryLog log;
+  log.append_faults = {AppendFault::kLoseRequest, AppendFault::kThrottle, AppendFault::kThrottle,
+                       AppendFault::kThrottle};
+  CHECK(std::holds_alternative<UnknownResult>(PublishTo(log, SampleConfig())));
+}
+
+TEST_CASE("refusals of the log are typed") {
+  MemoryLog log({.max_record_bytes = 10});
+  CHECK(std::get<ChangeTooLarge>(PublishTo(log, SampleConfig())).bytes > 10);
+  log.append_faults.assign(10, AppendFault::kThrottle);
+  CHECK(std::get<LogUnavailable>(PublishTo(log, SampleConfig())).status == LogStatus::kThrottled);
+  log.log.faults.outage = true;
+  CHECK(std::get<LogUnavailable>(PublishTo(log, SampleConfig())).status == LogStatus::kUnavailable);
+}
+
+TEST_CASE("every sequence of append faults ends in a true result") {
+  Random random(7);
+  for (int round = 0; round < 2000; ++round) {
+    MemoryLog log;
+    for (int i = 0; i < 4; ++i) {
+      log.append_faults.push_back(static_cast<AppendFault>(random.Below(4)));
+    }
+    const bool rival = random.Below(2) == 0;
+    if (rival) {
+      log.before_append = [&log] {
+        auto faults = std::exchange(log.append_faults, {});
+        PublishAsRival(log);
+        log.append_faults = faults;
+      };
+    }
+    const PublishResult result = PublishTo(log, SampleConfig());
+    // The oracle: what the author of the first record in the stream says.
+    const LogResult content = log.log.Read({0, kConfigStream, 1, 1});
+    wire::ChangeRecord first;
+    if (!content.records.empty()) {
+      wire::Decode(content.records[0].payload, first);
+    }
+    CHECK(std::holds_alternative<Published>(result) == (first.author == "ada"));
+    CHECK_FALSE((std::holds_alternative<LostRace>(result) && first.author != "grace"));
+  }
+}
+
+}  // namespace
+}  // namespace limpet
