--- /dev/null
+++ b/tests/control/config_oracle.h
@@ -0,0 +1,79 @@
+#ifndef LIMPET_TESTS_CONTROL_CONFIG_ORACLE_H_
+#define LIMPET_TESTS_CONTROL_CONFIG_ORACLE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "limpet_types.h"
+
+namespace limpet::test {
+
+/// What the log's records mean, restated on plain maps: name of service to timeout, name of route
+/// to service.
+struct Content {
+  std::map<std::string, int> services;
+  std::map<std::string, std::string> routes;
+
+  bool operator==(const Content&) const = default;
+};
+
+struct Change {
+  int64_t base = 0;
+  bool malformed = false;
+  Content set;
+  std::optional<std::string> removed_service;
+};
+
+class ConfigOracle {
+ public:
+  void Append(const Change& change) {
+    ++end_;
+    if (change.malformed || change.base != current()) {
+      return;
+    }
+    Content next = accepted_.rbegin()->second;
+    if (change.removed_service) {
+      next.services.erase(*change.removed_service);
+    }
+    for (const auto& [name, timeout] : change.set.services) {
+      next.services[name] = timeout;
+    }
+    for (const auto& [name, service] : change.set.routes) {
+      next.routes[name] = service;
+    }
+    for (const auto& [name, service] : next.routes) {
+      if (!next.services.contains(service)) {
+        return;
+      }
+    }
+    accepted_[end_] = next;
+  }
+
+  int64_t current() const { return accepted_.rbegin()->first; }
+  /// Null for a version that no reader may have.
+  const Content* Find(int64_t version) const {
+    const auto found = accepted_.find(version);
+    return found == accepted_.end() ? nullptr : &found->second;
+  }
+
+  static Content Of(const wire::FullConfig& config) {
+    Content content;
+    for (const wire::Service& service : config.services) {
+      content.services[service.name] = service.timeout_ms;
+    }
+    for (const wire::Route& route : config.routes) {
+      content.routes[route.name] = route.service_name;
+    }
+    return content;
+  }
+
+ private:
+  int64_t end_ = 0;
+  std::map<int64_t, Content> accepted_ = {{0, {}}};
+};
+
+}  // namespace limpet::test
+
+#endif  // LIMPET_TESTS_CONTROL_CONFIG_ORACLE_H_
--- a/tests/control/control_plane_test.cc
+++ b/tests/control/control_plane_test.cc
@@ -168,6 +168,7 @@
   older.message.checkpoint_reply.config.version = -5;
   older.message.__isset.checkpoint_reply = true;
   mesh.Inject("n0-0", older);
+  CHECK(plane.snapshot()->config() == before);
 
   wire::Envelope claim = envelope;
   claim.message.ping.version = INT64_MAX;
--- a/tests/support/fake_mesh.h
+++ b/tests/support/fake_mesh.h
@@ -165,6 +165,16 @@
     }
   }
 
+  /// Delivers one of the last configuration messages once more, e.g. long after newer ones.
+  void RepeatOld() {
+    if (!recent_.empty()) {
+      const auto [to, envelope] = recent_[random_.Below(recent_.size())];
+      if (IsRunning(to)) {
+        Inject(to, *envelope);
+      }
+    }
+  }
+
   /// Advances virtual time by one tick of 50 ms.
   void Step() { Run(std::chrono::milliseconds(50)); }
   void Run(Duration duration) {
@@ -270,6 +280,13 @@
     const bool is_near = nodes_[to].options.data_centre == from.options.data_centre;
     const int copies = random_.Fraction() < duplication ? 2 : 1;
     const auto envelope = std::make_shared<wire::Envelope>(std::move(message.envelope));
+    if (envelope->message.__isset.delta_push || envelope->message.__isset.checkpoint_reply) {
+      constexpr std::size_t kRecent = 64;
+      recent_.emplace_back(to, envelope);
+      if (recent_.size() > kRecent) {
+        recent_.pop_front();
+      }
+    }
     for (int copy = 0; copy < copies; ++copy) {
       if (random_.Fraction() < loss) {
         continue;
@@ -318,6 +335,7 @@
   std::map<std::string, Node> nodes_;
   std::map<int, std::string> by_port_;
   std::set<std::pair<std::string, std::string>> cuts_;
+  std::deque<std::pair<std::string, std::shared_ptr<wire::Envelope>>> recent_;
 };
 
 }  // namespace limpet::test
