--- a/include/limpet/configlog/system_replay.h
+++ b/include/limpet/configlog/system_replay.h
@@ -47,7 +47,8 @@
 enum class SystemRecordKind { kClaim, kCheckpoint, kStatus, kRoster, kFenced, kMalformed, kOld };
 
 /// What the stream "system" says: leases, the newest checkpoint, and the last status and roster
-/// record of each data centre. Records of fenced holders change nothing.
+/// record of each data centre. Records of fenced holders change nothing, and neither does a
+/// checkpoint that covers less of the log than the one before.
 class SystemReplay {
  public:
   /// Starts at an offset. Records under a claim before it count as fenced, because nothing shows
--- a/src/control/system_log_writer.cc
+++ b/src/control/system_log_writer.cc
@@ -17,7 +17,8 @@
       failed_(counters.Get("log_appends_failed")) {}
 
 std::optional<LogAppend> SystemLogWriter::Tick(TimePoint now, RequestIds& ids) {
-  if (!context_.readers.is_reader() || !IsCurrent(now) ||
+  is_current_ = IsCurrent(now);
+  if (!context_.readers.is_reader() || !is_current_ ||
       !appender_.CanAppend(now, context_.system_log.cursor())) {
     return std::nullopt;
   }
@@ -44,6 +45,9 @@
 
 std::vector<std::string> SystemLogWriter::HeldLeases() const {
   std::vector<std::string> held;
+  if (!context_.readers.is_reader() || !is_current_) {
+    return held;
+  }
   for (const LeaseKeeper* keeper : {&checkpoint_lease_, &status_lease_}) {
     if (Token(*keeper) != 0) {
       held.push_back(keeper->lease());
--- a/src/control/system_log_writer.h
+++ b/src/control/system_log_writer.h
@@ -49,7 +49,7 @@
   std::optional<LogAppend> Tick(TimePoint now, RequestIds& ids);
   /// Returns true if the result belongs to this writer.
   bool OnResult(TimePoint now, const LogResult& result);
-  /// Names of the leases that this node holds according to the stream as read so far.
+  /// Names of the leases that this node holds; none unless it follows the stream.
   std::vector<std::string> HeldLeases() const;
 
  private:
@@ -68,6 +68,7 @@
   TimePoint next_status_;
   TimePoint next_roster_;
   TimePoint next_checkpoint_;
+  bool is_current_ = false;
   bool checkpoint_open_ = false;
   std::optional<TimePoint> status_held_since_;
   Counter& claims_;
--- a/tests/control/control_plane_test.cc
+++ b/tests/control/control_plane_test.cc
@@ -214,6 +214,33 @@
   CHECK_FALSE(refusals[0].reason.empty());
 }
 
+// Found by the lease property: a node that is no longer a reader went on reporting the lease that
+// it held when it last read the stream.
+TEST_CASE("a holder that was replaced during its pause holds no lease afterwards") {
+  FakeMesh mesh(11);
+  StartAll(mesh, 4, 1);
+  mesh.Run(20s);
+  const auto holders = [&] {
+    std::vector<std::string> names;
+    for (auto& [name, node] : mesh.nodes()) {
+      if (std::ranges::count(node.plane->HeldLeases(), "status/dc0") > 0) {
+        names.push_back(name);
+      }
+    }
+    return names;
+  };
+  REQUIRE(holders().size() == 1);
+  mesh.Pause(holders()[0]);
+  mesh.Run(25s);
+  for (auto& [name, node] : mesh.nodes()) {
+    if (node.paused) {
+      mesh.Resume(name);
+    }
+  }
+  mesh.Run(30s);
+  CHECK(holders().size() == 1);
+}
+
 TEST_CASE("a storm of starting nodes is served in turn") {
   FakeMesh mesh(9);
   StartAll(mesh, 2, 1);
