Learn the gradient limit's baseline from a half empty target

Neither adaptive limit exceeds the slots any more. Arrivals of the policy runs have a random sequence of their own, so that variants see the same calls.

--- a/include/limpet/traffic/gradient_limit.h
+++ b/include/limpet/traffic/gradient_limit.h
@@ -5,8 +5,9 @@
 
 namespace limpet {
 
-/// Moves the limit by the ratio of the long-term to the short-term service time: a target that
-/// becomes slower under the current limit is queueing internally, and the limit falls.
+/// Moves the limit by the ratio of the service time at a half empty target to the recent one: a
+/// target that becomes slower as it fills is queueing internally, and the limit falls. Never above
+/// the configured slots.
 class GradientLimit : public LimitStrategy {
  public:
   explicit GradientLimit(int slots);
@@ -18,7 +19,9 @@
   int max_;
   double limit_;
   double short_us_ = 0;
-  double long_us_ = 0;
+  double baseline_us_ = 0;
+  int short_samples_ = 0;
+  int baseline_samples_ = 0;
 };
 
 }  // namespace limpet
--- a/include/limpet/traffic/limit_strategy.h
+++ b/include/limpet/traffic/limit_strategy.h
@@ -39,6 +39,9 @@
     {LimitKind::kFeedback, "feedback"},
 }};
 
+/// docs/POLICY.md has the comparison.
+inline constexpr LimitKind kDefaultLimit = LimitKind::kGradient;
+
 /// The slots of the target.
 class FixedLimit : public LimitStrategy {
  public:
@@ -51,7 +54,8 @@
   int slots_;
 };
 
-/// `slots` is the configured number of slots of the target; the adaptive limits start from it.
+/// `slots` is the configured number of slots of the target; the adaptive limits start from it
+/// and never exceed it.
 std::unique_ptr<LimitStrategy> MakeLimitStrategy(LimitKind kind, int slots);
 
 }  // namespace limpet
--- a/src/load/compare_balancers.cc
+++ b/src/load/compare_balancers.cc
@@ -16,20 +16,47 @@
 
 struct Scenario {
   const char* name;
-  /// Share of the capacity of all targets.
-  double load;
+  /// Targets whose capacity the change takes away; the load leaves room for it.
+  bool (*is_affected)(const SimTarget& target, size_t index);
   std::function<void(PolicySim&, const Workload&)> apply;
 };
 
+/// Share of the capacity that the scenario leaves.
+constexpr double kLoad = 0.7;
+
+bool AffectsNone(const SimTarget& /*target*/, size_t /*index*/) {
+  return false;
+}
+
+bool AffectsFirst(const SimTarget& /*target*/, size_t index) {
+  return index == 0;
+}
+
+bool AffectsDataCentre(const SimTarget& target, size_t /*index*/) {
+  return target.data_centre == "dc0";
+}
+
+double RemainingCapacity(const SimOptions& options, const Scenario& scenario) {
+  SimOptions remaining = options;
+  remaining.targets.clear();
+  for (size_t i = 0; i < options.targets.size(); ++i) {
+    if (!scenario.is_affected(options.targets[i], i)) {
+      remaining.targets.push_back(options.targets[i]);
+    }
+  }
+  return Capacity(remaining);
+}
+
 const std::vector<Scenario>& Scenarios() {
   static const std::vector<Scenario> kScenarios = {
-      {"unequal targets", 0.7, [](PolicySim&, const Workload&) {}},
-      {"one target 10x slower", 0.5,
+      {"unequal targets", AffectsNone, [](PolicySim&, const Workload&) {}},
+      {"one target 10x slower", AffectsFirst,
        [](PolicySim& sim, const Workload&) { sim.SetSlowdown(kChange, 0, 10); }},
-      {"one data centre lost", 0.3,
+      {"one data centre lost", AffectsDataCentre,
        [](PolicySim& sim, const Workload&) { sim.LoseDataCentre(kChange, "dc0"); }},
-      {"one restart, cold", 0.5, [](PolicySim& sim, const Workload&) { sim.Restart(kChange, 0); }},
-      {"most flags false", 0.7,
+      {"one restart, cold", AffectsFirst,
+       [](PolicySim& sim, const Workload&) { sim.Restart(kChange, 0); }},
+      {"most flags false", AffectsNone,
        [](PolicySim& sim, const Workload& workload) {
          for (int i = 0; i <= workload.endpoints / 2; ++i) {
            sim.SetReachable(seconds(0), static_cast<size_t>(i), false);
@@ -49,7 +76,7 @@
   PolicySim sim(options);
   const size_t window = sim.AddWindow(kChange, kEnd);
   scenario.apply(sim, workload);
-  sim.SetRate(Duration(0), scenario.load * Capacity(options));
+  sim.SetRate(Duration(0), kLoad * RemainingCapacity(options, scenario));
   sim.Run(kEnd + workload.deadline);
   const SimWindow& result = sim.window(window);
   const double offered = static_cast<double>(result.offered);
--- a/src/load/compare_limits.cc
+++ b/src/load/compare_limits.cc
@@ -99,31 +99,41 @@
   const SimOptions options = MakeOptions(workload, variant, seed);
   PolicySim sim(options);
   const size_t slow = sim.AddWindow(kChange, kChangeEnd);
+  const size_t later = sim.AddWindow(kChangeEnd, kEnd);
   const size_t targets = all ? options.targets.size() : 1;
   for (size_t i = 0; i < targets; ++i) {
     sim.SetSlowdown(kChange, i, 2);
   }
   sim.SetRate(Duration(0), kNormalLoad * Capacity(options));
-  sim.Run(kChangeEnd + workload.deadline);
+  sim.Run(kEnd + workload.deadline);
   Print(workload, all ? "all at half speed" : "one at half speed", variant, sim.window(slow), peak,
         out);
+  Print(workload, all ? "all, 10 s later" : "one, 10 s later", variant, sim.window(later), peak,
+        out);
 }
 
-/// The inventory names twice the slots that the targets have; load 2x of what they really serve.
+/// The inventory names twice the slots that the targets have, and a target with more requests than
+/// slots thrashes. From normal load to 2x of what the targets really serve.
 void RunWrongSlots(const Workload& workload,
                    const Variant& variant,
                    double peak,
                    uint64_t seed,
                    std::ostream& out) {
+  constexpr double kThrashing = 0.1;
   SimOptions options = MakeOptions(workload, variant, seed);
+  const double named_capacity = Capacity(options);
   for (SimTarget& target : options.targets) {
     target.slots /= 2;
   }
+  options.thrashing = kThrashing;
+  const double capacity = Capacity(options);
   PolicySim sim(options);
   const size_t window = sim.AddWindow(kChange, kChangeEnd);
-  sim.SetRate(Duration(0), 2 * Capacity(options));
+  sim.SetRate(Duration(0), kNormalLoad * capacity);
+  sim.SetRate(kChange, 2 * capacity);
   sim.Run(kChangeEnd + workload.deadline);
-  Print(workload, "half the slots, 2x", variant, sim.window(window), peak / 2, out);
+  Print(workload, "half the slots, 2x", variant, sim.window(window),
+        peak * capacity / named_capacity, out);
 }
 
 }  // namespace
--- a/src/load/compare_retry_budgets.cc
+++ b/src/load/compare_retry_budgets.cc
@@ -10,7 +10,7 @@
 
 using std::chrono::seconds;
 
-constexpr int kCalls = 2000;
+constexpr int kCalls = 5000;
 constexpr int kMaxAttempts = 3;
 /// Without a budget the attempts grow as 3^depth; the run stops here.
 constexpr int64_t kMaxLeafAttempts = 2000000;
--- a/src/load/policy_sim.cc
+++ b/src/load/policy_sim.cc
@@ -34,7 +34,10 @@
 }  // namespace
 
 PolicySim::PolicySim(SimOptions options)
-    : options_(std::move(options)), random_(options_.seed), now_(kStart) {
+    : options_(std::move(options)),
+      arrivals_(options_.seed),
+      random_(options_.seed + 1),
+      now_(kStart) {
   for (const SimTarget& spec : options_.targets) {
     Target target;
     target.spec = spec;
@@ -168,7 +171,7 @@
   if (rate_ <= 0) {
     return;
   }
-  At(Scale(seconds(1), Exponential(random_) / rate_), [=, this] {
+  At(Scale(seconds(1), Exponential(arrivals_) / rate_), [=, this] {
     if (epoch == rate_epoch_) {
       StartCall();
       ScheduleArrival(epoch);
@@ -177,13 +180,13 @@
 }
 
 void PolicySim::StartCall() {
-  size_t caller = random_.Below(callers_.size());
+  size_t caller = arrivals_.Below(callers_.size());
   while (callers_[caller].lost) {
-    caller = random_.Below(callers_.size());
+    caller = arrivals_.Below(callers_.size());
   }
   OutboundCallOptions options;
   options.service = "service";
-  options.idempotent = random_.Fraction() < options_.idempotent_share;
+  options.idempotent = arrivals_.Fraction() < options_.idempotent_share;
   options.deadline = options_.deadline;
   options.attempt_timeout = options.idempotent ? options_.deadline / 2 : Duration(0);
   options.max_attempts = options_.max_attempts;
@@ -323,6 +326,7 @@
   if (now_ < target.warm_at) {
     factor *= kColdSlowdown;
   }
+  factor *= 1 + options_.thrashing * static_cast<double>(target.internal_queue.size());
   At(Scale(target.spec.service_time, factor),
      [=, this, incarnation = target.incarnation] { Served(index, attempt, incarnation); });
 }
--- a/src/load/policy_sim.h
+++ b/src/load/policy_sim.h
@@ -39,7 +39,9 @@
   BalancerOptions balancer;
   RetryOptions retry;
   GateOptions gate;
-  LimitKind limit = LimitKind::kFixed;
+  LimitKind limit = kDefaultLimit;
+  /// Each request beyond the slots slows all down by this share, as on a VM short of memory.
+  double thrashing = 0;
   /// Baseline without admission control: every request goes to the target.
   bool unlimited = false;
 };
@@ -144,6 +146,8 @@
   SimWindow* WindowOf(TimePoint started);
 
   SimOptions options_;
+  /// Arrivals have their own sequence, so that variants with one seed get the same calls.
+  Random arrivals_;
   Random random_;
   TimePoint now_{};
   uint64_t sequence_ = 0;
--- a/src/traffic/balancer.cc
+++ b/src/traffic/balancer.cc
@@ -16,7 +16,7 @@
 /// The view reflects a leaving or restarted node within 2 s.
 constexpr Duration kLeavingAvoidance = seconds(2);
 constexpr Duration kShedAvoidance = milliseconds(50);
-/// One timeout can be an ordinary slow request.
+/// One timeout can be an ordinary slow request if other answers came in the meantime.
 constexpr int kTimeoutsToAvoid = 2;
 /// An answer this recent outranks a reachability flag.
 constexpr Duration kEvidenceAge = seconds(5);
@@ -238,7 +238,7 @@
     case wire::RefusalReason::kTargetTimeout:
     case wire::RefusalReason::kTruncatedReply:
       stats.expected_latency = std::max(stats.expected_latency, latency);
-      if (++stats.failures >= kTimeoutsToAvoid) {
+      if (++stats.failures >= kTimeoutsToAvoid || stats.last_success < now - latency) {
         OnFailure(now, stats);
       }
       break;
--- a/src/traffic/feedback_limit.cc
+++ b/src/traffic/feedback_limit.cc
@@ -7,12 +7,11 @@
 namespace {
 
 constexpr Duration kPeriod = std::chrono::milliseconds(250);
-constexpr double kUtilisationSetpoint = 0.95;
-constexpr double kMissSetpoint = 0.02;
+constexpr double kUtilisationSetpoint = 1.0;
+constexpr double kMissSetpoint = 0.05;
 /// Change of the limit, as a share of the slots, for a full deviation from the setpoint.
 constexpr double kUtilisationGain = 0.5;
 constexpr double kMissGain = 2.0;
-constexpr double kMaxFactor = 2.0;
 
 }  // namespace
 
@@ -52,7 +51,7 @@
   const double miss_ratio = finished_ == 0 ? 0.0 : static_cast<double>(missed_) / finished_;
   const double change = std::min(kUtilisationGain * (kUtilisationSetpoint - utilisation),
                                  kMissGain * (kMissSetpoint - miss_ratio));
-  limit_ = std::clamp(limit_ + change * slots_, 1.0, kMaxFactor * slots_);
+  limit_ = std::clamp(limit_ + change * slots_, 1.0, static_cast<double>(slots_));
   period_start_ = now;
   busy_us_ = 0;
   finished_ = 0;
