--- a/src/net/target_client.cc
+++ b/src/net/target_client.cc
@@ -61,6 +61,7 @@
   Connection(const std::string& host, int port)
       : client_(selector_, host, static_cast<unsigned short>(port)) {
     cxxtools::connect(client_.replyFinished, *this, &Connection::OnFinished);
+    cxxtools::connect(client_.headerReceived, *this, &Connection::OnHeader);
     cxxtools::connect(client_.bodyAvailable, *this, &Connection::OnBody);
   }
 
@@ -68,6 +69,7 @@
                       Duration timeout,
                       const std::function<bool()>& is_cancelled) {
     finished_ = false;
+    chunked_ = false;
     body_.clear();
     const cxxtools::http::Request converted = ConvertOrThrow(request);
     try {
@@ -77,9 +79,7 @@
     } catch (const ExchangeError&) {
       throw;
     } catch (const std::exception& error) {
-      throw ExchangeError(IsConnectFailure(error.what()) ? ExchangeFailure::kNotConnected
-                                                         : ExchangeFailure::kConnectionLost,
-                          error.what());
+      throw ExchangeError(FailureOf(error), error.what());
     }
     return Answer();
   }
@@ -105,16 +105,15 @@
         throw ExchangeError(ExchangeFailure::kCancelled, "cancelled by the caller");
       }
       client_.wait(ToMilliseconds(std::min(kCancelInterval, end - now)));
-      CheckFraming();
     }
   }
 
-  /// cxxtools neither ends a chunked body in asynchronous mode nor notices a cut one in synchronous
-  /// mode, so that a chunked reply cannot be known to be whole.
-  void CheckFraming() {
-    if (header_seen_chunked_) {
-      throw ExchangeError(ExchangeFailure::kTruncatedReply, "chunked reply cannot be verified");
+  ExchangeFailure FailureOf(const std::exception& error) const {
+    if (chunked_) {
+      return ExchangeFailure::kTruncatedReply;
     }
+    return IsConnectFailure(error.what()) ? ExchangeFailure::kNotConnected
+                                          : ExchangeFailure::kConnectionLost;
   }
 
   HttpAnswer Answer() {
@@ -137,11 +136,16 @@
 
   void OnFinished(cxxtools::http::Client& /*client*/) { finished_ = true; }
 
-  std::size_t OnBody(cxxtools::http::Client& client) {
-    if (client.header().chunkedTransferEncoding()) {
-      header_seen_chunked_ = true;
-      return 0;
+  /// cxxtools neither ends a chunked body in asynchronous mode nor notices a cut one in synchronous
+  /// mode, so that a chunked reply cannot be known to be whole. The exception ends the exchange.
+  void OnHeader(cxxtools::http::Client& client) {
+    chunked_ = client.header().chunkedTransferEncoding();
+    if (chunked_) {
+      throw Error("chunked reply cannot be verified");
     }
+  }
+
+  std::size_t OnBody(cxxtools::http::Client& client) {
     std::array<char, 8192> buffer;
     std::size_t total = 0;
     auto* source = client.in().rdbuf();
@@ -157,7 +161,7 @@
   cxxtools::Selector selector_;
   cxxtools::http::Client client_;
   bool finished_ = false;
-  bool header_seen_chunked_ = false;
+  bool chunked_ = false;
   std::string body_;
 };
 
