Add traces with one span for each hop

Spans go as OTLP/JSON to a file or a collector from a thread of their own. A full queue drops spans and counts them, so that a stalled collector never blocks a call.

--- a/include/limpet/net/inbound_service.h
+++ b/include/limpet/net/inbound_service.h
@@ -11,6 +11,7 @@
 #include "limpet/core/counters.h"
 #include "limpet/net/http_server.h"
 #include "limpet/net/target_client.h"
+#include "limpet/net/tracer.h"
 #include "limpet/traffic/inbound_gate.h"
 #include "limpet_types.h"
 
@@ -20,7 +21,7 @@
 /// Blocks the calling thread; safe for concurrent use.
 class InboundService {
  public:
-  InboundService(InboundGate gate, TargetClient& target, Counters& counters);
+  InboundService(InboundGate gate, TargetClient& target, Tracer& tracer, Counters& counters);
 
   wire::CallReply OnCall(const wire::CallRequest& request, const ConnectionWatch& caller);
 
@@ -32,6 +33,10 @@
   int in_flight() const;
 
  private:
+  wire::CallReply Serve(const wire::CallRequest& request,
+                        const std::string& traceparent,
+                        const ConnectionWatch& caller);
+
   struct Waiter {
     std::condition_variable changed;
     bool decided = false;
@@ -45,9 +50,11 @@
                                         const ConnectionWatch& caller);
   void Apply(const std::vector<QueueEvent>& events);
   wire::CallReply Run(const wire::CallRequest& request,
+                      const std::string& traceparent,
                       TimePoint deadline,
                       const ConnectionWatch& caller);
   wire::CallReply AskTarget(const wire::CallRequest& request,
+                            const std::string& traceparent,
                             TimePoint deadline,
                             const ConnectionWatch& caller);
   wire::CallReply Complete(wire::CallReply reply, const wire::CallRequest& request);
@@ -57,6 +64,7 @@
   std::map<std::string, Waiter*> waiters_;
   std::atomic<wire::TargetState::type> target_state_{wire::TargetState::kStarting};
   TargetClient& target_;
+  Tracer& tracer_;
   Counter& calls_;
   Counter& refusals_;
   Counter& cancelled_;
--- a/include/limpet/net/node.h
+++ b/include/limpet/net/node.h
@@ -12,8 +12,10 @@
 #include "limpet/net/outbound_service.h"
 #include "limpet/net/peer_client.h"
 #include "limpet/net/peer_server.h"
+#include "limpet/net/span_exporter.h"
 #include "limpet/net/target_client.h"
 #include "limpet/net/target_monitor.h"
+#include "limpet/net/tracer.h"
 #include "limpet/settings/node_settings.h"
 
 namespace limpet {
@@ -21,7 +23,8 @@
 /// One node process: control loop, peer service, HTTP front for callers and admin requests.
 class Node : private PeerHandler {
  public:
-  /// Listens and joins. Throws `ListenError`.
+  /// Listens and joins. Throws `ListenError`, and `FileError` for a span file that cannot be
+  /// opened.
   explicit Node(const NodeSettings& settings);
   ~Node() override;
 
@@ -48,6 +51,8 @@
 
   const NodeSettings settings_;
   Counters counters_;
+  SpanExporter exporter_;
+  Tracer tracer_;
   PeerClient peers_;
   TargetClient target_;
   std::atomic<bool> draining_{false};
--- a/include/limpet/net/outbound_service.h
+++ b/include/limpet/net/outbound_service.h
@@ -10,6 +10,7 @@
 #include "limpet/core/random.h"
 #include "limpet/net/http_server.h"
 #include "limpet/net/peer_client.h"
+#include "limpet/net/tracer.h"
 #include "limpet/traffic/balancer.h"
 #include "limpet/traffic/outbound_call.h"
 #include "limpet/traffic/retry_policy.h"
@@ -29,6 +30,7 @@
                   Random random,
                   PeerClient& peers,
                   SnapshotSource snapshots,
+                  Tracer& tracer,
                   Counters& counters);
 
   HttpAnswer Handle(const HttpRequest& request, const ConnectionWatch& caller);
@@ -37,6 +39,10 @@
  private:
   struct Call;
 
+  CallResult Drive(const OutboundCallOptions& options,
+                   const HttpRequest& request,
+                   const std::string& traceparent,
+                   const ConnectionWatch& caller);
   OutboundCallOptions MakeOptions(const ConfigSnapshot& snapshot,
                                   const wire::Route& route,
                                   const HttpRequest& request) const;
@@ -50,6 +56,7 @@
   Counter& refusals_;
   PeerClient& peers_;
   SnapshotSource snapshots_;
+  Tracer& tracer_;
   std::mutex mutex_;
   Random random_;
   Balancer balancer_;
--- a/src/net/inbound_service.cc
+++ b/src/net/inbound_service.cc
@@ -22,7 +22,9 @@
   return reply;
 }
 
-HttpRequest ToHttp(const wire::CallRequest& call, Duration remaining) {
+HttpRequest ToHttp(const wire::CallRequest& call,
+                   const std::string& traceparent,
+                   Duration remaining) {
   HttpRequest request;
   request.method = call.method;
   const size_t mark = call.path.find('?');
@@ -31,9 +33,7 @@
   request.headers = call.headers;
   SetHeader(request.headers, kDeadlineHeader, std::to_string(remaining.count() / 1000));
   SetHeader(request.headers, kDepthHeader, std::to_string(call.depth));
-  if (!call.traceparent.empty()) {
-    SetHeader(request.headers, kTraceparentHeader, call.traceparent);
-  }
+  SetHeader(request.headers, kTraceparentHeader, traceparent);
   request.body = call.body;
   return request;
 }
@@ -70,9 +70,13 @@
 
 }  // namespace
 
-InboundService::InboundService(InboundGate gate, TargetClient& target, Counters& counters)
+InboundService::InboundService(InboundGate gate,
+                               TargetClient& target,
+                               Tracer& tracer,
+                               Counters& counters)
     : gate_(std::move(gate)),
       target_(target),
+      tracer_(tracer),
       calls_(counters.Get("inbound_calls")),
       refusals_(counters.Get("inbound_refusals")),
       cancelled_(counters.Get("inbound_cancelled")) {}
@@ -80,6 +84,19 @@
 wire::CallReply InboundService::OnCall(const wire::CallRequest& request,
                                        const ConnectionWatch& caller) {
   calls_.Add();
+  Span span = tracer_.Start("inbound", SpanKind::kServer, request.traceparent);
+  wire::CallReply reply = Serve(request, FormatTraceparent(span.context), caller);
+  span.failed = reply.outcome != wire::Outcome::kRan;
+  span.attributes = {{"limpet.attempt_id", request.attempt_id},
+                     {"limpet.caller", request.caller},
+                     {"http.response.status_code", std::to_string(reply.http_status)}};
+  tracer_.End(std::move(span));
+  return reply;
+}
+
+wire::CallReply InboundService::Serve(const wire::CallRequest& request,
+                                      const std::string& traceparent,
+                                      const ConnectionWatch& caller) {
   const TimePoint now = MonotonicNow();
   if (target_state_ == wire::TargetState::kDraining && !IsFaultActive(Fault::kAdmitWhileDraining)) {
     return Complete(MakeReply(wire::Outcome::kNotRun, wire::RefusalReason::kDraining), request);
@@ -100,8 +117,9 @@
       }
     }
   }
-  return Complete(Run(request, now + std::chrono::milliseconds(request.deadline_ms), caller),
-                  request);
+  return Complete(
+      Run(request, traceparent, now + std::chrono::milliseconds(request.deadline_ms), caller),
+      request);
 }
 
 wire::RefusalReason::type InboundService::WaitForTurn(std::unique_lock<std::mutex>& lock,
@@ -142,10 +160,11 @@
 }
 
 wire::CallReply InboundService::Run(const wire::CallRequest& request,
+                                    const std::string& traceparent,
                                     TimePoint deadline,
                                     const ConnectionWatch& caller) {
   const TimePoint start = MonotonicNow();
-  wire::CallReply reply = AskTarget(request, deadline, caller);
+  wire::CallReply reply = AskTarget(request, traceparent, deadline, caller);
   const TimePoint end = MonotonicNow();
   const std::lock_guard lock(mutex_);
   Apply(gate_.Finish(end, request.attempt_id, reply.outcome, end - start));
@@ -153,6 +172,7 @@
 }
 
 wire::CallReply InboundService::AskTarget(const wire::CallRequest& request,
+                                          const std::string& traceparent,
                                           TimePoint deadline,
                                           const ConnectionWatch& caller) {
   const Duration remaining = deadline - MonotonicNow();
@@ -160,8 +180,8 @@
     return MakeReply(wire::Outcome::kNotRun, wire::RefusalReason::kDeadlinePassed);
   }
   try {
-    return FromHttp(target_.Exchange(ToHttp(request, remaining), request.idempotent, remaining,
-                                     [&] { return caller.IsClosed(); }));
+    return FromHttp(target_.Exchange(ToHttp(request, traceparent, remaining), request.idempotent,
+                                     remaining, [&] { return caller.IsClosed(); }));
   } catch (const ExchangeError& error) {
     if (error.failure() == ExchangeFailure::kCancelled) {
       cancelled_.Add();
--- a/src/net/node.cc
+++ b/src/net/node.cc
@@ -72,15 +72,18 @@
 }  // namespace
 
 Node::Node(const NodeSettings& settings)
-    : settings_(settings), target_(settings.target_host, settings.target_port) {
+    : settings_(settings),
+      exporter_("limpetd/" + settings.name, MakeSpanSink(settings), counters_),
+      tracer_(settings.trace_sampling, Random(DrawSeed()), exporter_),
+      target_(settings.target_host, settings.target_port) {
   const ControlLoopOptions options = MakeControlOptions(settings);
   inbound_ = std::make_unique<InboundService>(MakeGate(settings, options.control.incarnation),
-                                              target_, counters_);
+                                              target_, tracer_, counters_);
   control_ = std::make_unique<ControlLoop>(
       options, counters_, peers_, [this](const ControlState& state) { OnControlState(state); });
   outbound_ = std::make_unique<OutboundService>(
       settings.name, settings.data_centre, Random(DrawSeed()), peers_,
-      [this] { return control_->state().snapshot; }, counters_);
+      [this] { return control_->state().snapshot; }, tracer_, counters_);
   peer_server_ = std::make_unique<PeerServer>(
       PeerServerOptions{settings.host, settings.peer_port, settings.connections},
       static_cast<PeerHandler&>(*this));
--- a/src/net/outbound_service.cc
+++ b/src/net/outbound_service.cc
@@ -61,6 +61,8 @@
 struct OutboundService::Call {
   OutboundCall machine;
   wire::CallRequest request;
+  /// Of the span of the whole call.
+  std::string traceparent;
 };
 
 OutboundService::OutboundService(std::string node,
@@ -68,12 +70,14 @@
                                  Random random,
                                  PeerClient& peers,
                                  SnapshotSource snapshots,
+                                 Tracer& tracer,
                                  Counters& counters)
     : calls_(counters.Get("outbound_calls")),
       attempts_(counters.Get("outbound_attempts")),
       refusals_(counters.Get("outbound_refusals")),
       peers_(peers),
       snapshots_(std::move(snapshots)),
+      tracer_(tracer),
       random_(random),
       balancer_(BalancerOptions(), std::move(node), std::move(data_centre), Random(random_.Next())),
       retry_policy_(RetryOptions(), Random(random_.Next())) {}
@@ -86,8 +90,23 @@
     refusals_.Add();
     return MakeRefusal(wire::Outcome::kNotRun, wire::RefusalReason::kNoRoute);
   }
-  const OutboundCallOptions options = MakeOptions(*snapshot, *route, request);
-  Call call{OutboundCall(options, balancer_, retry_policy_, random_), MakeTemplate(request)};
+  Span span = tracer_.Start("outbound", SpanKind::kServer, request.Header(kTraceparentHeader));
+  CallResult result = Drive(MakeOptions(*snapshot, *route, request), request,
+                            FormatTraceparent(span.context), caller);
+  span.failed = result.outcome != wire::Outcome::kRan;
+  span.attributes = {{"limpet.route", route->name},
+                     {"limpet.outcome", std::string(NameOf(kOutcomeNames, result.outcome))},
+                     {"limpet.attempts", std::to_string(result.attempts)}};
+  tracer_.End(std::move(span));
+  return ToAnswer(std::move(result));
+}
+
+CallResult OutboundService::Drive(const OutboundCallOptions& options,
+                                  const HttpRequest& request,
+                                  const std::string& traceparent,
+                                  const ConnectionWatch& caller) {
+  Call call{OutboundCall(options, balancer_, retry_policy_, random_), MakeTemplate(request),
+            traceparent};
   call.request.service_name = options.service;
   call.request.idempotent = options.idempotent;
   CallActions actions;
@@ -102,7 +121,7 @@
   while (!actions.finish && actions.send) {
     actions = Attempt(call, *actions.send, caller);
   }
-  return ToAnswer(actions.finish.value_or(CallResult()));
+  return actions.finish.value_or(CallResult());
 }
 
 OutboundCallOptions OutboundService::MakeOptions(const ConfigSnapshot& snapshot,
@@ -134,7 +153,6 @@
   call.body = request.body;
   call.caller = request.Header(kCallerHeader);
   call.depth = ParseNonNegative(request.Header(kDepthHeader), 0) + 1;
-  call.traceparent = request.Header(kTraceparentHeader);
   return call;
 }
 
@@ -149,7 +167,13 @@
     return call.machine.Cancel(MonotonicNow());
   }
   attempts_.Add();
-  return Send(call, send, caller);
+  Span span = tracer_.Start("attempt", SpanKind::kClient, call.traceparent);
+  span.attributes = {{"limpet.node", send.endpoint.node}, {"limpet.attempt_id", send.attempt_id}};
+  call.request.traceparent = FormatTraceparent(span.context);
+  CallActions actions = Send(call, send, caller);
+  span.failed = !actions.finish || actions.finish->outcome != wire::Outcome::kRan;
+  tracer_.End(std::move(span));
+  return actions;
 }
 
 CallActions OutboundService::Send(Call& call,
--- /dev/null
+++ b/src/trace/trace_context.cc
@@ -0,0 +1,77 @@
+#include "limpet/trace/trace_context.h"
+
+#include <algorithm>
+
+namespace limpet {
+
+namespace {
+
+constexpr size_t kTraceIdDigits = 32;
+constexpr size_t kSpanIdDigits = 16;
+/// "00-" trace id "-" span id "-" flags.
+constexpr size_t kTraceIdStart = 3;
+constexpr size_t kSpanIdStart = kTraceIdStart + kTraceIdDigits + 1;
+constexpr size_t kFlagsStart = kSpanIdStart + kSpanIdDigits + 1;
+constexpr size_t kLength = kFlagsStart + 2;
+constexpr int kSampledFlag = 1;
+
+int DigitValue(char digit) {
+  if (digit >= '0' && digit <= '9') {
+    return digit - '0';
+  }
+  return digit >= 'a' && digit <= 'f' ? digit - 'a' + 10 : -1;
+}
+
+bool IsHex(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char digit) { return DigitValue(digit) >= 0; });
+}
+
+bool IsId(std::string_view text) {
+  return IsHex(text) && text.find_first_not_of('0') != std::string_view::npos;
+}
+
+bool HasValidLength(std::string_view text, std::string_view version) {
+  return text.size() == kLength ||
+         (version != "00" && text.size() > kLength && text[kLength] == '-');
+}
+
+}  // namespace
+
+std::optional<TraceContext> ParseTraceparent(std::string_view text) {
+  if (text.size() < kLength) {
+    return std::nullopt;
+  }
+  const std::string_view version = text.substr(0, 2);
+  const std::string_view trace_id = text.substr(kTraceIdStart, kTraceIdDigits);
+  const std::string_view span_id = text.substr(kSpanIdStart, kSpanIdDigits);
+  const std::string_view flags = text.substr(kFlagsStart, 2);
+  const bool has_separators = text[kTraceIdStart - 1] == '-' && text[kSpanIdStart - 1] == '-' &&
+                              text[kFlagsStart - 1] == '-';
+  if (!has_separators || !HasValidLength(text, version) || !IsHex(version) || version == "ff" ||
+      !IsId(trace_id) || !IsId(span_id) || !IsHex(flags)) {
+    return std::nullopt;
+  }
+  return TraceContext{std::string(trace_id), std::string(span_id),
+                      (DigitValue(flags[1]) & kSampledFlag) != 0};
+}
+
+std::string FormatTraceparent(const TraceContext& context) {
+  return "00-" + context.trace_id + "-" + context.span_id + (context.sampled ? "-01" : "-00");
+}
+
+TraceContext TraceSampler::Root(std::string_view traceparent) {
+  if (auto given = ParseTraceparent(traceparent)) {
+    return Child(*given);
+  }
+  return {random_.HexId(), NewSpanId(), random_.Fraction() < fraction_};
+}
+
+TraceContext TraceSampler::Child(const TraceContext& parent) {
+  return {parent.trace_id, NewSpanId(), parent.sampled};
+}
+
+std::string TraceSampler::NewSpanId() {
+  return random_.HexId().substr(0, kSpanIdDigits);
+}
+
+}  // namespace limpet
--- a/tests/e2e/calls_test.cc
+++ b/tests/e2e/calls_test.cc
@@ -46,6 +46,7 @@
         wrong_ += answer.status == 200 && answer.body == id + "\n" + body ? 0 : 1;
       } else {
         ++(outcome == "not_run" ? not_run_ : unknown_);
+        MESSAGE(id << ": " << answer.status << " " << answer.body);
       }
     }
   }
@@ -71,11 +72,16 @@
 TEST_CASE("a call goes from the caller over two nodes to the target and back") {
   Mesh mesh;
   mesh.AddNode("a");
+  mesh.AddNode("b");
+  mesh.WaitUntilServing({"a", "b"}, 2);
+  // With node a's own target draining, the call has to go over node b.
+  mesh.Post(mesh.http_port("a"), "/target-state", R"({"state": "draining"})");
   mesh.WaitUntilServing({"a"}, 1);
   const auto answer = mesh.Call("a", MakeRequest("POST", "/desk/book", "r-1", "slot 7"));
   CHECK(answer.status == 200);
   CHECK(answer.Header(kOutcomeHeader) == "ran");
   CHECK(answer.body == "r-1\nslot 7");
+  CHECK(mesh.ExecutionsOf("b") == std::map<std::string, int>{{"r-1", 1}});
   const auto refused = mesh.Call("a", MakeRequest("POST", "/unknown", "r-2", ""));
   CHECK(refused.status == 404);
   CHECK(refused.Header(kOutcomeHeader) == "not_run");
@@ -83,5 +89,96 @@
   CHECK(mesh.Executions() == std::map<std::string, int>{{"r-1", 1}});
 }
 
+TEST_CASE("a planned stop under load cuts nothing") {
+  // Guards I8: a call that node b's target has begun ends with its answer.
+  Mesh mesh;
+  const std::vector<std::string> slow = {"--service-time-us", "50000"};
+  mesh.AddNode("a", slow);
+  mesh.AddNode("b", slow);
+  mesh.WaitUntilServing({"a", "b"}, 2);
+  Load load(mesh, "a", 8);
+  WaitFor("work at both targets",
+          [&] { return mesh.ExecutionsOf("a").size() > 20 && mesh.ExecutionsOf("b").size() > 20; });
+  mesh.node("b").Signal(SIGTERM);
+  CHECK(mesh.node("b").Wait() == 0);
+  const int ran = load.ran();
+  WaitFor("work after the stop", [&] { return load.ran() > ran + 20; });
+  load.Stop();
+  CHECK(load.unknown() == 0);
+  CHECK(load.wrong() == 0);
+  CHECK(CountDoubled(mesh) == 0);
+  CHECK(mesh.SumOfExecutions("cancelled") == 0);
+  CHECK(static_cast<int>(mesh.Executions().size()) == load.ran());
+}
+
+TEST_CASE("after the death of a node calls go on and no request runs twice") {
+  // Guards I6 when the outcome of a request is lost with its node.
+  Mesh mesh;
+  const std::vector<std::string> slow = {"--service-time-us", "20000"};
+  mesh.AddNode("a", slow);
+  mesh.AddNode("b", slow);
+  mesh.WaitUntilServing({"a", "b"}, 2);
+  Load load(mesh, "a", 8);
+  WaitFor("work at both targets",
+          [&] { return mesh.ExecutionsOf("a").size() > 20 && mesh.ExecutionsOf("b").size() > 20; });
+  mesh.node("b").Signal(SIGKILL);
+  CHECK(mesh.node("b").Wait() == -1);
+  const int ran = load.ran();
+  WaitFor("work after the death", [&] { return load.ran() > ran + 100; });
+  load.Stop();
+  CHECK(load.wrong() == 0);
+  CHECK(CountDoubled(mesh) == 0);
+  const int executed = static_cast<int>(mesh.Executions().size());
+  CHECK(executed >= load.ran());
+  // A request without an answer may have run; one refused as not_run has not.
+  CHECK(executed <= load.ran() + load.unknown());
+}
+
+TEST_CASE("without the log calls go on and a new node takes the configuration from its peers") {
+  Mesh mesh;
+  mesh.AddNode("a");
+  mesh.WaitUntilServing({"a"}, 1);
+  mesh.StopLog();
+  CHECK(mesh.Call("a", MakeRequest("POST", "/desk", "r-1", "x")).Header(kOutcomeHeader) == "ran");
+  mesh.AddNode("b");
+  mesh.WaitUntilServing({"a", "b"}, 2);
+  CHECK(mesh.Call("b", MakeRequest("POST", "/desk", "r-2", "x")).Header(kOutcomeHeader) == "ran");
+}
+
+TEST_CASE("a caller that disconnects cancels its request at the target") {
+  Mesh mesh;
+  mesh.AddNode("a", {"--service-time-us", "9000000"});
+  mesh.WaitUntilServing({"a"}, 1);
+  TargetClient client("127.0.0.1", mesh.http_port("a"));
+  CHECK_THROWS_AS(
+      client.Exchange(MakeRequest("POST", "/desk", "r-1", "x"), false, std::chrono::seconds(9),
+                      [&] { return !mesh.Executions().empty(); }),
+      ExchangeError);
+  WaitFor("the cancellation", [&] { return mesh.SumOfExecutions("cancelled") == 1; });
+  CHECK(mesh.SumOfExecutions("in_flight") == 0);
+}
+
+TEST_CASE("bodies and headers over the limits get a typed refusal") {
+  Mesh mesh;
+  mesh.AddNode("a");
+  mesh.WaitUntilServing({"a"}, 1);
+  const auto large =
+      mesh.Call("a", MakeRequest("POST", "/desk", "r-1", std::string(2 * 1024 * 1024, 'x')));
+  CHECK(large.status == 413);
+  CHECK(large.Header(kOutcomeHeader) == "not_run");
+  CHECK(mesh.Executions().empty());
+}
+
+TEST_CASE("a port in use and wrong settings end limpetd with their exit codes") {
+  Mesh mesh;
+  mesh.AddNode("a");
+  mesh.WaitUntilServing({"a"}, 1);
+  const std::string settings = mesh.WriteSettings("b", FreePort(), mesh.http_port("a"), FreePort());
+  CHECK(Process("limpetd", {"--settings", settings}).Wait() == 4);
+  CHECK(Process("limpetd", {"--settings", "/does/not/exist"}).Wait() == 3);
+  CHECK(Process("limpetd", {}).Wait() == 2);
+  CHECK(Process("limpetd", {"--settings", settings, "--check-settings"}).Wait() == 0);
+}
+
 }  // namespace
 }  // namespace limpet
--- a/tests/e2e/processes.cc
+++ b/tests/e2e/processes.cc
@@ -184,12 +184,16 @@
   return sum;
 }
 
+std::map<std::string, int> Mesh::ExecutionsOf(const std::string& node) const {
+  const auto json = nlohmann::json::parse(Get(target_port(node), "/executions").body);
+  return json["executions"].get<std::map<std::string, int>>();
+}
+
 std::map<std::string, int> Mesh::Executions() const {
   std::map<std::string, int> all;
   for (const auto& [name, entry] : nodes_) {
-    const auto json = nlohmann::json::parse(Get(entry.target_port, "/executions").body);
-    for (const auto& [id, count] : json["executions"].items()) {
-      all[id] += count.get<int>();
+    for (const auto& [id, count] : ExecutionsOf(name)) {
+      all[id] += count;
     }
   }
   return all;
--- a/tests/e2e/processes.h
+++ b/tests/e2e/processes.h
@@ -48,7 +48,9 @@
   HttpAnswer Post(int port, const std::string& path, const std::string& body) const;
   /// Sum over the targets of `member` of GET /executions.
   int SumOfExecutions(const std::string& member) const;
-  /// Executions by request id, over all targets.
+  /// Executions by request id at the target of one node.
+  std::map<std::string, int> ExecutionsOf(const std::string& node) const;
+  /// The same over all targets.
   std::map<std::string, int> Executions() const;
 
   Process& node(const std::string& name) { return *nodes_.at(name).process; }
