Exchange tables when gateways of both data centres were replaced

Cause: a property test against an oracle found that two data centres which lost all their gateways at the same moment kept relaying to the dead gateways of each other, and that a restarted seed was found by chance only. Change: contact with a member that is not a known gateway starts a table exchange; unknown seeds are contacted in turn; three dead members are pinged per round.

--- a/src/membership/gateway_monitor.cc
+++ b/src/membership/gateway_monitor.cc
@@ -1,5 +1,6 @@
 #include "membership/gateway_monitor.h"
 
+#include <algorithm>
 #include <vector>
 
 #include "membership/probe_scheduler.h"
@@ -27,7 +28,7 @@
   // A random phase spreads the pings to the other data centres over the interval.
   const Duration phase(
       state_.random.Below(static_cast<uint64_t>(state_.options.gateway_probe_interval.count())));
-  return {now, now - phase};
+  return {now, now - phase, now};
 }
 
 void GatewayMonitor::Watch(TimePoint now,
@@ -87,8 +88,13 @@
   if (!state_.statuses.IsReachable(data_centre)) {
     state_.SetStatus(data_centre, true);
   }
-  if (is_back) {
-    // Both sides missed updates in the meantime.
+  // An answer from another member than the known gateways shows that these were replaced while
+  // nobody could tell this side, and perhaps the other way round.
+  const bool is_replaced = std::ranges::none_of(
+      state_.table.Gateways(data_centre),
+      [&](const Member* gateway) { return gateway->record.name == envelope.sender; });
+  if (is_back || (is_replaced && now >= link.next_digest)) {
+    link.next_digest = now + state_.options.data_centre_timeout;
     state_.SendDigest(SenderOf(envelope), output);
   }
 }
--- a/src/membership/gateway_monitor.h
+++ b/src/membership/gateway_monitor.h
@@ -22,6 +22,7 @@
   struct Link {
     TimePoint last_contact;
     TimePoint last_ping;
+    TimePoint next_digest;
     bool is_lost = false;
   };
 
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -36,7 +36,7 @@
 class Membership::Impl {
  public:
   Impl(MembershipOptions options, Random random, Counters& counters)
-      : state_(std::move(options), std::move(random), counters),
+      : state_(std::move(options), random, counters),
         messages_received_(counters.Get("membership_messages_received")),
         bytes_received_(counters.Get("membership_bytes_received")),
         members_(counters.Get("membership_members")) {
@@ -221,7 +221,7 @@
 }
 
 Membership::Membership(MembershipOptions options, Random random, Counters& counters)
-    : impl_(std::make_unique<Impl>(std::move(options), std::move(random), counters)) {}
+    : impl_(std::make_unique<Impl>(std::move(options), random, counters)) {}
 Membership::~Membership() = default;
 Membership::Membership(Membership&&) noexcept = default;
 Membership& Membership::operator=(Membership&&) noexcept = default;
--- a/src/membership/node_state.cc
+++ b/src/membership/node_state.cc
@@ -13,7 +13,7 @@
 
 NodeState::NodeState(MembershipOptions node_options, Random random_source, Counters& counters)
     : options(std::move(node_options)),
-      random(std::move(random_source)),
+      random(random_source),
       // Starts at random, so that an ack for an earlier process of this name matches nothing.
       next_nonce_(static_cast<int64_t>(random.Below(uint64_t{1} << 30))),
       messages_sent_(counters.Get("membership_messages_sent")),
--- a/src/membership/table_exchange.cc
+++ b/src/membership/table_exchange.cc
@@ -17,6 +17,7 @@
 constexpr int kMaxBucketsAtOnce = 8;
 constexpr Duration kFollowUpDelay = std::chrono::seconds(1);
 constexpr double kIntervalSpread = 0.2;
+constexpr int kDeadPingedAtOnce = 3;
 
 wire::Message ContentOf(const std::vector<int>& buckets, std::vector<wire::MemberRecord> members) {
   wire::Message message;
@@ -76,7 +77,7 @@
       dead.push_back(member);
     }
   }
-  for (const Member* member : PickRandom(dead, 1, {}, state_.random)) {
+  for (const Member* member : PickRandom(dead, kDeadPingedAtOnce, {}, state_.random)) {
     state_.SendPing(member->record, state_.NextNonce(), output);
   }
   std::set<PeerAddress> unknown(state_.options.seeds.begin(), state_.options.seeds.end());
@@ -87,7 +88,8 @@
   }
   unknown.erase(AddressOf(state_.local));
   if (!unknown.empty()) {
-    const auto chosen = static_cast<std::ptrdiff_t>(state_.random.Below(unknown.size()));
+    // In turn, so that a seed which is back is found within as many rounds as there are seeds.
+    const auto chosen = static_cast<std::ptrdiff_t>(next_seed_++ % unknown.size());
     state_.SendDigest(*std::next(unknown.begin(), chosen), output);
   }
 }
--- a/src/membership/table_exchange.h
+++ b/src/membership/table_exchange.h
@@ -36,6 +36,7 @@
   NodeState& state_;
   TimePoint next_round_;
   std::optional<FollowUp> follow_up_;
+  std::size_t next_seed_ = 0;
 };
 
 }  // namespace limpet
