Ask a peer of another data centre at start

Cause: the scenario herd_during_log_outage found that a data centre whose nodes all restart while the log is down stays not ready for as long as the outage lasts: each node asked only members of its own data centre, none of which was ready. Ruled out: versions and joins; the nodes held the current version and knew all members. Change: a starting node asks two members of its own data centre and one of another.

--- a/src/control/control_plane.cc
+++ b/src/control/control_plane.cc
@@ -170,22 +170,32 @@
     }
   }
 
-  /// Live members to ask at start: of the own data centre, or of all if it has no other member.
-  std::vector<std::string> Peers() const {
+  /// Live members to ask at start, at most `kPeersAsked`. One is of another data centre: all
+  /// members of the own one may be starting at the same time while the log is down.
+  std::vector<std::string> Peers() {
     std::vector<std::string> own;
-    std::vector<std::string> all;
+    std::vector<std::string> remote;
     for (const wire::MemberRecord& member : membership_.Members()) {
       const bool is_live =
           member.state == wire::MemberState::kAlive || member.state == wire::MemberState::kSuspect;
-      if (!is_live || member.name == options_.name) {
-        continue;
-      }
-      all.push_back(member.name);
-      if (member.data_centre == options_.data_centre) {
-        own.push_back(member.name);
+      if (is_live && member.name != options_.name) {
+        (member.data_centre == options_.data_centre ? own : remote).push_back(member.name);
       }
     }
-    return own.empty() ? all : own;
+    std::vector<std::string> peers = Sample(std::move(own), Readiness::kPeersAsked - 1);
+    const std::vector<std::string> others =
+        Sample(std::move(remote), Readiness::kPeersAsked - peers.size());
+    peers.insert(peers.end(), others.begin(), others.end());
+    return peers;
+  }
+
+  std::vector<std::string> Sample(std::vector<std::string> names, std::size_t count) {
+    count = std::min(count, names.size());
+    for (std::size_t i = 0; i < count; ++i) {
+      std::swap(names[i], names[i + random_.Below(names.size() - i)]);
+    }
+    names.resize(count);
+    return names;
   }
 
   void TickGap(TimePoint now, ControlOutput& output) {
--- a/tests/support/fake_mesh.h
+++ b/tests/support/fake_mesh.h
@@ -91,12 +91,14 @@
 
   explicit FakeMesh(uint64_t seed) : random_(seed) {}
 
-  void Start(const std::string& name, const std::string& data_centre) {
+  void Start(const std::string& name,
+             const std::string& data_centre,
+             const std::string& service = "service") {
     Node& node = nodes_[name];
     if (node.options.port == 0) {
       node.options.name = name;
       node.options.data_centre = data_centre;
-      node.options.service = "service";
+      node.options.service = service;
       node.options.host = "10.0.0.1";
       node.options.port = static_cast<int>(1000 + nodes_.size());
       node.options.distribution = mode;
@@ -175,6 +177,15 @@
     }
   }
 
+  /// Gives a running node an input of its own process, e.g. a state of its target.
+  void Act(const std::string& name,
+           const std::function<ControlOutput(ControlPlane&, TimePoint)>& action) {
+    Node& node = nodes_[name];
+    if (node.plane) {
+      Carry(node, action(*node.plane, now_));
+    }
+  }
+
   /// Advances virtual time by one tick of 50 ms.
   void Step() { Run(std::chrono::milliseconds(50)); }
   void Run(Duration duration) {
