Add the operator command line limpetctl

Each command is a class over LogAccess or NodeAccess that returns text, JSON and an exit code; the program only reads options and files.

--- /dev/null
+++ b/src/cli/status_commands.h
@@ -0,0 +1,69 @@
+#ifndef LIMPET_SRC_CLI_STATUS_COMMANDS_H_
+#define LIMPET_SRC_CLI_STATUS_COMMANDS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cli/command_result.h"
+#include "limpet/configlog/log_access.h"
+#include "limpet/configlog/system_replay.h"
+#include "limpet/core/enum_names.h"
+
+namespace limpet {
+
+/// Where a node stands with respect to one version.
+enum class NodeState { kInEffect, kBehind, kRefused, kUnknown };
+
+inline constexpr EnumNames<NodeState, 4> kNodeStateNames = {{
+    {NodeState::kInEffect, "in_effect"},
+    {NodeState::kBehind, "behind"},
+    {NodeState::kRefused, "refused"},
+    {NodeState::kUnknown, "unknown"},
+}};
+
+struct NodeReport {
+  std::string node;
+  std::string data_centre;
+  NodeState state = NodeState::kUnknown;
+  /// Reason of a refusal, version of a node that is behind, or why the state is unknown.
+  std::string detail;
+};
+
+/// Every node that the roster or status records name, by data centre and name.
+std::vector<NodeReport> ReportNodes(const SystemReplay& system, int64_t version);
+
+/// `status [VERSION]`: a version and how far it has come in each data centre.
+class StatusCommand {
+ public:
+  explicit StatusCommand(LogAccess& log) : log_(log) {}
+  CommandResult Run(std::optional<int64_t> version);
+
+ private:
+  LogAccess& log_;
+};
+
+/// `status --inventory`: the configuration in effect as an inventory.
+class InventoryCommand {
+ public:
+  explicit InventoryCommand(LogAccess& log) : log_(log) {}
+  CommandResult Run();
+
+ private:
+  LogAccess& log_;
+};
+
+/// `trace CHANGE`: the change and every node by name. CHANGE is an id or a version.
+class TraceCommand {
+ public:
+  explicit TraceCommand(LogAccess& log) : log_(log) {}
+  CommandResult Run(const std::string& change);
+
+ private:
+  LogAccess& log_;
+};
+
+}  // namespace limpet
+
+#endif  // LIMPET_SRC_CLI_STATUS_COMMANDS_H_
