--- a/src/traffic/balancer.cc
+++ b/src/traffic/balancer.cc
@@ -16,7 +16,7 @@
 /// The view reflects a leaving or restarted node within 2 s.
 constexpr Duration kLeavingAvoidance = seconds(2);
 constexpr Duration kShedAvoidance = milliseconds(50);
-/// One timeout can be an ordinary slow request.
+/// One timeout can be an ordinary slow request if other answers came in the meantime.
 constexpr int kTimeoutsToAvoid = 2;
 /// An answer this recent outranks a reachability flag.
 constexpr Duration kEvidenceAge = seconds(5);
@@ -134,19 +134,17 @@
     return std::nullopt;
   }
   ServiceTable& table = position->second;
-  Candidates candidates = Acceptable(now, Collect(table.subset, excluded));
-  if (candidates.empty()) {
-    const Candidates all = Collect(table.nodes, excluded);
-    candidates = Acceptable(now, all);
-    if (candidates.empty()) {
-      // Every endpoint failed at once: rather a fault on this side than everywhere.
-      candidates = all;
-    }
+  Candidates good = Acceptable(now, Collect(table.subset, excluded));
+  Candidates all;
+  if (good.empty()) {
+    all = Collect(table.nodes, excluded);
+    good = Acceptable(now, all);
   }
-  if (candidates.empty()) {
+  if (good.empty() && all.empty()) {
     return std::nullopt;
   }
-  candidates = AllowSlowStart(now, PreferLocal(now, candidates));
+  // If every endpoint failed at once, the fault is rather on this side: any of them will do.
+  const Candidates candidates = good.empty() ? all : AllowSlowStart(now, PreferLocal(now, good));
   return candidates[table.strategy->Select(now, candidates, random_)]->endpoint;
 }
 
@@ -240,7 +238,7 @@
     case wire::RefusalReason::kTargetTimeout:
     case wire::RefusalReason::kTruncatedReply:
       stats.expected_latency = std::max(stats.expected_latency, latency);
-      if (++stats.failures >= kTimeoutsToAvoid) {
+      if (++stats.failures >= kTimeoutsToAvoid || stats.last_success < now - latency) {
         OnFailure(now, stats);
       }
       break;
