Compare tables with unknown processes and repeat lost status

Cause: the property test found two groups that did not know each other's processes and exchanged pings for ever without comparing tables; a member that had left passed on its stale view; and a reachable status which a former gateway had announced was never corrected. Change: a ping or ack from an unknown process starts a table exchange, at most one a second; a member that left sends no digests; a gateway without contact repeats its announcement after three times the timeout.

--- a/src/membership/gateway_monitor.cc
+++ b/src/membership/gateway_monitor.cc
@@ -6,6 +6,11 @@
 #include "membership/probe_scheduler.h"
 
 namespace limpet {
+namespace {
+
+constexpr int kAnnouncePauseFactor = 3;
+
+}  // namespace
 
 void GatewayMonitor::Tick(TimePoint now, ControlOutput& output) {
   if (!state_.IsGateway()) {
@@ -28,7 +33,7 @@
   // A random phase spreads the pings to the other data centres over the interval.
   const Duration phase(
       state_.random.Below(static_cast<uint64_t>(state_.options.gateway_probe_interval.count())));
-  return {now, now - phase, now};
+  return {now, now - phase, now, false, now};
 }
 
 void GatewayMonitor::Watch(TimePoint now,
@@ -42,13 +47,18 @@
     link.last_ping = now;
     SendPings(data_centre, silence, output);
   }
-  if (silence < state_.options.data_centre_timeout || link.is_lost) {
-    return;
-  }
-  // Announced once for each loss: if the other gateway has contact and contradicts, it prevails.
-  link.is_lost = true;
-  if (state_.statuses.IsReachable(data_centre)) {
-    state_.SetStatus(data_centre, false);
+  const Duration timeout = state_.options.data_centre_timeout;
+  // If the other gateway has contact it contradicts and prevails; the pause keeps the status from
+  // alternating. It is announced again because a contradiction may come from a member that is no
+  // gateway any more.
+  const bool is_due =
+      link.is_lost ? now - link.announced >= kAnnouncePauseFactor * timeout : silence >= timeout;
+  if (is_due) {
+    link.is_lost = true;
+    link.announced = now;
+    if (state_.statuses.IsReachable(data_centre)) {
+      state_.SetStatus(data_centre, false);
+    }
   }
 }
 
--- a/src/membership/gateway_monitor.h
+++ b/src/membership/gateway_monitor.h
@@ -24,6 +24,8 @@
     TimePoint last_ping;
     TimePoint next_digest;
     bool is_lost = false;
+    /// When the loss was last announced.
+    TimePoint announced;
   };
 
   void Watch(TimePoint now, const std::string& data_centre, Link& link, ControlOutput& output);
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -117,6 +117,7 @@
   if (envelope.sender != state_.local.name) {
     Dispatch(now, envelope, output);
     gateways_.OnContact(now, envelope, output);
+    exchange_.OnContact(now, envelope, output);
   }
   return true;
 }
--- a/src/membership/table_exchange.cc
+++ b/src/membership/table_exchange.cc
@@ -16,6 +16,8 @@
 // of a data centre after many changes causes no burst.
 constexpr int kMaxBucketsAtOnce = 8;
 constexpr Duration kFollowUpDelay = std::chrono::seconds(1);
+// Bounds the bytes when many members restart at once.
+constexpr Duration kUnknownInterval = std::chrono::seconds(1);
 constexpr double kIntervalSpread = 0.2;
 constexpr int kDeadPingedAtOnce = 3;
 
@@ -36,6 +38,9 @@
 }
 
 void TableExchange::Tick(TimePoint now, ControlOutput& output) {
+  if (state_.local.state == wire::MemberState::kLeft) {
+    return;  // its view gets stale, and it only answers from now on
+  }
   if (now >= next_round_) {
     next_round_ = now + state_.random.Jitter(state_.options.anti_entropy_interval, kIntervalSpread);
     SendDigests(output);
@@ -66,9 +71,6 @@
 }
 
 void TableExchange::SearchLost(ControlOutput& output) {
-  if (state_.local.state == wire::MemberState::kLeft) {
-    return;
-  }
   std::vector<const Member*> dead;
   for (const std::string& name : state_.table.tombstones()) {
     const Member* member = state_.table.Find(name);
@@ -94,6 +96,22 @@
   }
 }
 
+void TableExchange::OnContact(TimePoint now,
+                              const wire::Envelope& envelope,
+                              ControlOutput& output) {
+  // A join request and its reply already exchange tables.
+  if (!envelope.message.__isset.ping && !envelope.message.__isset.ack) {
+    return;
+  }
+  const Member* sender = state_.table.Find(envelope.sender);
+  const bool is_known =
+      sender != nullptr && sender->record.incarnation == envelope.sender_incarnation;
+  if (!is_known && now >= next_unknown_) {
+    next_unknown_ = now + kUnknownInterval;
+    state_.SendDigest(SenderOf(envelope), output);
+  }
+}
+
 void TableExchange::OnDigest(const wire::Envelope& envelope, ControlOutput& output) {
   const wire::BucketDigest& digest = envelope.message.bucket_digest;
   const Member* sender = state_.table.Find(envelope.sender);
--- a/src/membership/table_exchange.h
+++ b/src/membership/table_exchange.h
@@ -16,6 +16,8 @@
 
   void Start(TimePoint now);
   void Tick(TimePoint now, ControlOutput& output);
+  /// Compares tables with the sender if this node does not know the sender's process.
+  void OnContact(TimePoint now, const wire::Envelope& envelope, ControlOutput& output);
   void OnDigest(const wire::Envelope& envelope, ControlOutput& output);
   void OnContent(TimePoint now, const wire::Envelope& envelope, ControlOutput& output);
 
@@ -35,6 +37,7 @@
 
   NodeState& state_;
   TimePoint next_round_;
+  TimePoint next_unknown_;
   std::optional<FollowUp> follow_up_;
   std::size_t next_seed_ = 0;
 };
