--- a/include/limpet/membership/membership.h
+++ b/include/limpet/membership/membership.h
@@ -91,7 +91,8 @@
 
   /// Announces the state of this node's target to all members.
   void SetTargetState(TimePoint now, wire::TargetState::type state, ControlOutput& output);
-  /// Announces that this node leaves. It still answers pings and passes updates on.
+  /// Announces that this node leaves. From then on it only answers: others send it no updates, so
+  /// its view of them gets stale.
   void Leave(TimePoint now, ControlOutput& output);
 
   /// The configuration version and readiness that pings, acks and join replies carry.
--- a/src/membership/table_exchange.cc
+++ b/src/membership/table_exchange.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <bitset>
-#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -82,17 +81,16 @@
   for (const Member* member : PickRandom(dead, kDeadPingedAtOnce, {}, state_.random)) {
     state_.SendPing(member->record, state_.NextNonce(), output);
   }
-  std::set<PeerAddress> unknown(state_.options.seeds.begin(), state_.options.seeds.end());
+  std::vector<PeerAddress> unknown = state_.options.seeds;
   for (const auto& [name, member] : state_.table.members()) {
     if (IsLive(member.record)) {
-      unknown.erase(AddressOf(member.record));
+      std::erase(unknown, AddressOf(member.record));
     }
   }
-  unknown.erase(AddressOf(state_.local));
+  std::erase(unknown, AddressOf(state_.local));
   if (!unknown.empty()) {
     // In turn, so that a seed which is back is found within as many rounds as there are seeds.
-    const auto chosen = static_cast<std::ptrdiff_t>(next_seed_++ % unknown.size());
-    state_.SendDigest(*std::next(unknown.begin(), chosen), output);
+    state_.SendDigest(unknown[next_seed_++ % unknown.size()], output);
   }
 }
 
