Make limit, selection and distribution settings of the node

Cause: the experiments compare policies and a polling baseline with real processes, which had no key for them.

--- a/include/limpet/distribution/config_distributor.h
+++ b/include/limpet/distribution/config_distributor.h
@@ -9,27 +9,16 @@
 
 #include "limpet/control/control_output.h"
 #include "limpet/core/counters.h"
-#include "limpet/core/enum_names.h"
 #include "limpet/core/random.h"
 #include "limpet/core/time.h"
 #include "limpet/distribution/config_store.h"
+#include "limpet/distribution/distribution_mode.h"
 #include "limpet/distribution/repair.h"
 #include "limpet/distribution/transfer_limiter.h"
 #include "limpet/membership/membership.h"
 
 namespace limpet {
 
-/// How accepted versions reach the nodes.
-enum class DistributionMode {
-  kTree,     // readers poll the log and push along a tree
-  kPollLog,  // every node polls the log; the baseline for measurements
-};
-
-inline constexpr EnumNames<DistributionMode, 2> kDistributionModeNames = {{
-    {DistributionMode::kTree, "tree"},
-    {DistributionMode::kPollLog, "poll_log"},
-}};
-
 /// Push and repair between nodes: forwards what this node applies, answers peers that are behind,
 /// and asks peers that are ahead.
 class ConfigDistributor {
--- a/include/limpet/net/outbound_service.h
+++ b/include/limpet/net/outbound_service.h
@@ -27,6 +27,7 @@
 
   OutboundService(std::string node,
                   std::string data_centre,
+                  SelectionKind selection,
                   Random random,
                   PeerClient& peers,
                   SnapshotSource snapshots,
--- a/include/limpet/settings/node_settings.h
+++ b/include/limpet/settings/node_settings.h
@@ -8,6 +8,9 @@
 #include "limpet/control/control_output.h"
 #include "limpet/core/enum_names.h"
 #include "limpet/core/error.h"
+#include "limpet/distribution/distribution_mode.h"
+#include "limpet/traffic/limit_strategy.h"
+#include "limpet/traffic/selection_strategy.h"
 
 namespace limpet {
 
@@ -74,8 +77,11 @@
   int queue_length = 24;
   int connections = 130;
   int max_body_bytes = 1024 * 1024;
+  LimitKind limit_policy = LimitKind::kGradient;
+  SelectionKind selection_policy = SelectionKind::kPowerOfTwo;
 
   // [control]
+  DistributionMode distribution = DistributionMode::kTree;
   int tick_ms = 50;
   int peer_timeout_ms = 1000;
   int drain_timeout_ms = 30000;
--- a/scripts/lib/measure_scale.py
+++ b/scripts/lib/measure_scale.py
@@ -102,7 +102,7 @@
 
 def measure(build, count, mode, options):
     rng = random.Random(options.seed)
-    settings = {"control": {"distribution": mode}}
+    settings = {"control": {"distribution": mode}, "logging": {"level": "warning"}}
     with Mesh(build, targets=False, node_settings=settings) as mesh:
         mesh.start_log()
         mesh.add_nodes(
--- a/src/net/control_loop.cc
+++ b/src/net/control_loop.cc
@@ -201,7 +201,14 @@
     }
     state_ = next;
   }
-  counters_.Get("config_version").Set(next.snapshot->version());
+  if (counters_.Get("config_version").value() != next.snapshot->version()) {
+    counters_.Get("config_version").Set(next.snapshot->version());
+    // Only measurements read it; no decision uses the wall clock.
+    counters_.Get("config_applied_unix_us")
+        .Set(std::chrono::duration_cast<std::chrono::microseconds>(
+                 std::chrono::system_clock::now().time_since_epoch())
+                 .count());
+  }
   counters_.Get("ready").Set(next.ready ? 1 : 0);
   listener_(next);
 }
--- a/src/net/node.cc
+++ b/src/net/node.cc
@@ -43,6 +43,7 @@
   options.control.port = settings.peer_port;
   options.control.incarnation = MakeIncarnation();
   options.control.seeds = settings.seeds;
+  options.control.distribution = settings.distribution;
   options.control.log_configured = !settings.log_host.empty();
   options.seed = DrawSeed();
   options.tick = std::chrono::milliseconds(settings.tick_ms);
@@ -55,7 +56,7 @@
 InboundGate MakeGate(const NodeSettings& settings, int64_t incarnation) {
   GateOptions options;
   options.queue_length = static_cast<size_t>(settings.queue_length);
-  return {options, incarnation, MakeLimitStrategy(LimitKind::kGradient, settings.slots)};
+  return {options, incarnation, MakeLimitStrategy(settings.limit_policy, settings.slots)};
 }
 
 class InFlight {
@@ -82,7 +83,7 @@
   control_ = std::make_unique<ControlLoop>(
       options, counters_, peers_, [this](const ControlState& state) { OnControlState(state); });
   outbound_ = std::make_unique<OutboundService>(
-      settings.name, settings.data_centre, Random(DrawSeed()), peers_,
+      settings.name, settings.data_centre, settings.selection_policy, Random(DrawSeed()), peers_,
       [this] { return control_->state().snapshot; }, tracer_, counters_);
   peer_server_ = std::make_unique<PeerServer>(
       PeerServerOptions{settings.host, settings.peer_port, settings.connections},
--- a/src/net/outbound_service.cc
+++ b/src/net/outbound_service.cc
@@ -65,8 +65,19 @@
   std::string traceparent;
 };
 
+namespace {
+
+BalancerOptions MakeBalancerOptions(SelectionKind selection) {
+  BalancerOptions options;
+  options.selection = selection;
+  return options;
+}
+
+}  // namespace
+
 OutboundService::OutboundService(std::string node,
                                  std::string data_centre,
+                                 SelectionKind selection,
                                  Random random,
                                  PeerClient& peers,
                                  SnapshotSource snapshots,
@@ -79,7 +90,10 @@
       snapshots_(std::move(snapshots)),
       tracer_(tracer),
       random_(random),
-      balancer_(BalancerOptions(), std::move(node), std::move(data_centre), Random(random_.Next())),
+      balancer_(MakeBalancerOptions(selection),
+                std::move(node),
+                std::move(data_centre),
+                Random(random_.Next())),
       retry_policy_(RetryOptions(), Random(random_.Next())) {}
 
 HttpAnswer OutboundService::Handle(const HttpRequest& request, const ConnectionWatch& caller) {
--- a/src/settings/node_settings.cc
+++ b/src/settings/node_settings.cc
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <cstdio>
 #include <span>
+#include <type_traits>
 #include <variant>
 
 #include "limpet/config/ini_reader.h"
@@ -19,6 +20,9 @@
                             double NodeSettings::*,
                             TraceOutput NodeSettings::*,
                             LogLevel NodeSettings::*,
+                            LimitKind NodeSettings::*,
+                            SelectionKind NodeSettings::*,
+                            DistributionMode NodeSettings::*,
                             std::vector<PeerAddress> NodeSettings::*>;
 
 /// Syntax of a text value.
@@ -38,6 +42,25 @@
 constexpr Range kPortRange{1, 65535};
 constexpr Range kMsRange{1, 600'000};
 
+constexpr const auto& NamesOf(TraceOutput /*kind*/) {
+  return kTraceOutputNames;
+}
+constexpr const auto& NamesOf(LogLevel /*kind*/) {
+  return kLogLevelNames;
+}
+constexpr const auto& NamesOf(LimitKind /*kind*/) {
+  return kLimitNames;
+}
+constexpr const auto& NamesOf(SelectionKind /*kind*/) {
+  return kSelectionNames;
+}
+constexpr const auto& NamesOf(DistributionMode /*kind*/) {
+  return kDistributionModeNames;
+}
+
+template <typename T>
+concept Choice = std::is_enum_v<T>;
+
 using S = NodeSettings;
 
 const Key kKeys[] = {
@@ -106,6 +129,10 @@
      &S::max_body_bytes,
      "Largest request or response body",
      {1024, 64 << 20}},
+    {"limits", "limit_policy", &S::limit_policy, "Controller of the limit on requests in flight"},
+    {"limits", "selection_policy", &S::selection_policy, "How an endpoint is chosen for a call"},
+    {"control", "distribution", &S::distribution,
+     "How changes reach this node; poll_log is a baseline for measurements"},
     {"control", "tick_ms", &S::tick_ms, "Time between two steps of the control thread", {10, 1000}},
     {"control", "peer_timeout_ms", &S::peer_timeout_ms,
      "Longest wait for a connection to another node", kMsRange},
@@ -200,11 +227,9 @@
     double& value = settings.*member;
     return ParseNumber(text, value) && value >= 0.0 && value <= 1.0;
   }
-  bool operator()(TraceOutput NodeSettings::*member) const {
-    return ParseName(kTraceOutputNames, text, settings.*member);
-  }
-  bool operator()(LogLevel NodeSettings::*member) const {
-    return ParseName(kLogLevelNames, text, settings.*member);
+  template <Choice Enum>
+  bool operator()(Enum NodeSettings::*member) const {
+    return ParseName(NamesOf(Enum{}), text, settings.*member);
   }
   bool operator()(std::vector<PeerAddress> NodeSettings::*member) const {
     return ParseAddresses(text, settings.*member);
@@ -229,8 +254,10 @@
   }
   std::string operator()(int NodeSettings::*) const { return key.range.Text(); }
   std::string operator()(double NodeSettings::*) const { return "0 to 1"; }
-  std::string operator()(TraceOutput NodeSettings::*) const { return NamesText(kTraceOutputNames); }
-  std::string operator()(LogLevel NodeSettings::*) const { return NamesText(kLogLevelNames); }
+  template <Choice Enum>
+  std::string operator()(Enum NodeSettings::* /*member*/) const {
+    return NamesText(NamesOf(Enum{}));
+  }
   std::string operator()(std::vector<PeerAddress> NodeSettings::*) const {
     return "a list of host:port";
   }
@@ -240,8 +267,10 @@
   std::string operator()(std::string NodeSettings::*) const { return "text"; }
   std::string operator()(int NodeSettings::*) const { return "integer"; }
   std::string operator()(double NodeSettings::*) const { return "number"; }
-  std::string operator()(TraceOutput NodeSettings::*) const { return "choice"; }
-  std::string operator()(LogLevel NodeSettings::*) const { return "choice"; }
+  template <Choice Enum>
+  std::string operator()(Enum NodeSettings::* /*member*/) const {
+    return "choice";
+  }
   std::string operator()(std::vector<PeerAddress> NodeSettings::*) const { return "list"; }
 };
 
@@ -257,11 +286,9 @@
     std::snprintf(text.data(), text.size(), "%g", defaults.*member);
     return text.data();
   }
-  std::string operator()(TraceOutput NodeSettings::*member) const {
-    return std::string(NameOf(kTraceOutputNames, defaults.*member));
-  }
-  std::string operator()(LogLevel NodeSettings::*member) const {
-    return std::string(NameOf(kLogLevelNames, defaults.*member));
+  template <Choice Enum>
+  std::string operator()(Enum NodeSettings::*member) const {
+    return std::string(NameOf(NamesOf(Enum{}), defaults.*member));
   }
   std::string operator()(std::vector<PeerAddress> NodeSettings::*) const { return ""; }
 };
