Skip nodes that are just restarting when sampling counters

Cause: a sample taken while a killed node starts again ended the measurement. Change: such a node counts as having no version yet.

--- a/scripts/lib/measure_scale.py
+++ b/scripts/lib/measure_scale.py
@@ -63,7 +63,15 @@
         self.pool = concurrent.futures.ThreadPoolExecutor(8)
 
     def read(self):
-        return list(self.pool.map(lambda node: node.metrics(), self.nodes))
+        return list(self.pool.map(self.read_one, self.nodes))
+
+    @staticmethod
+    def read_one(node):
+        """Empty for a node that is just restarting."""
+        try:
+            return node.metrics()
+        except OSError:
+            return {}
 
     def cpu(self):
         return sum(node.process.cpu_seconds() for node in self.nodes)
@@ -87,7 +95,7 @@
             break
     newest = max(sample.get(VERSION, 0) for sample in samples)
     return [
-        sample[APPLIED_AT] / 1e6 - start if sample.get(VERSION, 0) == newest > version else float("inf")
+        sample.get(APPLIED_AT, 0) / 1e6 - start if sample.get(VERSION, 0) == newest > version else float("inf")
         for sample in samples
     ]
 
