--- a/include/limpet/configlog/log_replay.h
+++ b/include/limpet/configlog/log_replay.h
@@ -72,7 +72,7 @@
   LogReplay();
   /// Continues from a configuration at its `next_offset`. Throws `ValidationError` if it is not
   /// valid as a whole.
-  explicit LogReplay(wire::FullConfig config);
+  explicit LogReplay(const wire::FullConfig& config);
   /// Continues at an offset from a configuration in effect, without validating it again. The
   /// snapshot must not be null.
   LogReplay(ConfigSnapshotPtr snapshot, int64_t next_offset);
--- a/src/configlog/log_replay.cc
+++ b/src/configlog/log_replay.cc
@@ -27,7 +27,7 @@
 
 LogReplay::LogReplay() : LogReplay(wire::FullConfig()) {}
 
-LogReplay::LogReplay(wire::FullConfig config)
+LogReplay::LogReplay(const wire::FullConfig& config)
     : LogReplay(std::make_shared<const ConfigSnapshot>(config), config.next_offset) {}
 
 LogReplay::LogReplay(ConfigSnapshotPtr snapshot, int64_t next_offset)
--- a/src/control/status_reporter.cc
+++ b/src/control/status_reporter.cc
@@ -17,6 +17,7 @@
     report.refusal_reason = store.refusal()->reason;
   }
   std::vector<std::string> names;
+  names.reserve(readers.size());
   for (const wire::MemberRecord& reader : readers) {
     names.push_back(reader.name);
   }
