--- a/include/limpet/net/outbound_service.h
+++ b/include/limpet/net/outbound_service.h
@@ -43,6 +43,7 @@
                    const HttpRequest& request,
                    const std::string& traceparent,
                    const ConnectionWatch& caller);
+  Call MakeCall(const OutboundCallOptions& options, const HttpRequest& request);
   OutboundCallOptions MakeOptions(const ConfigSnapshot& snapshot,
                                   const wire::Route& route,
                                   const HttpRequest& request) const;
--- a/src/net/outbound_service.cc
+++ b/src/net/outbound_service.cc
@@ -101,12 +101,20 @@
   return ToAnswer(std::move(result));
 }
 
+OutboundService::Call OutboundService::MakeCall(const OutboundCallOptions& options,
+                                                const HttpRequest& request) {
+  wire::CallRequest call_request = MakeTemplate(request);
+  // The constructor draws the request id from the shared source of randomness.
+  const std::lock_guard lock(mutex_);
+  return {OutboundCall(options, balancer_, retry_policy_, random_), std::move(call_request), ""};
+}
+
 CallResult OutboundService::Drive(const OutboundCallOptions& options,
                                   const HttpRequest& request,
                                   const std::string& traceparent,
                                   const ConnectionWatch& caller) {
-  Call call{OutboundCall(options, balancer_, retry_policy_, random_), MakeTemplate(request),
-            traceparent};
+  Call call = MakeCall(options, request);
+  call.traceparent = traceparent;
   call.request.service_name = options.service;
   call.request.idempotent = options.idempotent;
   CallActions actions;
