Name the winner of a race that is older than the checkpoint

A reader that starts from a checkpoint keeps no accepted change before it, so a publisher with an older base was refused without the winner's name. Versions are offsets and records name their base, so the accepted changes form a chain that is walked back from the checkpoint's version; rejected records are not part of it.

--- a/include/limpet/configlog/publisher.h
+++ b/include/limpet/configlog/publisher.h
@@ -33,6 +33,7 @@
   /// Empty if nothing was appended, because the base was already superseded.
   std::string id;
   int64_t base = 0;
+  /// Its version is below `base` if this log never reached the base.
   Winner winner;
 };
 
--- a/src/configlog/log_reader.cc
+++ b/src/configlog/log_reader.cc
@@ -1,9 +1,11 @@
 #include "limpet/configlog/log_reader.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include "limpet/config/config.h"
+#include "limpet/wire/codec.h"
 
 namespace limpet {
 namespace {
@@ -104,6 +106,42 @@
   }
 }
 
+Winner LogReader::FindWinner(int64_t base) const {
+  int64_t oldest = replay_.version();
+  for (const wire::AcceptedChange& change : replay_.accepted()) {
+    if (change.record.base == base) {
+      return {change.version, change.record.id, change.record.author};
+    }
+    oldest = std::min(oldest, change.record.base);
+  }
+  Winner winner = base < oldest ? FindOldWinner(base, oldest) : Winner();
+  return winner.id.empty() ? Winner{replay_.version(), "", ""} : winner;
+}
+
+/// A version is the offset of its record and the record names its base, so the accepted changes
+/// form a chain back from `version`; rejected records are not part of it.
+Winner LogReader::FindOldWinner(int64_t base, int64_t version) const {
+  std::map<int64_t, wire::ChangeRecord> records;
+  // A failed read leaves the chain incomplete, and the winner is not named.
+  ReadToEnd(log_, kConfigStream, base + 1, [&](const LogRecord& record) {
+    if (record.offset <= version) {
+      try {
+        wire::Decode(record.payload, records[record.offset]);
+      } catch (const DecodeError&) {
+        records.erase(record.offset);
+      }
+    }
+  });
+  for (auto it = records.find(version); it != records.end();) {
+    const wire::ChangeRecord& record = it->second;
+    if (record.base == base) {
+      return {it->first, record.id, record.author};
+    }
+    it = record.base < it->first ? records.find(record.base) : records.end();
+  }
+  return {};
+}
+
 LogStatus ReadSystemStream(LogAccess& log, TimePoint now, std::optional<SystemReplay>& system) {
   const LogResult range = ReadRange(log, kSystemStream);
   if (range.status != LogStatus::kOk) {
--- a/src/configlog/publisher.cc
+++ b/src/configlog/publisher.cc
@@ -100,13 +100,7 @@
   }
   // The base never becomes current again, so this record cannot be accepted any more, even if an
   // earlier append takes effect later.
-  LostRace lost{record.id, record.base, {replay.version(), "", ""}};
-  for (const wire::AcceptedChange& change : replay.accepted()) {
-    if (change.record.base == record.base) {
-      lost.winner = {change.version, change.record.id, change.record.author};
-    }
-  }
-  return lost;
+  return LostRace{record.id, record.base, reader_.FindWinner(record.base)};
 }
 
 LogStatus Publisher::CatchUpWithRetries() {
--- a/tests/configlog/log_reader_test.cc
+++ b/tests/configlog/log_reader_test.cc
@@ -91,6 +91,26 @@
   CHECK(reader.replay().accepted().size() == 10);
 }
 
+TEST_CASE("the winner on a base is found before the checkpoint, past rejected records") {
+  MemoryLog log({.max_records = 20, .appends_per_second = 0});
+  AppendChanges(log, 0, 25);
+  wire::ChangeRecord stale;
+  stale.id = "stale";
+  stale.base = 22;
+  log.Append({0, kConfigStream, wire::Encode(stale)});
+  wire::FullConfig config = SampleConfig();
+  config.version = 25;
+  config.next_offset = 27;
+  AppendCheckpoint(log, config);
+  LogReader reader(log);
+  CHECK(reader.CatchUp() == LogStatus::kOk);
+  CHECK(reader.FindWinner(22).id == "23");
+  CHECK(reader.FindWinner(24).version == 25);
+  // Record 3 is no longer retained.
+  CHECK(reader.FindWinner(2).id.empty());
+  CHECK(reader.FindWinner(2).version == 25);
+}
+
 TEST_CASE("a long stream without a checkpoint is replayed from the start") {
   MemoryLog log;
   AppendChanges(log, 0, 320);
