Relay a backlog once and report the busiest member

Cause: with three relay transmissions per update, the return of 294 members made the busiest of them send 1,261 KB in 12 s, about 105 KB/s. Change: a backlog of more than one datagram is relayed once; anti-entropy repairs losses. The property test runs 600 cases.

--- a/apps/limpet-membership-bench.cc
+++ b/apps/limpet-membership-bench.cc
@@ -245,6 +245,12 @@
                     record.incarnation >= (record.data_centre == "dc-0" ? 2'000'000'000 : 0);
            }) == kMembers + (kDataCentres - 1) * kMembersElsewhere;
   });
+  int64_t most = 0;
+  for (int i = 0; i < kMembers; ++i) {
+    most = std::max(most, network.BytesSent(NameOf(0, i)));
+  }
+  std::printf("return: %.0f KB sent by the busiest member that returned\n",
+              static_cast<double>(most) / 1e3);
   std::printf("return of %d members: known at all after %.1f s, %.0f KB sent per member\n",
               kMembers, taken,
               static_cast<double>(network.BytesSent() - before) / 1e3 /
--- a/src/membership/disseminator.cc
+++ b/src/membership/disseminator.cc
@@ -11,6 +11,9 @@
 
 // Covers the loss of one datagram and of one gateway on each side; anti-entropy repairs the rest.
 constexpr int kRelayTransmissions = 3;
+// With more updates than this waiting, about one datagram, each is relayed once: when 294 members
+// restarted together, three times cost a gateway 105 KB/s.
+constexpr std::size_t kRelayBacklog = 16;
 
 }  // namespace
 
@@ -53,7 +56,8 @@
 void Disseminator::SendRelay(ControlOutput& output) {
   wire::Message message;
   message.__isset.gossip = true;
-  message.gossip.updates = TakeUpdates(state_.relay, state_.UpdateBudget(), kRelayTransmissions);
+  const int limit = state_.relay.size() > kRelayBacklog ? 1 : kRelayTransmissions;
+  message.gossip.updates = TakeUpdates(state_.relay, state_.UpdateBudget(), limit);
   if (message.gossip.updates.empty()) {
     return;
   }
--- a/tests/membership/membership_property_test.cc
+++ b/tests/membership/membership_property_test.cc
@@ -301,7 +301,7 @@
 
 TEST_CASE("after any faults all live views agree and no record ever goes back") {
   // RC_PARAMS from the environment takes precedence, for longer runs and replays.
-  setenv("RC_PARAMS", "seed=1204 max_success=200 max_size=40", 0);
+  setenv("RC_PARAMS", "seed=1204 max_success=600 max_size=40", 0);
   CHECK(rc::check("membership agrees with the oracle", CheckMembership));
 }
 
