--- a/tests/control/config_property_test.cc
+++ b/tests/control/config_property_test.cc
@@ -142,10 +142,13 @@
       }
     }
     Disturb();
-    mesh.Run(40s);
-    for (auto& [name, node] : mesh.nodes()) {
-      RC_ASSERT(node.plane->snapshot()->version() == oracle.current());
-      RC_ASSERT(node.plane->IsReady());
+    // The second wait lets the checkpoint lease lapse and a checkpoint follow.
+    for (const Duration wait : {Duration(11s), Duration(29s)}) {
+      mesh.Run(wait);
+      for (auto& [name, node] : mesh.nodes()) {
+        RC_ASSERT(node.plane->snapshot()->version() == oracle.current());
+        RC_ASSERT(node.plane->IsReady());
+      }
     }
   }
 
