--- a/include/limpet/net/outbound_service.h
+++ b/include/limpet/net/outbound_service.h
@@ -10,6 +10,7 @@
 #include "limpet/core/random.h"
 #include "limpet/net/http_server.h"
 #include "limpet/net/peer_client.h"
+#include "limpet/net/tracer.h"
 #include "limpet/traffic/balancer.h"
 #include "limpet/traffic/outbound_call.h"
 #include "limpet/traffic/retry_policy.h"
@@ -26,9 +27,11 @@
 
   OutboundService(std::string node,
                   std::string data_centre,
+                  SelectionKind selection,
                   Random random,
                   PeerClient& peers,
                   SnapshotSource snapshots,
+                  Tracer& tracer,
                   Counters& counters);
 
   HttpAnswer Handle(const HttpRequest& request, const ConnectionWatch& caller);
@@ -37,6 +40,11 @@
  private:
   struct Call;
 
+  CallResult Drive(const OutboundCallOptions& options,
+                   const HttpRequest& request,
+                   const std::string& traceparent,
+                   const ConnectionWatch& caller);
+  Call MakeCall(const OutboundCallOptions& options, const HttpRequest& request);
   OutboundCallOptions MakeOptions(const ConfigSnapshot& snapshot,
                                   const wire::Route& route,
                                   const HttpRequest& request) const;
@@ -50,6 +58,7 @@
   Counter& refusals_;
   PeerClient& peers_;
   SnapshotSource snapshots_;
+  Tracer& tracer_;
   std::mutex mutex_;
   Random random_;
   Balancer balancer_;
--- a/src/membership/gateway_monitor.cc
+++ b/src/membership/gateway_monitor.cc
@@ -1,10 +1,16 @@
 #include "membership/gateway_monitor.h"
 
+#include <algorithm>
 #include <vector>
 
 #include "membership/probe_scheduler.h"
 
 namespace limpet {
+namespace {
+
+constexpr int kAnnouncePauseFactor = 3;
+
+}  // namespace
 
 void GatewayMonitor::Tick(TimePoint now, ControlOutput& output) {
   if (!state_.IsGateway()) {
@@ -27,7 +33,7 @@
   // A random phase spreads the pings to the other data centres over the interval.
   const Duration phase(
       state_.random.Below(static_cast<uint64_t>(state_.options.gateway_probe_interval.count())));
-  return {now, now - phase};
+  return {now, now - phase, now, false, now};
 }
 
 void GatewayMonitor::Watch(TimePoint now,
@@ -41,13 +47,18 @@
     link.last_ping = now;
     SendPings(data_centre, silence, output);
   }
-  if (silence < state_.options.data_centre_timeout || link.is_lost) {
-    return;
-  }
-  // Announced once for each loss: if the other gateway has contact and contradicts, it prevails.
-  link.is_lost = true;
-  if (state_.statuses.IsReachable(data_centre)) {
-    state_.SetStatus(data_centre, false);
+  const Duration timeout = state_.options.data_centre_timeout;
+  // If the other gateway has contact it contradicts and prevails; the pause keeps the status from
+  // alternating. It is announced again because a contradiction may come from a member that is no
+  // gateway any more.
+  const bool is_due =
+      link.is_lost ? now - link.announced >= kAnnouncePauseFactor * timeout : silence >= timeout;
+  if (is_due) {
+    link.is_lost = true;
+    link.announced = now;
+    if (state_.statuses.IsReachable(data_centre)) {
+      state_.SetStatus(data_centre, false);
+    }
   }
 }
 
@@ -87,8 +98,13 @@
   if (!state_.statuses.IsReachable(data_centre)) {
     state_.SetStatus(data_centre, true);
   }
-  if (is_back) {
-    // Both sides missed updates in the meantime.
+  // An answer from another member than the known gateways shows that these were replaced while
+  // nobody could tell this side, and perhaps the other way round.
+  const bool is_replaced = std::ranges::none_of(
+      state_.table.Gateways(data_centre),
+      [&](const Member* gateway) { return gateway->record.name == envelope.sender; });
+  if (is_back || (is_replaced && now >= link.next_digest)) {
+    link.next_digest = now + state_.options.data_centre_timeout;
     state_.SendDigest(SenderOf(envelope), output);
   }
 }
--- a/src/membership/gateway_monitor.h
+++ b/src/membership/gateway_monitor.h
@@ -22,7 +22,10 @@
   struct Link {
     TimePoint last_contact;
     TimePoint last_ping;
+    TimePoint next_digest;
     bool is_lost = false;
+    /// When the loss was last announced.
+    TimePoint announced;
   };
 
   void Watch(TimePoint now, const std::string& data_centre, Link& link, ControlOutput& output);
--- a/src/membership/table_exchange.cc
+++ b/src/membership/table_exchange.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <bitset>
-#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -16,7 +15,10 @@
 // of a data centre after many changes causes no burst.
 constexpr int kMaxBucketsAtOnce = 8;
 constexpr Duration kFollowUpDelay = std::chrono::seconds(1);
+// Bounds the bytes when many members restart at once.
+constexpr Duration kUnknownInterval = std::chrono::seconds(1);
 constexpr double kIntervalSpread = 0.2;
+constexpr int kDeadPingedAtOnce = 3;
 
 wire::Message ContentOf(const std::vector<int>& buckets, std::vector<wire::MemberRecord> members) {
   wire::Message message;
@@ -35,6 +37,9 @@
 }
 
 void TableExchange::Tick(TimePoint now, ControlOutput& output) {
+  if (state_.local.state == wire::MemberState::kLeft) {
+    return;  // its view gets stale, and it only answers from now on
+  }
   if (now >= next_round_) {
     next_round_ = now + state_.random.Jitter(state_.options.anti_entropy_interval, kIntervalSpread);
     SendDigests(output);
@@ -65,9 +70,6 @@
 }
 
 void TableExchange::SearchLost(ControlOutput& output) {
-  if (state_.local.state == wire::MemberState::kLeft) {
-    return;
-  }
   std::vector<const Member*> dead;
   for (const std::string& name : state_.table.tombstones()) {
     const Member* member = state_.table.Find(name);
@@ -76,19 +78,35 @@
       dead.push_back(member);
     }
   }
-  for (const Member* member : PickRandom(dead, 1, {}, state_.random)) {
+  for (const Member* member : PickRandom(dead, kDeadPingedAtOnce, {}, state_.random)) {
     state_.SendPing(member->record, state_.NextNonce(), output);
   }
-  std::set<PeerAddress> unknown(state_.options.seeds.begin(), state_.options.seeds.end());
+  std::vector<PeerAddress> unknown = state_.options.seeds;
   for (const auto& [name, member] : state_.table.members()) {
     if (IsLive(member.record)) {
-      unknown.erase(AddressOf(member.record));
+      std::erase(unknown, AddressOf(member.record));
     }
   }
-  unknown.erase(AddressOf(state_.local));
+  std::erase(unknown, AddressOf(state_.local));
   if (!unknown.empty()) {
-    const auto chosen = static_cast<std::ptrdiff_t>(state_.random.Below(unknown.size()));
-    state_.SendDigest(*std::next(unknown.begin(), chosen), output);
+    // In turn, so that a seed which is back is found within as many rounds as there are seeds.
+    state_.SendDigest(unknown[next_seed_++ % unknown.size()], output);
+  }
+}
+
+void TableExchange::OnContact(TimePoint now,
+                              const wire::Envelope& envelope,
+                              ControlOutput& output) {
+  // A join request and its reply already exchange tables.
+  if (!envelope.message.__isset.ping && !envelope.message.__isset.ack) {
+    return;
+  }
+  const Member* sender = state_.table.Find(envelope.sender);
+  const bool is_known =
+      sender != nullptr && sender->record.incarnation == envelope.sender_incarnation;
+  if (!is_known && now >= next_unknown_) {
+    next_unknown_ = now + kUnknownInterval;
+    state_.SendDigest(SenderOf(envelope), output);
   }
 }
 
--- a/src/traffic/balancer.cc
+++ b/src/traffic/balancer.cc
@@ -16,7 +16,7 @@
 /// The view reflects a leaving or restarted node within 2 s.
 constexpr Duration kLeavingAvoidance = seconds(2);
 constexpr Duration kShedAvoidance = milliseconds(50);
-/// One timeout can be an ordinary slow request.
+/// One timeout can be an ordinary slow request if other answers came in the meantime.
 constexpr int kTimeoutsToAvoid = 2;
 /// An answer this recent outranks a reachability flag.
 constexpr Duration kEvidenceAge = seconds(5);
@@ -233,12 +233,13 @@
     case wire::RefusalReason::kDraining:
     case wire::RefusalReason::kWrongIncarnation:
       ++stats.failures;
+      stats.failed_at = now;
       stats.avoid_until = now + kLeavingAvoidance;
       break;
     case wire::RefusalReason::kTargetTimeout:
     case wire::RefusalReason::kTruncatedReply:
       stats.expected_latency = std::max(stats.expected_latency, latency);
-      if (++stats.failures >= kTimeoutsToAvoid) {
+      if (++stats.failures >= kTimeoutsToAvoid || stats.last_success < now - latency) {
         OnFailure(now, stats);
       }
       break;
@@ -254,8 +255,12 @@
 }
 
 void Balancer::OnAnswer(TimePoint now, EndpointStats& stats, Duration latency) {
-  stats.failures = 0;
-  stats.avoid_until = TimePoint{};
+  // An attempt sent before the failure says nothing about the time after it; a draining endpoint
+  // still answers what it has.
+  if (now - latency >= stats.failed_at) {
+    stats.failures = 0;
+    stats.avoid_until = TimePoint{};
+  }
   stats.last_success = now;
   stats.has_succeeded = true;
   if (stats.expected_latency == Duration(0)) {
@@ -269,6 +274,7 @@
 
 void Balancer::OnFailure(TimePoint now, EndpointStats& stats) {
   constexpr int kMaxDoublings = 6;
+  stats.failed_at = now;
   const Duration avoidance = std::min(
       kLongestAvoidance, kFirstAvoidance * (1 << std::min(stats.failures - 1, kMaxDoublings)));
   stats.avoid_until = std::max(stats.avoid_until, now + random_.Jitter(avoidance, 0.2));
