--- a/apps/limpet-latency.cc
+++ b/apps/limpet-latency.cc
@@ -49,6 +49,7 @@
 Series Run(int port, const limpet::HttpRequest& request, int connections, int calls) {
   std::vector<Series> series(static_cast<size_t>(connections));
   std::vector<std::thread> threads;
+  threads.reserve(series.size());
   for (auto& entry : series) {
     threads.emplace_back([&] { RunConnection(port, request, calls, entry); });
   }
@@ -90,10 +91,10 @@
     Print(connections, "direct", direct_sum);
     Print(connections, "over nodes", routed_sum);
     for (const double fraction : {0.5, 0.99}) {
-      const auto added = routed_sum.histogram.Percentile(fraction) -
-                         direct_sum.histogram.Percentile(fraction);
-      std::cout << connections << " connections, added p" << fraction * 100 << ": "
-                << added.count() << " us\n";
+      const auto added =
+          routed_sum.histogram.Percentile(fraction) - direct_sum.histogram.Percentile(fraction);
+      std::cout << connections << " connections, added p" << fraction * 100 << ": " << added.count()
+                << " us\n";
     }
     failures += direct_sum.failures + routed_sum.failures;
   }
@@ -112,12 +113,13 @@
       cxxopts::value<std::vector<int>>()->default_value("1,16,64"))(
       "calls", "calls of each step and path", cxxopts::value<int>()->default_value("20000"))(
       "rounds", "alternations between the paths", cxxopts::value<int>()->default_value("5"))(
-      "body-bytes", "size of the request body", cxxopts::value<int>()->default_value("200"))("help",
-                                                                                             "usage");
+      "body-bytes", "size of the request body", cxxopts::value<int>()->default_value("200"))(
+      "help", "usage");
   try {
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
-      std::cout << options.help() << "\nExit codes: 0 all calls succeeded, 1 some failed, 2 usage\n";
+      std::cout << options.help()
+                << "\nExit codes: 0 all calls succeeded, 1 some failed, 2 usage\n";
       return 0;
     }
     return Measure(parsed);
--- a/include/limpet/net/http_server.h
+++ b/include/limpet/net/http_server.h
@@ -49,7 +49,7 @@
   using Handler = std::function<HttpAnswer(const HttpRequest&, const ConnectionWatch&)>;
 
   /// Throws `ListenError`.
-  HttpServer(HttpServerOptions options, Handler handler);
+  HttpServer(const HttpServerOptions& options, Handler handler);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
--- a/include/limpet/net/peer_client.h
+++ b/include/limpet/net/peer_client.h
@@ -43,7 +43,8 @@
 /// Calls the Thrift service `Peer` of other nodes over kept connections; safe for concurrent use.
 class PeerClient {
  public:
-  explicit PeerClient(size_t max_kept_for_peer = 16);
+  /// A call beyond the kept connections opens one of its own and closes it afterwards.
+  explicit PeerClient(size_t max_kept_for_peer = 64);
   ~PeerClient();
 
   /// Blocks until the reply, `timeout`, or `caller` has closed its connection. A connection is kept
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -173,7 +173,7 @@
   std::thread thread_;
 };
 
-HttpServer::HttpServer(HttpServerOptions options, Handler handler)
+HttpServer::HttpServer(const HttpServerOptions& options, Handler handler)
     : impl_(std::make_unique<Impl>(options, std::move(handler))) {}
 
 HttpServer::~HttpServer() = default;
