--- a/apps/limpet-latency.cc
+++ b/apps/limpet-latency.cc
@@ -49,6 +49,7 @@
 Series Run(int port, const limpet::HttpRequest& request, int connections, int calls) {
   std::vector<Series> series(static_cast<size_t>(connections));
   std::vector<std::thread> threads;
+  threads.reserve(series.size());
   for (auto& entry : series) {
     threads.emplace_back([&] { RunConnection(port, request, calls, entry); });
   }
