State how the HTTP server treats headers over 4,096 bytes

A raw request with 5,000 bytes of headers got a closed connection and no answer: cxxtools refuses it before the responder is made. The comment promised a typed answer.

--- a/include/limpet/net/http_server.h
+++ b/include/limpet/net/http_server.h
@@ -42,8 +42,9 @@
 };
 
 /// HTTP server with one handler for all paths; the handler is called on several threads at once.
-/// A request with headers over 4,096 bytes (a limit of cxxtools) or a body over the limit gets a
-/// typed answer without reaching the handler; see `MakeNotTakenAnswer`.
+/// A request with a body over the limit gets a typed answer without reaching the handler; see
+/// `MakeNotTakenAnswer`. On headers over 4,096 bytes cxxtools 3.0.0 closes the connection without
+/// an answer before any code of this class runs.
 class HttpServer {
  public:
   using Handler = std::function<HttpAnswer(const HttpRequest&, const ConnectionWatch&)>;
