Pace the calls of limpet-latency and leave connection setup out

Cause: with few calls for each connection the first call, which opens three connections on its way, decided p99.

--- a/apps/limpet-latency.cc
+++ b/apps/limpet-latency.cc
@@ -22,36 +22,57 @@
   int failures = 0;
 };
 
-limpet::HttpRequest MakeRequest(const std::string& path, int body_bytes) {
+/// One step of the measurement on one path.
+struct Step {
+  int port = 0;
   limpet::HttpRequest request;
-  request.method = "POST";
+  int connections = 1;
+  int calls = 1;
+  /// Time between the starts of two calls of one connection; 0 is a closed loop.
+  Duration interval{0};
+};
+
+limpet::HttpRequest MakeRequest(const std::string& method,
+                                const std::string& path,
+                                int body_bytes) {
+  limpet::HttpRequest request;
+  request.method = method;
   request.path = path;
   request.body = std::string(static_cast<size_t>(body_bytes), 'x');
   return request;
 }
 
-/// Closed loop on one kept connection. The requests only go to stand-ins, so that a repetition by
-/// the HTTP client does no harm.
-void RunConnection(int port, const limpet::HttpRequest& request, int calls, Series& series) {
-  limpet::TargetClient client("127.0.0.1", port);
-  for (int i = 0; i < calls; ++i) {
+bool Succeeds(limpet::TargetClient& client, const limpet::HttpRequest& request) {
+  try {
+    // The requests only go to stand-ins, so that a repetition by the HTTP client does no harm.
+    return client.Exchange(request, true, kTimeout, [] { return false; }).status == 200;
+  } catch (const limpet::ExchangeError&) {
+    return false;
+  }
+}
+
+void RunConnection(const Step& step, Series& series) {
+  limpet::TargetClient client("127.0.0.1", step.port);
+  // The first call opens connections on the way; a kept connection is what is measured.
+  Succeeds(client, step.request);
+  auto next = limpet::MonotonicNow();
+  for (int i = 0; i < step.calls; ++i) {
+    std::this_thread::sleep_until(next);
     const auto start = limpet::MonotonicNow();
-    try {
-      const auto answer = client.Exchange(request, true, kTimeout, [] { return false; });
-      series.failures += answer.status == 200 ? 0 : 1;
-    } catch (const limpet::ExchangeError&) {
-      ++series.failures;
-    }
+    series.failures += Succeeds(client, step.request) ? 0 : 1;
     series.histogram.Record(limpet::MonotonicNow() - start);
+    next = std::max(next + step.interval, limpet::MonotonicNow());
   }
 }
 
-Series Run(int port, const limpet::HttpRequest& request, int connections, int calls) {
-  std::vector<Series> series(static_cast<size_t>(connections));
+Series Run(const Step& step) {
+  std::vector<Series> series(static_cast<size_t>(step.connections));
   std::vector<std::thread> threads;
   threads.reserve(series.size());
   for (auto& entry : series) {
-    threads.emplace_back([&] { RunConnection(port, request, calls, entry); });
+    threads.emplace_back([&] { RunConnection(step, entry); });
+    // Spreads the starts of paced connections over one interval.
+    std::this_thread::sleep_for(step.interval / step.connections);
   }
   Series sum;
   for (size_t i = 0; i < threads.size(); ++i) {
@@ -72,17 +93,23 @@
 int Measure(const cxxopts::ParseResult& parsed) {
   const int rounds = parsed["rounds"].as<int>();
   const int calls = parsed["calls"].as<int>();
-  const auto direct = MakeRequest("/direct", parsed["body-bytes"].as<int>());
-  const auto routed = MakeRequest(parsed["path"].as<std::string>(), parsed["body-bytes"].as<int>());
+  const auto method = parsed["method"].as<std::string>();
+  const int body_bytes = parsed["body-bytes"].as<int>();
+  const Duration interval(parsed["interval-us"].as<int>());
   int failures = 0;
   for (const int connections : parsed["connections"].as<std::vector<int>>()) {
     Series direct_sum;
     Series routed_sum;
     // Alternating rounds expose both paths to the same load of the machine.
     const int share = std::max(1, calls / (rounds * connections));
+    const Step direct = {parsed["target-port"].as<int>(),
+                         MakeRequest(method, "/direct", body_bytes), connections, share, interval};
+    const Step routed = {parsed["node-port"].as<int>(),
+                         MakeRequest(method, parsed["path"].as<std::string>(), body_bytes),
+                         connections, share, interval};
     for (int round = 0; round < rounds; ++round) {
-      const Series a = Run(parsed["target-port"].as<int>(), direct, connections, share);
-      const Series b = Run(parsed["node-port"].as<int>(), routed, connections, share);
+      const Series a = Run(direct);
+      const Series b = Run(routed);
       direct_sum.histogram.Merge(a.histogram);
       direct_sum.failures += a.failures;
       routed_sum.histogram.Merge(b.histogram);
@@ -113,7 +140,10 @@
       cxxopts::value<std::vector<int>>()->default_value("1,16,64"))(
       "calls", "calls of each step and path", cxxopts::value<int>()->default_value("20000"))(
       "rounds", "alternations between the paths", cxxopts::value<int>()->default_value("5"))(
-      "body-bytes", "size of the request body", cxxopts::value<int>()->default_value("200"))(
+      "method", "HTTP method", cxxopts::value<std::string>()->default_value("POST"))(
+      "interval-us", "time between two calls of a connection; 0: closed loop",
+      cxxopts::value<int>()->default_value("0"))("body-bytes", "size of the request body",
+                                                 cxxopts::value<int>()->default_value("200"))(
       "help", "usage");
   try {
     const auto parsed = options.parse(argc, argv);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -110,8 +110,8 @@
   }
 
  private:
-  // A body that is a few times too large is read and dropped: closing the connection while the caller
-  // still sends resets it, and the caller never sees the refusal.
+  // A body that is a few times too large is read and dropped: closing the connection while the
+  // caller still sends resets it, and the caller never sees the refusal.
   static constexpr size_t kDiscardFactor = 16;
 
   std::string TooLargeText() const {
