--- a/tests/support/fake_mesh.h
+++ b/tests/support/fake_mesh.h
@@ -55,9 +55,10 @@
       result.status = LogStatus::kOffsetExpired;
       return result;
     }
-    for (int64_t offset = read.from;
-         offset < stream.end() && offset < read.from + read.max_records; ++offset) {
-      result.records.push_back({offset, stream.records[static_cast<std::size_t>(offset - stream.first)]});
+    for (int64_t offset = read.from; offset < stream.end() && offset < read.from + read.max_records;
+         ++offset) {
+      result.records.push_back(
+          {offset, stream.records[static_cast<std::size_t>(offset - stream.first)]});
     }
     return result;
   }
@@ -120,9 +121,11 @@
       }
     }
     node.counters = std::make_unique<Counters>();
-    node.plane = std::make_unique<ControlPlane>(node.options, Random(random_.Next()), *node.counters);
+    node.plane =
+        std::make_unique<ControlPlane>(node.options, Random(random_.Next()), *node.counters);
     Carry(node, node.plane->Start(now_));
-    ScheduleTick(name, node.starts, now_ + Duration(static_cast<Duration::rep>(random_.Below(50'000))));
+    ScheduleTick(name, node.starts,
+                 now_ + Duration(static_cast<Duration::rep>(random_.Below(50'000))));
   }
 
   void Kill(const std::string& name) {
@@ -332,9 +335,8 @@
         result.status = log.answer;
       }
       Schedule(now_ + log.latency / 2, [this, name, start, result] {
-        AtNode(name, start, [this, result](Node& node) {
-          Carry(node, node.plane->OnLogResult(now_, result));
-        });
+        AtNode(name, start,
+               [this, result](Node& node) { Carry(node, node.plane->OnLogResult(now_, result)); });
       });
     });
   }
--- a/tests/support/property.h
+++ b/tests/support/property.h
@@ -16,8 +16,8 @@
   return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(low, high));
 }
 
-/// Runs a property with a fixed seed, so that CI is repeatable. RC_PARAMS="seed=... max_success=..."
-/// in the environment runs others.
+/// Runs a property with a fixed seed, so that CI is repeatable. RC_PARAMS="seed=...
+/// max_success=..." in the environment runs others.
 template <typename Property>
 bool CheckProperty(const std::string& name, uint64_t seed, int cases, int size, Property property) {
   rc::detail::TestParams params = rc::detail::configuration().testParams;
