--- a/tests/net/loopback.h
+++ b/tests/net/loopback.h
@@ -15,7 +15,8 @@
 /// Listening TCP socket on a free loopback port.
 class LoopbackListener {
  public:
-  explicit LoopbackListener(int backlog = 8) : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  explicit LoopbackListener(int backlog = 8)
+      : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
--- a/tests/net/raw_peer.h
+++ b/tests/net/raw_peer.h
@@ -15,7 +15,8 @@
 namespace limpet {
 
 /// Scripted HTTP peer on a raw socket. For each request that arrives it sends the bytes that the
-/// script returns for (number of the request on its connection, from 0), or closes on an empty text.
+/// script returns for (number of the request on its connection, from 0), or closes on an empty
+/// text.
 class RawPeer {
  public:
   struct Answer {
--- a/tests/scenario/call_network.h
+++ b/tests/scenario/call_network.h
@@ -90,7 +90,10 @@
 
   void Stop(const std::string& node);
   void At(TimePoint time, std::function<void(TimePoint)> action);
-  void Perform(TimePoint now, std::size_t call, const std::string& from, const CallActions& actions);
+  void Perform(TimePoint now,
+               std::size_t call,
+               const std::string& from,
+               const CallActions& actions);
   void Deliver(TimePoint now, const Exchange& exchange);
   void Arrive(TimePoint now, const Exchange& exchange);
   void Handle(TimePoint now, const std::string& node, const std::vector<QueueEvent>& events);
--- a/tests/scenario/script.h
+++ b/tests/scenario/script.h
@@ -28,7 +28,9 @@
 std::vector<Statement> ParseScript(std::string_view text, const std::string& file);
 
 /// "250 ms" or "3 s" as two words. Throws `ScenarioError`.
-Duration ParseDuration(const Statement& statement, const std::string& number, const std::string& unit);
+Duration ParseDuration(const Statement& statement,
+                       const std::string& number,
+                       const std::string& unit);
 
 }  // namespace limpet::scenario
 
--- a/tests/traffic/call_oracle.h
+++ b/tests/traffic/call_oracle.h
@@ -15,7 +15,9 @@
  public:
   static std::string AnswerTo(const std::string& request) { return "answer to " + request; }
 
-  void Executes(const std::string& request, const std::string& attempt, bool idempotent,
+  void Executes(const std::string& request,
+                const std::string& attempt,
+                bool idempotent,
                 bool draining) {
     const int runs = ++runs_[request];
     attempts_.insert(attempt);
--- a/tests/traffic/fake_network.h
+++ b/tests/traffic/fake_network.h
@@ -82,7 +82,9 @@
   void DoEvents(size_t target, const std::vector<QueueEvent>& events);
   void Execute(size_t target, const std::string& attempt);
   void Complete(size_t target, const std::string& attempt, wire::Outcome::type outcome);
-  void Reply(size_t target, const std::string& attempt, wire::Outcome::type outcome,
+  void Reply(size_t target,
+             const std::string& attempt,
+             wire::Outcome::type outcome,
              wire::RefusalReason::type reason);
   void DeliverReply(size_t target, int64_t life, const wire::CallReply& reply);
   void Tick(size_t target, int64_t life);
