Move the stand-ins into a folder of their own

Cause: the stand-ins of the log and of a target stood among the node's own shells. Change: src/standin; no change of behaviour. Conclusion: all tests pass.

--- a/apps/limpet-standin-log.cc
+++ b/apps/limpet-standin-log.cc
@@ -4,7 +4,7 @@
 #include <iostream>
 #include <thread>
 
-#include "net/standin_log_server.h"
+#include "standin/log_server.h"
 
 namespace {
 
--- a/apps/limpet-standin-target.cc
+++ b/apps/limpet-standin-target.cc
@@ -3,7 +3,7 @@
 #include <iostream>
 
 #include "limpet/net/http_server.h"
-#include "limpet/net/standin_target.h"
+#include "standin/target.h"
 
 namespace {
 
--- a/src/net/standin_log.cc
+++ b/src/standin/log.cc
@@ -1,4 +1,4 @@
-#include "net/standin_log.h"
+#include "standin/log.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/net/standin_log.h
+++ b/src/standin/log.h
@@ -1,5 +1,5 @@
-#ifndef LIMPET_SRC_NET_STANDIN_LOG_H_
-#define LIMPET_SRC_NET_STANDIN_LOG_H_
+#ifndef LIMPET_SRC_STANDIN_LOG_H_
+#define LIMPET_SRC_STANDIN_LOG_H_
 
 #include <cstdint>
 #include <deque>
@@ -73,4 +73,4 @@
 
 }  // namespace limpet
 
-#endif  // LIMPET_SRC_NET_STANDIN_LOG_H_
+#endif  // LIMPET_SRC_STANDIN_LOG_H_
--- a/src/net/standin_log_server.cc
+++ b/src/standin/log_server.cc
@@ -1,4 +1,4 @@
-#include "net/standin_log_server.h"
+#include "standin/log_server.h"
 
 #include <cxxtools/eventloop.h>
 #include <cxxtools/http/reply.h>
--- a/src/net/standin_log_server.h
+++ b/src/standin/log_server.h
@@ -1,10 +1,10 @@
-#ifndef LIMPET_SRC_NET_STANDIN_LOG_SERVER_H_
-#define LIMPET_SRC_NET_STANDIN_LOG_SERVER_H_
+#ifndef LIMPET_SRC_STANDIN_LOG_SERVER_H_
+#define LIMPET_SRC_STANDIN_LOG_SERVER_H_
 
 #include <memory>
 #include <string>
 
-#include "net/standin_log.h"
+#include "standin/log.h"
 
 namespace limpet {
 
@@ -30,4 +30,4 @@
 
 }  // namespace limpet
 
-#endif  // LIMPET_SRC_NET_STANDIN_LOG_SERVER_H_
+#endif  // LIMPET_SRC_STANDIN_LOG_SERVER_H_
--- a/src/net/standin_target.cc
+++ b/src/standin/target.cc
@@ -1,4 +1,4 @@
-#include "limpet/net/standin_target.h"
+#include "standin/target.h"
 
 #include <sys/socket.h>
 
--- a/include/limpet/net/standin_target.h
+++ b/src/standin/target.h
@@ -1,5 +1,5 @@
-#ifndef LIMPET_NET_STANDIN_TARGET_H_
-#define LIMPET_NET_STANDIN_TARGET_H_
+#ifndef LIMPET_SRC_STANDIN_TARGET_H_
+#define LIMPET_SRC_STANDIN_TARGET_H_
 
 #include <condition_variable>
 #include <deque>
@@ -85,4 +85,4 @@
 
 }  // namespace limpet
 
-#endif  // LIMPET_NET_STANDIN_TARGET_H_
+#endif  // LIMPET_SRC_STANDIN_TARGET_H_
--- a/tests/cli/program_test.cc
+++ b/tests/cli/program_test.cc
@@ -11,7 +11,7 @@
 #include "config/sample_config.h"
 #include "limpet/config/inventory.h"
 #include "net/loopback.h"
-#include "net/standin_log_server.h"
+#include "standin/log_server.h"
 
 // limpetctl as a process against the stand-in log over HTTP.
 
--- a/tests/configlog/memory_log.h
+++ b/tests/configlog/memory_log.h
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "limpet/configlog/log_access.h"
-#include "net/standin_log.h"
+#include "standin/log.h"
 
 namespace limpet {
 
--- a/tests/net/log_client_test.cc
+++ b/tests/net/log_client_test.cc
@@ -10,7 +10,7 @@
 
 #include "limpet/core/random.h"
 #include "net/loopback.h"
-#include "net/standin_log_server.h"
+#include "standin/log_server.h"
 
 namespace limpet {
 namespace {
