Close connections to nodes that have gone and idle ones

Cause: connections to departed nodes were never closed, and up to 64 kept after a burst could use up the 130 connections that a node accepts from all its callers, so that others waited in the backlog. Change: connections outside the endpoint view are closed when the view changes, and all after 10 s without use.

--- a/include/limpet/net/peer_client.h
+++ b/include/limpet/net/peer_client.h
@@ -58,7 +58,13 @@
   void Deliver(const PeerAddress& to, const wire::Envelope& envelope, Duration timeout);
 
   /// Closes kept connections to peers that are not in `peers`.
-  void KeepOnly(const std::vector<PeerAddress>& peers);
+  void KeepOnly(std::vector<PeerAddress> peers);
+
+  /// Closes connections that have not been used for `kMaxIdle`. A node accepts 130 connections from
+  /// all its callers together, so those left over from a burst must not stay.
+  void CloseIdle(TimePoint now);
+
+  static constexpr Duration kMaxIdle = std::chrono::seconds(10);
 
  private:
   class Connection;
--- a/src/net/control_loop.cc
+++ b/src/net/control_loop.cc
@@ -127,6 +127,7 @@
     const TimePoint now = MonotonicNow();
     if (now >= next_tick) {
       CarryOut(plane_.Tick(now));
+      peers_.CloseIdle(now);
       // Ticks that were missed, e.g. while the VM was paused, are not made up for.
       next_tick = std::max(next_tick + options_.tick, now);
     }
--- a/src/net/node.cc
+++ b/src/net/node.cc
@@ -151,6 +151,13 @@
 void Node::OnControlState(const ControlState& state) {
   inbound_->RaiseIncarnation(state.incarnation);
   outbound_->UpdateEndpoints(*state.endpoints);
+  std::vector<PeerAddress> peers;
+  for (const auto& [service, endpoints] : state.endpoints->services()) {
+    for (const Endpoint& endpoint : endpoints) {
+      peers.push_back({endpoint.host, endpoint.port});
+    }
+  }
+  peers_.KeepOnly(std::move(peers));
 }
 
 HttpAnswer Node::OnHttp(const HttpRequest& request, const ConnectionWatch& watch) {
--- a/src/net/peer_client.cc
+++ b/src/net/peer_client.cc
@@ -47,6 +47,9 @@
     }
   }
 
+  TimePoint last_used() const { return last_used_; }
+  void set_last_used(TimePoint now) { last_used_ = now; }
+
   /// A peer that stops closes its connections; anything readable before a request is the end.
   bool IsStale() const {
     pollfd entry{socket_->getSocketFD(), POLLIN | POLLRDHUP, 0};
@@ -112,6 +115,7 @@
 
   std::shared_ptr<TSocket> socket_;
   wire::PeerClient client_;
+  TimePoint last_used_{};
 };
 
 PeerClient::PeerClient(size_t max_kept_for_peer) : max_kept_for_peer_(max_kept_for_peer) {}
@@ -134,13 +138,23 @@
   Keep(to, std::move(connection));
 }
 
-void PeerClient::KeepOnly(const std::vector<PeerAddress>& peers) {
+void PeerClient::KeepOnly(std::vector<PeerAddress> peers) {
+  std::sort(peers.begin(), peers.end());
   const std::lock_guard lock(mutex_);
   std::erase_if(kept_, [&](const auto& entry) {
-    return std::find(peers.begin(), peers.end(), entry.first) == peers.end();
+    return !std::binary_search(peers.begin(), peers.end(), entry.first);
   });
 }
 
+void PeerClient::CloseIdle(TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  for (auto& [peer, connections] : kept_) {
+    std::erase_if(connections, [now](const std::unique_ptr<Connection>& connection) {
+      return now - connection->last_used() >= kMaxIdle;
+    });
+  }
+}
+
 std::unique_ptr<PeerClient::Connection> PeerClient::Take(const PeerAddress& to, Duration timeout) {
   {
     const std::lock_guard lock(mutex_);
@@ -157,6 +171,7 @@
 }
 
 void PeerClient::Keep(const PeerAddress& to, std::unique_ptr<Connection> connection) {
+  connection->set_last_used(MonotonicNow());
   const std::lock_guard lock(mutex_);
   auto& connections = kept_[to];
   if (connections.size() < max_kept_for_peer_) {
