--- a/scripts/lib/measure_scale.py
+++ b/scripts/lib/measure_scale.py
@@ -119,7 +119,8 @@
         mesh.start_nodes(seconds=120)
         sampler = Sampler(mesh.nodes)
         mesh.publish(inventory(options.services, 0))
-        time.sleep(10)
+        # The gossip about the joins of all nodes ends within half a minute.
+        time.sleep(options.settle_seconds)
         before, cpu, start = sampler.read(), sampler.cpu(), time.monotonic()
         time.sleep(options.quiet_seconds)
         quiet, quiet_cpu = sampler.read(), sampler.cpu()
@@ -193,6 +194,7 @@
     parser.add_argument("--changes", type=int, default=5)
     parser.add_argument("--services", type=int, default=28)
     parser.add_argument("--quiet-seconds", type=float, default=20)
+    parser.add_argument("--settle-seconds", type=float, default=35)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--out", default="out/scale")
     options = parser.parse_args()
--- /dev/null
+++ b/tests/net/http_server_test.cc
@@ -0,0 +1,78 @@
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+
+#include "limpet/net/http_server.h"
+#include "net/loopback.h"
+
+namespace limpet {
+namespace {
+
+constexpr std::size_t kMaxBodyBytes = 1000;
+
+/// Sends bytes on a raw socket and returns all that comes back until the server closes.
+std::string Exchange(int port, const std::string& bytes) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<uint16_t>(port));
+  REQUIRE(::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+  ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  std::string answer;
+  std::array<char, 4096> buffer{};
+  for (ssize_t count = 1; count > 0;) {
+    count = ::recv(fd, buffer.data(), buffer.size(), 0);
+    answer.append(buffer.data(), count > 0 ? static_cast<std::size_t>(count) : 0);
+  }
+  ::close(fd);
+  return answer;
+}
+
+/// A server whose handler must not see the request.
+struct Server {
+  Server()
+      : port(FreePort()), server(Options(port), [this](const HttpRequest&, const ConnectionWatch&) {
+          handled = true;
+          return TextAnswer(200, "handled");
+        }) {}
+
+  static HttpServerOptions Options(int port) {
+    HttpServerOptions options;
+    options.host = "127.0.0.1";
+    options.port = port;
+    options.max_body_bytes = kMaxBodyBytes;
+    return options;
+  }
+
+  int port;
+  bool handled = false;
+  HttpServer server;
+};
+
+TEST_CASE("a body over the limit gets a typed refusal and does not reach the handler") {
+  Server server;
+  const std::string answer =
+      Exchange(server.port, "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 5000\r\n\r\n" +
+                                std::string(5000, 'x'));
+  CHECK(answer.starts_with("HTTP/1.1 413"));
+  CHECK(answer.find("X-Limpet-Outcome: not_run") != std::string::npos);
+  CHECK_FALSE(server.handled);
+}
+
+TEST_CASE("headers over the limit get a typed refusal") {
+  Server server;
+  const std::string answer = Exchange(
+      server.port,
+      "GET / HTTP/1.1\r\nConnection: close\r\nX-Long: " + std::string(5000, 'x') + "\r\n\r\n");
+  CHECK(answer.starts_with("HTTP/1.1 4"));
+  CHECK_FALSE(server.handled);
+}
+
+}  // namespace
+}  // namespace limpet
