Check copies before the drain of a target

Cause: reading the inbound service showed that a copy of a running attempt was refused as not_run while its target drained, although the attempt had run; and a refusal during a drain that ends was not remembered. Change: the gate knows that the target drains and records such refusals in the ledger. Conclusion: two unit tests guard both cases; the daemon's own check is gone.

--- a/include/limpet/net/inbound_service.h
+++ b/include/limpet/net/inbound_service.h
@@ -1,7 +1,6 @@
 #ifndef LIMPET_NET_INBOUND_SERVICE_H_
 #define LIMPET_NET_INBOUND_SERVICE_H_
 
-#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <mutex>
@@ -27,7 +26,7 @@
 
   void RaiseIncarnation(int64_t incarnation);
   /// While the target drains, attempts are refused as `not_run`.
-  void SetTargetState(wire::TargetState::type state) { target_state_ = state; }
+  void SetTargetState(wire::TargetState::type state);
   /// Refuses all later attempts and those that wait; attempts at the target finish.
   void StartDraining();
   int in_flight() const;
@@ -62,7 +61,6 @@
   mutable std::mutex mutex_;
   InboundGate gate_;
   std::map<std::string, Waiter*> waiters_;
-  std::atomic<wire::TargetState::type> target_state_{wire::TargetState::kStarting};
   TargetClient& target_;
   Tracer& tracer_;
   Counter& calls_;
--- a/include/limpet/traffic/inbound_gate.h
+++ b/include/limpet/traffic/inbound_gate.h
@@ -79,6 +79,9 @@
   /// finish.
   std::vector<QueueEvent> StartDraining(TimePoint now);
 
+  /// The target itself drains, which may end: arrivals are refused meanwhile.
+  void SetTargetDraining(bool draining) { target_draining_ = draining; }
+
   /// Queued attempts whose time has passed or that can start now; call it on every tick.
   std::vector<QueueEvent> Expire(TimePoint now);
 
@@ -93,6 +96,7 @@
     TimePoint deadline{};
   };
 
+  bool IsPermanent(wire::RefusalReason::type reason) const;
   bool IsCopy(const wire::CallRequest& request, ArrivalDecision& decision) const;
   wire::RefusalReason::type CheckRequest(const wire::CallRequest& request) const;
   ArrivalDecision Refuse(TimePoint now,
@@ -116,6 +120,7 @@
   std::unordered_map<std::string, Attempt> running_;
   double service_time_us_ = 0;
   bool draining_ = false;
+  bool target_draining_ = false;
 };
 
 }  // namespace limpet
--- a/src/net/inbound_service.cc
+++ b/src/net/inbound_service.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "limpet/core/fault.h"
 #include "limpet/net/clock.h"
 
 namespace limpet {
@@ -98,9 +97,6 @@
                                       const std::string& traceparent,
                                       const ConnectionWatch& caller) {
   const TimePoint now = MonotonicNow();
-  if (target_state_ == wire::TargetState::kDraining && !IsFaultActive(Fault::kAdmitWhileDraining)) {
-    return Complete(MakeReply(wire::Outcome::kNotRun, wire::RefusalReason::kDraining), request);
-  }
   {
     std::unique_lock lock(mutex_);
     const ArrivalDecision decision = gate_.Arrive(now, request);
@@ -206,6 +202,11 @@
   gate_.RaiseIncarnation(incarnation);
 }
 
+void InboundService::SetTargetState(wire::TargetState::type state) {
+  const std::lock_guard lock(mutex_);
+  gate_.SetTargetDraining(state == wire::TargetState::kDraining);
+}
+
 void InboundService::StartDraining() {
   const std::lock_guard lock(mutex_);
   Apply(gate_.StartDraining(MonotonicNow()));
--- a/src/traffic/inbound_gate.cc
+++ b/src/traffic/inbound_gate.cc
@@ -12,12 +12,6 @@
 
 constexpr double kServiceTimeWeight = 0.1;
 
-/// These hold for every later copy as well, so that no record is needed to keep them true.
-bool IsPermanent(Reason::type reason) {
-  return reason == Reason::kDraining || reason == Reason::kWrongIncarnation ||
-         reason == Reason::kDeadlinePassed;
-}
-
 }  // namespace
 
 InboundGate::InboundGate(GateOptions options,
@@ -44,6 +38,12 @@
   return decision;
 }
 
+/// These hold for every later copy as well, so that no record is needed to keep them true.
+bool InboundGate::IsPermanent(Reason::type reason) const {
+  return (reason == Reason::kDraining && draining_) || reason == Reason::kWrongIncarnation ||
+         reason == Reason::kDeadlinePassed;
+}
+
 bool InboundGate::IsCopy(const wire::CallRequest& request, ArrivalDecision& decision) const {
   if (IsFaultActive(Fault::kSkipLedger)) {
     return false;
@@ -64,7 +64,7 @@
   if (request.target_incarnation != incarnation_ && !IsFaultActive(Fault::kSkipIncarnationCheck)) {
     return Reason::kWrongIncarnation;
   }
-  if (draining_ && !IsFaultActive(Fault::kAdmitWhileDraining)) {
+  if ((draining_ || target_draining_) && !IsFaultActive(Fault::kAdmitWhileDraining)) {
     return Reason::kDraining;
   }
   return request.deadline_ms <= 0 ? Reason::kDeadlinePassed : Reason::kNone;
--- a/tests/traffic/inbound_gate_test.cc
+++ b/tests/traffic/inbound_gate_test.cc
@@ -124,6 +124,23 @@
   CheckRefused(gate.Arrive(kNow, Request("3")), Outcome::kNotRun, Reason::kDraining);
 }
 
+TEST_CASE("a copy of a running attempt is not refused as not_run while the target drains") {
+  InboundGate gate = Gate(2, 1);
+  gate.Arrive(kNow, Request("1"));
+  gate.SetTargetDraining(true);
+  CheckRefused(gate.Arrive(kNow, Request("1")), Outcome::kUnknown, Reason::kDuplicate);
+  CheckRefused(gate.Arrive(kNow, Request("2")), Outcome::kNotRun, Reason::kDraining);
+}
+
+TEST_CASE("an attempt refused while the target drained does not run after the drain") {
+  InboundGate gate = Gate(2, 1);
+  gate.SetTargetDraining(true);
+  gate.Arrive(kNow, Request("1"));
+  gate.SetTargetDraining(false);
+  CheckRefused(gate.Arrive(kNow, Request("1")), Outcome::kNotRun, Reason::kDuplicate);
+  CHECK(gate.Arrive(kNow, Request("2")).admission == Admission::kAdmitted);
+}
+
 TEST_CASE("draining refuses the queue and lets attempts at the target finish") {
   InboundGate gate = Gate(1, 1);
   gate.Arrive(kNow, Request("1"));
