Read the target stand-in's execution counts where they are

Cause: limpet-load took the whole document of /executions for the counts and ended with an exception. Change: it reads the member executions and reports a document that does not parse as a typed error.

--- a/src/load/runner.cc
+++ b/src/load/runner.cc
@@ -144,14 +144,14 @@
 Executions CollectExecutions(const Arm& arm) {
   Executions executions;
   for (const HostPort& target : arm.targets) {
-    const auto document =
-        nlohmann::json::parse(CallStandIn(target, "GET", "/executions", ""), nullptr, false);
-    if (!document.is_object()) {
+    try {
+      const auto document = nlohmann::json::parse(CallStandIn(target, "GET", "/executions", ""));
+      for (const auto& [request_id, count] : document.at("executions").items()) {
+        executions[request_id] += count.get<uint64_t>();
+      }
+    } catch (const nlohmann::json::exception& error) {
       throw Error("target stand-in on port " + std::to_string(target.port) +
-                  " reports executions that are not a JSON object");
-    }
-    for (const auto& [request_id, count] : document.items()) {
-      executions[request_id] += count.get<uint64_t>();
+                  " reports executions that do not parse: " + error.what());
     }
   }
   return executions;
