Refuse calls until the node is ready

Cause: in the rolling-restart experiment nodes that had just started answered 16 of 17,728 calls with no_route: they took calls before they held the configuration, which may be older than what their predecessor applied. Change: calls get 503 with not_run/not_ready until the node is ready; the admin paths stand in a table. Before: 404 no_route. After: an end-to-end test demands not_ready from a node with neither peers nor log. Conclusion: readiness guards calls and not only /ready.

--- a/idl/limpet.thrift
+++ b/idl/limpet.thrift
@@ -290,6 +290,7 @@
   kTargetTimeout = 12
   kConnectionLost = 13
   kCancelled = 14
+  kNotReady = 15
 }
 
 struct Header {
--- a/src/gen/limpet_types.cpp
+++ b/src/gen/limpet_types.cpp
@@ -125,7 +125,8 @@
   RefusalReason::kTruncatedReply,
   RefusalReason::kTargetTimeout,
   RefusalReason::kConnectionLost,
-  RefusalReason::kCancelled
+  RefusalReason::kCancelled,
+  RefusalReason::kNotReady
 };
 const char* _kRefusalReasonNames[] = {
   "kNone",
@@ -142,9 +143,10 @@
   "kTruncatedReply",
   "kTargetTimeout",
   "kConnectionLost",
-  "kCancelled"
+  "kCancelled",
+  "kNotReady"
 };
-const std::map<int, const char*> _RefusalReason_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(15, _kRefusalReasonValues, _kRefusalReasonNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _RefusalReason_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(16, _kRefusalReasonValues, _kRefusalReasonNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const RefusalReason::type& val) {
   std::map<int, const char*>::const_iterator it = _RefusalReason_VALUES_TO_NAMES.find(val);
--- a/src/gen/limpet_types.h
+++ b/src/gen/limpet_types.h
@@ -81,7 +81,8 @@
     kTruncatedReply = 11,
     kTargetTimeout = 12,
     kConnectionLost = 13,
-    kCancelled = 14
+    kCancelled = 14,
+    kNotReady = 15
   };
 };
 
--- a/src/net/node.cc
+++ b/src/net/node.cc
@@ -161,20 +161,19 @@
 }
 
 HttpAnswer Node::OnHttp(const HttpRequest& request, const ConnectionWatch& watch) {
-  if (request.path == "/metrics") {
-    return AnswerMetrics();
-  }
-  if (request.path == "/health") {
-    return AnswerHealth();
-  }
-  if (request.path == "/ready") {
-    return AnswerReady();
-  }
-  if (request.path == "/members") {
-    return AnswerMembers();
-  }
-  if (request.path == "/config") {
-    return AnswerConfig();
+  struct AdminPath {
+    std::string_view path;
+    HttpAnswer (Node::*answer)();
+  };
+  static constexpr AdminPath kAdminPaths[] = {
+      {"/metrics", &Node::AnswerMetrics}, {"/health", &Node::AnswerHealth},
+      {"/ready", &Node::AnswerReady},     {"/members", &Node::AnswerMembers},
+      {"/config", &Node::AnswerConfig},
+  };
+  for (const AdminPath& admin : kAdminPaths) {
+    if (request.path == admin.path) {
+      return (this->*admin.answer)();
+    }
   }
   if (request.path == "/drain" || request.path == "/target-state") {
     if (request.method != "POST") {
@@ -190,6 +189,10 @@
   if (draining_) {
     return MakeRefusal(wire::Outcome::kNotRun, wire::RefusalReason::kDraining);
   }
+  // Before it is ready a restarted node may hold an older configuration than its predecessor.
+  if (!control_->state().ready) {
+    return MakeRefusal(wire::Outcome::kNotRun, wire::RefusalReason::kNotReady);
+  }
   if (request.method == "HEAD" || request.method == "CONNECT") {
     // The HTTP client waits for the announced body of a HEAD reply, which never comes.
     return MakeNotTakenAnswer(405, request.method + " is not supported");
--- a/src/net/outbound_service.cc
+++ b/src/net/outbound_service.cc
@@ -24,7 +24,7 @@
   int status;
 };
 
-constexpr std::array<ReasonEntry, 15> kReasons = {{
+constexpr std::array<ReasonEntry, 16> kReasons = {{
     {wire::RefusalReason::kNone, "none", 502},
     {wire::RefusalReason::kOverloaded, "overloaded", 503},
     {wire::RefusalReason::kQueueTimeout, "queue_timeout", 503},
@@ -40,6 +40,7 @@
     {wire::RefusalReason::kTargetTimeout, "target_timeout", 504},
     {wire::RefusalReason::kConnectionLost, "connection_lost", 502},
     {wire::RefusalReason::kCancelled, "cancelled", 499},
+    {wire::RefusalReason::kNotReady, "not_ready", 503},
 }};
 
 const ReasonEntry& EntryOf(wire::RefusalReason::type reason) {
--- a/tests/e2e/calls_test.cc
+++ b/tests/e2e/calls_test.cc
@@ -145,6 +145,25 @@
   CHECK(mesh.Call("b", MakeRequest("POST", "/desk", "r-2", "x")).Header(kOutcomeHeader) == "ran");
 }
 
+TEST_CASE("a node that is not ready refuses calls, as its configuration may be old") {
+  Mesh mesh;
+  mesh.StopLog();
+  mesh.AddNode("a");
+  HttpAnswer answer;
+  WaitFor("the node to listen", [&] {
+    try {
+      answer = mesh.Call("a", MakeRequest("POST", "/desk", "r-1", "x"));
+      return true;
+    } catch (const ExchangeError&) {
+      return false;
+    }
+  });
+  CHECK(answer.status == 503);
+  CHECK(answer.Header(kOutcomeHeader) == "not_run");
+  CHECK(answer.Header(kReasonHeader) == "not_ready");
+  CHECK(mesh.Executions().empty());
+}
+
 TEST_CASE("a caller that disconnects cancels its request at the target") {
   Mesh mesh;
   mesh.AddNode("a", {"--service-time-us", "9000000"});
