--- a/src/membership/failure_detector.cc
+++ b/src/membership/failure_detector.cc
@@ -87,9 +87,9 @@
   message.ping_request.name = probe_->name;
   message.ping_request.host = target->record.host;
   message.ping_request.port = target->record.port;
-  for (const Member* helper : PickRandom(state_.Peers(), state_.options.indirect_probes,
+  for (const Member* prober : PickRandom(state_.Peers(), state_.options.indirect_probes,
                                          {state_.local.name, probe_->name}, state_.random)) {
-    state_.Send(AddressOf(helper->record), message, output);
+    state_.Send(AddressOf(prober->record), message, output);
   }
 }
 
--- a/src/net/control_loop.cc
+++ b/src/net/control_loop.cc
@@ -200,6 +200,9 @@
     if (next.snapshot != state_.snapshot) {
       spdlog::info("[control] version {} in effect", next.snapshot->version());
     }
+    if (next.ready && !state_.ready) {
+      spdlog::info("[control] ready at version {}", next.snapshot->version());
+    }
     state_ = next;
   }
   if (counters_.Get("config_version").value() != next.snapshot->version()) {
@@ -216,11 +219,16 @@
 
 void ControlLoop::RunLog() {
   LogClient client(options_.log, options_.log_timeout);
+  bool log_works = true;
   while (auto request = log_requests_.Pop()) {
     if (stopping_) {
       continue;
     }
     const LogResult result = client.Execute(*request);
+    if ((result.status == LogStatus::kOk) != log_works) {
+      log_works = !log_works;
+      spdlog::warn("[log] {}", log_works ? "works again" : "does not take requests");
+    }
     if (result.status != LogStatus::kOk) {
       counters_.Get("log_requests_failed").Add();
     }
