Create the target monitor before the HTTP server

Cause: the thread sanitizer reported a race in the end-to-end tests: a POST /target-state that arrived while the node was still starting used the monitor before it existed. Change: the HTTP server starts after the parts that its requests use, the control loop last. Before: one report in the e2e run under the tsan preset. After: none in two runs; core, trace and net had none. Conclusion: e2e passes under the default and tsan presets.

--- a/src/net/node.cc
+++ b/src/net/node.cc
@@ -88,6 +88,15 @@
   peer_server_ = std::make_unique<PeerServer>(
       PeerServerOptions{settings.host, settings.peer_port, settings.connections},
       static_cast<PeerHandler&>(*this));
+  monitor_ = std::make_unique<TargetMonitor>(
+      TargetMonitorOptions{settings.target_health_path,
+                           std::chrono::milliseconds(settings.target_health_interval_ms),
+                           std::chrono::milliseconds(settings.target_health_timeout_ms)},
+      target_, [this](wire::TargetState::type state) {
+        inbound_->SetTargetState(state);
+        control_->SetTargetState(state);
+      });
+  // After all parts that its requests use.
   HttpServerOptions http;
   http.host = settings.host;
   http.port = settings.http_port;
@@ -97,15 +106,8 @@
       http, [this](const HttpRequest& request, const ConnectionWatch& watch) {
         return OnHttp(request, watch);
       });
+  // Last, so that a node whose port is in use never joins.
   control_->Start();
-  monitor_ = std::make_unique<TargetMonitor>(
-      TargetMonitorOptions{settings.target_health_path,
-                           std::chrono::milliseconds(settings.target_health_interval_ms),
-                           std::chrono::milliseconds(settings.target_health_timeout_ms)},
-      target_, [this](wire::TargetState::type state) {
-        inbound_->SetTargetState(state);
-        control_->SetTargetState(state);
-      });
 }
 
 Node::~Node() {
