Keep the traced result alive while a test walks through it

Cause: the address sanitizer reported a use after free in the cli tests: a range-for walked over a member of a temporary. Change: the result has a name, and the test demands that it lists nodes. Before: test-cli failed under the asan preset; without it the loop read freed memory. Conclusion: the check now certainly runs.

--- a/tests/cli/commands_test.cc
+++ b/tests/cli/commands_test.cc
@@ -164,7 +164,9 @@
   wire::FullConfig config = SampleConfig();
   config.version = 2;
   CHECK(Publish(log, config, "ada").code == ExitCode::kOk);
-  for (const auto& node : TraceCommand(log).Run("3").json["nodes"]) {
+  const CommandResult result = TraceCommand(log).Run("3");
+  REQUIRE_FALSE(result.json["nodes"].empty());
+  for (const auto& node : result.json["nodes"]) {
     CHECK(node["state"] == "behind");
   }
 }
