Draw the peers of a starting node once and only when they are asked

Cause: read again, the control plane walked the whole member table on each of 20 ticks a second while a node started, and the readiness sampled a second time from a list that had already been sampled. Change: the readiness calls for a sample when it asks; its own sampling is gone. The rule whom to ask is the same.

--- a/include/limpet/distribution/readiness.h
+++ b/include/limpet/distribution/readiness.h
@@ -2,6 +2,7 @@
 #define LIMPET_DISTRIBUTION_READINESS_H_
 
 #include <cstddef>
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
@@ -52,8 +53,9 @@
     std::optional<TimePoint> log_answered_at;
     /// All records up to the end that the log had during this start are replayed.
     bool log_caught_up = false;
-    /// Live members that may be asked, without this node.
-    std::vector<std::string> peers;
+    /// Draws at most `kPeersAsked` live members, without this node. Called only when peers are
+    /// asked, because it walks the whole member table.
+    std::function<std::vector<std::string>()> sample_peers;
   };
 
   explicit Readiness(Random random) : random_(random) {}
@@ -68,7 +70,7 @@
   bool WantsLog(TimePoint now) const;
 
  private:
-  std::vector<std::string> Ask(TimePoint now, std::vector<std::string> peers);
+  std::vector<std::string> Ask(TimePoint now, const Input& input);
   void EndAsking(TimePoint now);
   void TickTail(TimePoint now, const Input& input);
 
--- a/src/control/control_plane.cc
+++ b/src/control/control_plane.cc
@@ -152,7 +152,7 @@
     input.log_configured = options_.log_configured;
     input.log_answered_at = config_log_.cursor().answered_at();
     input.log_caught_up = config_log_.cursor().caught_up_at().has_value();
-    input.peers = Peers();
+    input.sample_peers = [this] { return Peers(); };
     for (const std::string& peer : readiness_.Tick(now, input)) {
       distributor_.Ask(*membership_.Find(peer), true, output);
     }
--- a/src/distribution/readiness.cc
+++ b/src/distribution/readiness.cc
@@ -1,7 +1,6 @@
 #include "limpet/distribution/readiness.h"
 
 #include <algorithm>
-#include <utility>
 
 #include "limpet/core/fault.h"
 
@@ -11,7 +10,7 @@
   switch (phase_) {
     case StartPhase::kJoining:
       if (input.joined) {
-        return Ask(now, input.peers);
+        return Ask(now, input);
       }
       break;
     case StartPhase::kAsking:
@@ -34,7 +33,7 @@
     case StartPhase::kTail:
       TickTail(now, input);
       if (phase_ == StartPhase::kJoining) {
-        return Ask(now, input.peers);
+        return Ask(now, input);
       }
       break;
     case StartPhase::kReady:
@@ -54,12 +53,8 @@
   return phase_ != StartPhase::kReady && log_start_ && *log_start_ <= now;
 }
 
-std::vector<std::string> Readiness::Ask(TimePoint now, std::vector<std::string> peers) {
-  const std::size_t count = std::min(kPeersAsked, peers.size());
-  for (std::size_t i = 0; i < count; ++i) {
-    std::swap(peers[i], peers[i + random_.Below(peers.size() - i)]);
-  }
-  peers.resize(count);
+std::vector<std::string> Readiness::Ask(TimePoint now, const Input& input) {
+  std::vector<std::string> peers = input.sample_peers();
   asked_ = std::set<std::string, std::less<>>(peers.begin(), peers.end());
   phase_ = StartPhase::kAsking;
   phase_start_ = now;
