--- a/idl/limpet.thrift
+++ b/idl/limpet.thrift
@@ -336,3 +336,99 @@
   CallReply call(1: CallRequest request)
   oneway void deliver(1: Envelope envelope)
 }
+
+// Links between nodes: framed messages on one TCP connection from a calling node to the node beside
+// a target. The body of a request or response follows the message in its frame as raw bytes.
+
+// What a node says about the target beside it.
+struct TargetStatus {
+  1: string instance
+  2: string service_name
+  3: TargetState state
+  4: i32 slots
+  // How much longer the target stays slow after its start.
+  5: i32 cold_ms
+  6: LoadReport load
+  // Share of recent requests that failed at the target.
+  7: i32 failure_permille
+}
+
+struct NodeAddress {
+  1: string name
+  2: string data_centre
+  3: string host
+  4: i32 port
+}
+
+// First message in each direction of a link.
+struct LinkHello {
+  1: NodeAddress node
+  2: i64 incarnation
+  3: i64 config_version
+  4: TargetStatus target
+  5: list<NodeAddress> known_nodes
+}
+
+struct LinkCall {
+  // Unique among the calls of one incarnation of the calling node.
+  1: i64 call_id
+  2: string request_id
+  3: string service_name
+  // The target instance that the caller selected.
+  4: string instance
+  5: string method
+  6: string path
+  7: list<Header> headers
+  8: bool idempotent
+  9: i32 priority
+  // Time left until the caller gives up, and until the response loses its full value.
+  10: i32 deadline_ms
+  11: i32 latency_target_ms
+  // Name of the route, by which the gate learns service times.
+  13: string route
+  // The gate may queue beyond the latency target.
+  12: bool accepts_late
+}
+
+struct LinkReply {
+  1: i64 call_id
+  2: Outcome outcome
+  3: RefusalReason reason
+  // The request reached the target, which is true of some `kNotRun` outcomes too.
+  4: bool reached_target
+  5: i32 http_status
+  6: list<Header> headers
+  // With a refusal for overload: when room is expected.
+  7: i32 retry_after_ms
+  8: TargetStatus target
+}
+
+struct LinkCancel {
+  1: i64 call_id
+}
+
+// A whole configuration, encoded by the source's codec.
+struct LinkConfig {
+  1: i64 version
+}
+
+struct LinkConfigRequest {
+  1: i64 have
+}
+
+struct LinkProbe {
+  1: i64 nonce
+  2: bool answer
+  3: i64 config_version
+}
+
+struct LinkMessage {
+  1: optional LinkHello hello
+  2: optional TargetStatus status
+  3: optional LinkCall call
+  4: optional LinkReply reply
+  5: optional LinkCancel cancel
+  6: optional LinkConfig config
+  7: optional LinkConfigRequest config_request
+  8: optional LinkProbe probe
+}
--- /dev/null
+++ b/include/limpet/traffic/service_times.h
@@ -0,0 +1,33 @@
+#ifndef LIMPET_TRAFFIC_SERVICE_TIMES_H_
+#define LIMPET_TRAFFIC_SERVICE_TIMES_H_
+
+#include <string>
+#include <unordered_map>
+
+#include "limpet/core/time.h"
+
+namespace limpet {
+
+/// Moving averages of the time that requests take at one target, by route and over all. Not safe
+/// for concurrent use.
+class ServiceTimes {
+ public:
+  void Record(TimePoint now, const std::string& route, Duration service_time);
+
+  /// Expected time of one request of `route`; the average over all routes for an unknown one, 0
+  /// before the first sample.
+  Duration Of(const std::string& route) const;
+  Duration average() const { return Duration(static_cast<int64_t>(average_us_)); }
+  /// False if the last sample is too old to tell how fast the target is now.
+  bool IsFresh(TimePoint now) const;
+  void Clear();
+
+ private:
+  std::unordered_map<std::string, double> by_route_us_;
+  double average_us_ = 0;
+  TimePoint last_sample_{};
+};
+
+}  // namespace limpet
+
+#endif  // LIMPET_TRAFFIC_SERVICE_TIMES_H_
--- /dev/null
+++ b/include/limpet/traffic/target_placement.h
@@ -0,0 +1,84 @@
+#ifndef LIMPET_TRAFFIC_TARGET_PLACEMENT_H_
+#define LIMPET_TRAFFIC_TARGET_PLACEMENT_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "limpet/core/random.h"
+#include "limpet/core/time.h"
+#include "limpet_types.h"
+
+namespace limpet {
+
+struct PlacementOptions {
+  /// Added to the expected time of a target in another data centre: the way there and back.
+  Duration remote_penalty = std::chrono::milliseconds(3);
+  /// Added for each KiB of an expected response from another data centre, because bytes between
+  /// data centres are paid for.
+  Duration remote_penalty_per_kib = std::chrono::milliseconds(4);
+  /// A node that left a probe or a request without any sign of life is avoided for this long.
+  Duration silence_penalty = std::chrono::seconds(1);
+};
+
+struct PlacedTarget {
+  std::string node;
+  std::string instance;
+};
+
+/// Selects the target of each attempt: the one with the shortest expected completion (join the
+/// shortest queue, weighted by speed), from the load that rides on replies and status messages and
+/// from this node's own open calls. Not safe for concurrent use.
+class TargetPlacement {
+ public:
+  TargetPlacement(PlacementOptions options, std::string data_centre, Random random);
+
+  /// The target beside `node`, as that node reports it.
+  void Update(TimePoint now,
+              const std::string& node,
+              const std::string& data_centre,
+              const wire::TargetStatus& status);
+  /// Whether a link to the node is up.
+  void SetReachable(const std::string& node, bool reachable);
+  /// The node shows no sign of life although requests wait for it.
+  void OnSilence(TimePoint now, const std::string& node);
+  void Remove(const std::string& node);
+
+  /// Nothing if no target of the service outside `excluded` (node names) can take a request.
+  std::optional<PlacedTarget> Choose(TimePoint now,
+                                     const std::string& service,
+                                     size_t expected_response_bytes,
+                                     const std::vector<std::string>& excluded);
+
+  /// Each `OnSend` is followed by exactly one `OnEnd`.
+  void OnSend(const std::string& node);
+  void OnEnd(const std::string& node);
+
+  /// Number of targets that could be chosen for a service now.
+  int CountUsable(const std::string& service) const;
+
+ private:
+  struct Entry {
+    std::string data_centre;
+    wire::TargetStatus status;
+    TimePoint cold_until{};
+    bool reachable = false;
+    int open_calls = 0;
+    TimePoint silent_until{};
+  };
+
+  bool IsUsable(const Entry& entry, const std::string& service) const;
+  Duration ServiceTime(const Entry& entry, Duration average) const;
+  Duration AverageServiceTime(const std::string& service) const;
+  double Score(TimePoint now, const Entry& entry, Duration average, size_t bytes) const;
+
+  PlacementOptions options_;
+  std::string data_centre_;
+  Random random_;
+  std::map<std::string, Entry> entries_;
+};
+
+}  // namespace limpet
+
+#endif  // LIMPET_TRAFFIC_TARGET_PLACEMENT_H_
--- a/src/gen/limpet_types.cpp
+++ b/src/gen/limpet_types.cpp
@@ -7269,4 +7269,1998 @@
   out << ")";
 }
 
+
+TargetStatus::~TargetStatus() noexcept {
+}
+
+
+void TargetStatus::__set_instance(const std::string& val) {
+  this->instance = val;
+}
+
+void TargetStatus::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void TargetStatus::__set_state(const TargetState::type val) {
+  this->state = val;
+}
+
+void TargetStatus::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void TargetStatus::__set_cold_ms(const int32_t val) {
+  this->cold_ms = val;
+}
+
+void TargetStatus::__set_load(const LoadReport& val) {
+  this->load = val;
+}
+
+void TargetStatus::__set_failure_permille(const int32_t val) {
+  this->failure_permille = val;
+}
+std::ostream& operator<<(std::ostream& out, const TargetStatus& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TargetStatus::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance);
+          this->__isset.instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast330;
+          xfer += iprot->readI32(ecast330);
+          this->state = static_cast<TargetState::type>(ecast330);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->cold_ms);
+          this->__isset.cold_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->load.read(iprot);
+          this->__isset.load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->failure_permille);
+          this->__isset.failure_permille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TargetStatus::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TargetStatus");
+
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->instance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cold_ms", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->cold_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_STRUCT, 6);
+  xfer += this->load.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failure_permille", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->failure_permille);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetStatus &a, TargetStatus &b) {
+  using ::std::swap;
+  swap(a.instance, b.instance);
+  swap(a.service_name, b.service_name);
+  swap(a.state, b.state);
+  swap(a.slots, b.slots);
+  swap(a.cold_ms, b.cold_ms);
+  swap(a.load, b.load);
+  swap(a.failure_permille, b.failure_permille);
+  swap(a.__isset, b.__isset);
+}
+
+TargetStatus::TargetStatus(const TargetStatus& other331) {
+  instance = other331.instance;
+  service_name = other331.service_name;
+  state = other331.state;
+  slots = other331.slots;
+  cold_ms = other331.cold_ms;
+  load = other331.load;
+  failure_permille = other331.failure_permille;
+  __isset = other331.__isset;
+}
+TargetStatus::TargetStatus(TargetStatus&& other332) noexcept {
+  instance = std::move(other332.instance);
+  service_name = std::move(other332.service_name);
+  state = other332.state;
+  slots = other332.slots;
+  cold_ms = other332.cold_ms;
+  load = std::move(other332.load);
+  failure_permille = other332.failure_permille;
+  __isset = other332.__isset;
+}
+TargetStatus& TargetStatus::operator=(const TargetStatus& other333) {
+  instance = other333.instance;
+  service_name = other333.service_name;
+  state = other333.state;
+  slots = other333.slots;
+  cold_ms = other333.cold_ms;
+  load = other333.load;
+  failure_permille = other333.failure_permille;
+  __isset = other333.__isset;
+  return *this;
+}
+TargetStatus& TargetStatus::operator=(TargetStatus&& other334) noexcept {
+  instance = std::move(other334.instance);
+  service_name = std::move(other334.service_name);
+  state = other334.state;
+  slots = other334.slots;
+  cold_ms = other334.cold_ms;
+  load = std::move(other334.load);
+  failure_permille = other334.failure_permille;
+  __isset = other334.__isset;
+  return *this;
+}
+void TargetStatus::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TargetStatus(";
+  out << "instance=" << to_string(instance);
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "cold_ms=" << to_string(cold_ms);
+  out << ", " << "load=" << to_string(load);
+  out << ", " << "failure_permille=" << to_string(failure_permille);
+  out << ")";
+}
+
+
+NodeAddress::~NodeAddress() noexcept {
+}
+
+
+void NodeAddress::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void NodeAddress::__set_data_centre(const std::string& val) {
+  this->data_centre = val;
+}
+
+void NodeAddress::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void NodeAddress::__set_port(const int32_t val) {
+  this->port = val;
+}
+std::ostream& operator<<(std::ostream& out, const NodeAddress& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t NodeAddress::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->data_centre);
+          this->__isset.data_centre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t NodeAddress::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("NodeAddress");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->data_centre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(NodeAddress &a, NodeAddress &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.data_centre, b.data_centre);
+  swap(a.host, b.host);
+  swap(a.port, b.port);
+  swap(a.__isset, b.__isset);
+}
+
+NodeAddress::NodeAddress(const NodeAddress& other335) {
+  name = other335.name;
+  data_centre = other335.data_centre;
+  host = other335.host;
+  port = other335.port;
+  __isset = other335.__isset;
+}
+NodeAddress::NodeAddress(NodeAddress&& other336) noexcept {
+  name = std::move(other336.name);
+  data_centre = std::move(other336.data_centre);
+  host = std::move(other336.host);
+  port = other336.port;
+  __isset = other336.__isset;
+}
+NodeAddress& NodeAddress::operator=(const NodeAddress& other337) {
+  name = other337.name;
+  data_centre = other337.data_centre;
+  host = other337.host;
+  port = other337.port;
+  __isset = other337.__isset;
+  return *this;
+}
+NodeAddress& NodeAddress::operator=(NodeAddress&& other338) noexcept {
+  name = std::move(other338.name);
+  data_centre = std::move(other338.data_centre);
+  host = std::move(other338.host);
+  port = other338.port;
+  __isset = other338.__isset;
+  return *this;
+}
+void NodeAddress::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "NodeAddress(";
+  out << "name=" << to_string(name);
+  out << ", " << "data_centre=" << to_string(data_centre);
+  out << ", " << "host=" << to_string(host);
+  out << ", " << "port=" << to_string(port);
+  out << ")";
+}
+
+
+LinkHello::~LinkHello() noexcept {
+}
+
+
+void LinkHello::__set_node(const NodeAddress& val) {
+  this->node = val;
+}
+
+void LinkHello::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void LinkHello::__set_config_version(const int64_t val) {
+  this->config_version = val;
+}
+
+void LinkHello::__set_target(const TargetStatus& val) {
+  this->target = val;
+}
+
+void LinkHello::__set_known_nodes(const std::vector<NodeAddress> & val) {
+  this->known_nodes = val;
+}
+std::ostream& operator<<(std::ostream& out, const LinkHello& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkHello::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->node.read(iprot);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config_version);
+          this->__isset.config_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->target.read(iprot);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->known_nodes.clear();
+            uint32_t _size339;
+            ::apache::thrift::protocol::TType _etype342;
+            xfer += iprot->readListBegin(_etype342, _size339);
+            this->known_nodes.resize(_size339);
+            uint32_t _i343;
+            for (_i343 = 0; _i343 < _size339; ++_i343)
+            {
+              xfer += this->known_nodes[_i343].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.known_nodes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkHello::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkHello");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->node.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->config_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->target.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("known_nodes", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->known_nodes.size()));
+    std::vector<NodeAddress> ::const_iterator _iter344;
+    for (_iter344 = this->known_nodes.begin(); _iter344 != this->known_nodes.end(); ++_iter344)
+    {
+      xfer += (*_iter344).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkHello &a, LinkHello &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.incarnation, b.incarnation);
+  swap(a.config_version, b.config_version);
+  swap(a.target, b.target);
+  swap(a.known_nodes, b.known_nodes);
+  swap(a.__isset, b.__isset);
+}
+
+LinkHello::LinkHello(const LinkHello& other345) {
+  node = other345.node;
+  incarnation = other345.incarnation;
+  config_version = other345.config_version;
+  target = other345.target;
+  known_nodes = other345.known_nodes;
+  __isset = other345.__isset;
+}
+LinkHello::LinkHello(LinkHello&& other346) noexcept {
+  node = std::move(other346.node);
+  incarnation = other346.incarnation;
+  config_version = other346.config_version;
+  target = std::move(other346.target);
+  known_nodes = std::move(other346.known_nodes);
+  __isset = other346.__isset;
+}
+LinkHello& LinkHello::operator=(const LinkHello& other347) {
+  node = other347.node;
+  incarnation = other347.incarnation;
+  config_version = other347.config_version;
+  target = other347.target;
+  known_nodes = other347.known_nodes;
+  __isset = other347.__isset;
+  return *this;
+}
+LinkHello& LinkHello::operator=(LinkHello&& other348) noexcept {
+  node = std::move(other348.node);
+  incarnation = other348.incarnation;
+  config_version = other348.config_version;
+  target = std::move(other348.target);
+  known_nodes = std::move(other348.known_nodes);
+  __isset = other348.__isset;
+  return *this;
+}
+void LinkHello::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkHello(";
+  out << "node=" << to_string(node);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "config_version=" << to_string(config_version);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "known_nodes=" << to_string(known_nodes);
+  out << ")";
+}
+
+
+LinkCall::~LinkCall() noexcept {
+}
+
+
+void LinkCall::__set_call_id(const int64_t val) {
+  this->call_id = val;
+}
+
+void LinkCall::__set_request_id(const std::string& val) {
+  this->request_id = val;
+}
+
+void LinkCall::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void LinkCall::__set_instance(const std::string& val) {
+  this->instance = val;
+}
+
+void LinkCall::__set_method(const std::string& val) {
+  this->method = val;
+}
+
+void LinkCall::__set_path(const std::string& val) {
+  this->path = val;
+}
+
+void LinkCall::__set_headers(const std::vector<Header> & val) {
+  this->headers = val;
+}
+
+void LinkCall::__set_idempotent(const bool val) {
+  this->idempotent = val;
+}
+
+void LinkCall::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void LinkCall::__set_deadline_ms(const int32_t val) {
+  this->deadline_ms = val;
+}
+
+void LinkCall::__set_latency_target_ms(const int32_t val) {
+  this->latency_target_ms = val;
+}
+
+void LinkCall::__set_route(const std::string& val) {
+  this->route = val;
+}
+
+void LinkCall::__set_accepts_late(const bool val) {
+  this->accepts_late = val;
+}
+std::ostream& operator<<(std::ostream& out, const LinkCall& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkCall::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call_id);
+          this->__isset.call_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->request_id);
+          this->__isset.request_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance);
+          this->__isset.instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->method);
+          this->__isset.method = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->path);
+          this->__isset.path = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->headers.clear();
+            uint32_t _size349;
+            ::apache::thrift::protocol::TType _etype352;
+            xfer += iprot->readListBegin(_etype352, _size349);
+            this->headers.resize(_size349);
+            uint32_t _i353;
+            for (_i353 = 0; _i353 < _size349; ++_i353)
+            {
+              xfer += this->headers[_i353].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.headers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->idempotent);
+          this->__isset.idempotent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->deadline_ms);
+          this->__isset.deadline_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->latency_target_ms);
+          this->__isset.latency_target_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->route);
+          this->__isset.route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->accepts_late);
+          this->__isset.accepts_late = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkCall");
+
+  xfer += oprot->writeFieldBegin("call_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->call_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->request_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->instance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("method", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->method);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("path", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->path);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
+    std::vector<Header> ::const_iterator _iter354;
+    for (_iter354 = this->headers.begin(); _iter354 != this->headers.end(); ++_iter354)
+    {
+      xfer += (*_iter354).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idempotent", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->idempotent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deadline_ms", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->deadline_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("latency_target_ms", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->latency_target_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("accepts_late", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->accepts_late);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRING, 13);
+  xfer += oprot->writeString(this->route);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkCall &a, LinkCall &b) {
+  using ::std::swap;
+  swap(a.call_id, b.call_id);
+  swap(a.request_id, b.request_id);
+  swap(a.service_name, b.service_name);
+  swap(a.instance, b.instance);
+  swap(a.method, b.method);
+  swap(a.path, b.path);
+  swap(a.headers, b.headers);
+  swap(a.idempotent, b.idempotent);
+  swap(a.priority, b.priority);
+  swap(a.deadline_ms, b.deadline_ms);
+  swap(a.latency_target_ms, b.latency_target_ms);
+  swap(a.route, b.route);
+  swap(a.accepts_late, b.accepts_late);
+  swap(a.__isset, b.__isset);
+}
+
+LinkCall::LinkCall(const LinkCall& other355) {
+  call_id = other355.call_id;
+  request_id = other355.request_id;
+  service_name = other355.service_name;
+  instance = other355.instance;
+  method = other355.method;
+  path = other355.path;
+  headers = other355.headers;
+  idempotent = other355.idempotent;
+  priority = other355.priority;
+  deadline_ms = other355.deadline_ms;
+  latency_target_ms = other355.latency_target_ms;
+  route = other355.route;
+  accepts_late = other355.accepts_late;
+  __isset = other355.__isset;
+}
+LinkCall::LinkCall(LinkCall&& other356) noexcept {
+  call_id = other356.call_id;
+  request_id = std::move(other356.request_id);
+  service_name = std::move(other356.service_name);
+  instance = std::move(other356.instance);
+  method = std::move(other356.method);
+  path = std::move(other356.path);
+  headers = std::move(other356.headers);
+  idempotent = other356.idempotent;
+  priority = other356.priority;
+  deadline_ms = other356.deadline_ms;
+  latency_target_ms = other356.latency_target_ms;
+  route = std::move(other356.route);
+  accepts_late = other356.accepts_late;
+  __isset = other356.__isset;
+}
+LinkCall& LinkCall::operator=(const LinkCall& other357) {
+  call_id = other357.call_id;
+  request_id = other357.request_id;
+  service_name = other357.service_name;
+  instance = other357.instance;
+  method = other357.method;
+  path = other357.path;
+  headers = other357.headers;
+  idempotent = other357.idempotent;
+  priority = other357.priority;
+  deadline_ms = other357.deadline_ms;
+  latency_target_ms = other357.latency_target_ms;
+  route = other357.route;
+  accepts_late = other357.accepts_late;
+  __isset = other357.__isset;
+  return *this;
+}
+LinkCall& LinkCall::operator=(LinkCall&& other358) noexcept {
+  call_id = other358.call_id;
+  request_id = std::move(other358.request_id);
+  service_name = std::move(other358.service_name);
+  instance = std::move(other358.instance);
+  method = std::move(other358.method);
+  path = std::move(other358.path);
+  headers = std::move(other358.headers);
+  idempotent = other358.idempotent;
+  priority = other358.priority;
+  deadline_ms = other358.deadline_ms;
+  latency_target_ms = other358.latency_target_ms;
+  route = std::move(other358.route);
+  accepts_late = other358.accepts_late;
+  __isset = other358.__isset;
+  return *this;
+}
+void LinkCall::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkCall(";
+  out << "call_id=" << to_string(call_id);
+  out << ", " << "request_id=" << to_string(request_id);
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ", " << "instance=" << to_string(instance);
+  out << ", " << "method=" << to_string(method);
+  out << ", " << "path=" << to_string(path);
+  out << ", " << "headers=" << to_string(headers);
+  out << ", " << "idempotent=" << to_string(idempotent);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "deadline_ms=" << to_string(deadline_ms);
+  out << ", " << "latency_target_ms=" << to_string(latency_target_ms);
+  out << ", " << "route=" << to_string(route);
+  out << ", " << "accepts_late=" << to_string(accepts_late);
+  out << ")";
+}
+
+
+LinkReply::~LinkReply() noexcept {
+}
+
+
+void LinkReply::__set_call_id(const int64_t val) {
+  this->call_id = val;
+}
+
+void LinkReply::__set_outcome(const Outcome::type val) {
+  this->outcome = val;
+}
+
+void LinkReply::__set_reason(const RefusalReason::type val) {
+  this->reason = val;
+}
+
+void LinkReply::__set_reached_target(const bool val) {
+  this->reached_target = val;
+}
+
+void LinkReply::__set_http_status(const int32_t val) {
+  this->http_status = val;
+}
+
+void LinkReply::__set_headers(const std::vector<Header> & val) {
+  this->headers = val;
+}
+
+void LinkReply::__set_retry_after_ms(const int32_t val) {
+  this->retry_after_ms = val;
+}
+
+void LinkReply::__set_target(const TargetStatus& val) {
+  this->target = val;
+}
+std::ostream& operator<<(std::ostream& out, const LinkReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call_id);
+          this->__isset.call_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast359;
+          xfer += iprot->readI32(ecast359);
+          this->outcome = static_cast<Outcome::type>(ecast359);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast360;
+          xfer += iprot->readI32(ecast360);
+          this->reason = static_cast<RefusalReason::type>(ecast360);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reached_target);
+          this->__isset.reached_target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->http_status);
+          this->__isset.http_status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->headers.clear();
+            uint32_t _size361;
+            ::apache::thrift::protocol::TType _etype364;
+            xfer += iprot->readListBegin(_etype364, _size361);
+            this->headers.resize(_size361);
+            uint32_t _i365;
+            for (_i365 = 0; _i365 < _size361; ++_i365)
+            {
+              xfer += this->headers[_i365].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.headers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retry_after_ms);
+          this->__isset.retry_after_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->target.read(iprot);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkReply");
+
+  xfer += oprot->writeFieldBegin("call_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->call_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->outcome));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->reason));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reached_target", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->reached_target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("http_status", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->http_status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
+    std::vector<Header> ::const_iterator _iter366;
+    for (_iter366 = this->headers.begin(); _iter366 != this->headers.end(); ++_iter366)
+    {
+      xfer += (*_iter366).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retry_after_ms", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->retry_after_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRUCT, 8);
+  xfer += this->target.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkReply &a, LinkReply &b) {
+  using ::std::swap;
+  swap(a.call_id, b.call_id);
+  swap(a.outcome, b.outcome);
+  swap(a.reason, b.reason);
+  swap(a.reached_target, b.reached_target);
+  swap(a.http_status, b.http_status);
+  swap(a.headers, b.headers);
+  swap(a.retry_after_ms, b.retry_after_ms);
+  swap(a.target, b.target);
+  swap(a.__isset, b.__isset);
+}
+
+LinkReply::LinkReply(const LinkReply& other367) {
+  call_id = other367.call_id;
+  outcome = other367.outcome;
+  reason = other367.reason;
+  reached_target = other367.reached_target;
+  http_status = other367.http_status;
+  headers = other367.headers;
+  retry_after_ms = other367.retry_after_ms;
+  target = other367.target;
+  __isset = other367.__isset;
+}
+LinkReply::LinkReply(LinkReply&& other368) noexcept {
+  call_id = other368.call_id;
+  outcome = other368.outcome;
+  reason = other368.reason;
+  reached_target = other368.reached_target;
+  http_status = other368.http_status;
+  headers = std::move(other368.headers);
+  retry_after_ms = other368.retry_after_ms;
+  target = std::move(other368.target);
+  __isset = other368.__isset;
+}
+LinkReply& LinkReply::operator=(const LinkReply& other369) {
+  call_id = other369.call_id;
+  outcome = other369.outcome;
+  reason = other369.reason;
+  reached_target = other369.reached_target;
+  http_status = other369.http_status;
+  headers = other369.headers;
+  retry_after_ms = other369.retry_after_ms;
+  target = other369.target;
+  __isset = other369.__isset;
+  return *this;
+}
+LinkReply& LinkReply::operator=(LinkReply&& other370) noexcept {
+  call_id = other370.call_id;
+  outcome = other370.outcome;
+  reason = other370.reason;
+  reached_target = other370.reached_target;
+  http_status = other370.http_status;
+  headers = std::move(other370.headers);
+  retry_after_ms = other370.retry_after_ms;
+  target = std::move(other370.target);
+  __isset = other370.__isset;
+  return *this;
+}
+void LinkReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkReply(";
+  out << "call_id=" << to_string(call_id);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "reason=" << to_string(reason);
+  out << ", " << "reached_target=" << to_string(reached_target);
+  out << ", " << "http_status=" << to_string(http_status);
+  out << ", " << "headers=" << to_string(headers);
+  out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
+  out << ", " << "target=" << to_string(target);
+  out << ")";
+}
+
+
+LinkCancel::~LinkCancel() noexcept {
+}
+
+
+void LinkCancel::__set_call_id(const int64_t val) {
+  this->call_id = val;
+}
+std::ostream& operator<<(std::ostream& out, const LinkCancel& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkCancel::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call_id);
+          this->__isset.call_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkCancel::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkCancel");
+
+  xfer += oprot->writeFieldBegin("call_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->call_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkCancel &a, LinkCancel &b) {
+  using ::std::swap;
+  swap(a.call_id, b.call_id);
+  swap(a.__isset, b.__isset);
+}
+
+LinkCancel::LinkCancel(const LinkCancel& other371) noexcept {
+  call_id = other371.call_id;
+  __isset = other371.__isset;
+}
+LinkCancel::LinkCancel(LinkCancel&& other372) noexcept {
+  call_id = other372.call_id;
+  __isset = other372.__isset;
+}
+LinkCancel& LinkCancel::operator=(const LinkCancel& other373) noexcept {
+  call_id = other373.call_id;
+  __isset = other373.__isset;
+  return *this;
+}
+LinkCancel& LinkCancel::operator=(LinkCancel&& other374) noexcept {
+  call_id = other374.call_id;
+  __isset = other374.__isset;
+  return *this;
+}
+void LinkCancel::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkCancel(";
+  out << "call_id=" << to_string(call_id);
+  out << ")";
+}
+
+
+LinkConfig::~LinkConfig() noexcept {
+}
+
+
+void LinkConfig::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const LinkConfig& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkConfig::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkConfig::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkConfig");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkConfig &a, LinkConfig &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+LinkConfig::LinkConfig(const LinkConfig& other375) noexcept {
+  version = other375.version;
+  __isset = other375.__isset;
+}
+LinkConfig::LinkConfig(LinkConfig&& other376) noexcept {
+  version = other376.version;
+  __isset = other376.__isset;
+}
+LinkConfig& LinkConfig::operator=(const LinkConfig& other377) noexcept {
+  version = other377.version;
+  __isset = other377.__isset;
+  return *this;
+}
+LinkConfig& LinkConfig::operator=(LinkConfig&& other378) noexcept {
+  version = other378.version;
+  __isset = other378.__isset;
+  return *this;
+}
+void LinkConfig::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkConfig(";
+  out << "version=" << to_string(version);
+  out << ")";
+}
+
+
+LinkConfigRequest::~LinkConfigRequest() noexcept {
+}
+
+
+void LinkConfigRequest::__set_have(const int64_t val) {
+  this->have = val;
+}
+std::ostream& operator<<(std::ostream& out, const LinkConfigRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkConfigRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->have);
+          this->__isset.have = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkConfigRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkConfigRequest");
+
+  xfer += oprot->writeFieldBegin("have", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->have);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkConfigRequest &a, LinkConfigRequest &b) {
+  using ::std::swap;
+  swap(a.have, b.have);
+  swap(a.__isset, b.__isset);
+}
+
+LinkConfigRequest::LinkConfigRequest(const LinkConfigRequest& other379) noexcept {
+  have = other379.have;
+  __isset = other379.__isset;
+}
+LinkConfigRequest::LinkConfigRequest(LinkConfigRequest&& other380) noexcept {
+  have = other380.have;
+  __isset = other380.__isset;
+}
+LinkConfigRequest& LinkConfigRequest::operator=(const LinkConfigRequest& other381) noexcept {
+  have = other381.have;
+  __isset = other381.__isset;
+  return *this;
+}
+LinkConfigRequest& LinkConfigRequest::operator=(LinkConfigRequest&& other382) noexcept {
+  have = other382.have;
+  __isset = other382.__isset;
+  return *this;
+}
+void LinkConfigRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkConfigRequest(";
+  out << "have=" << to_string(have);
+  out << ")";
+}
+
+
+LinkProbe::~LinkProbe() noexcept {
+}
+
+
+void LinkProbe::__set_nonce(const int64_t val) {
+  this->nonce = val;
+}
+
+void LinkProbe::__set_answer(const bool val) {
+  this->answer = val;
+}
+
+void LinkProbe::__set_config_version(const int64_t val) {
+  this->config_version = val;
+}
+std::ostream& operator<<(std::ostream& out, const LinkProbe& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkProbe::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nonce);
+          this->__isset.nonce = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answer);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config_version);
+          this->__isset.config_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkProbe::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkProbe");
+
+  xfer += oprot->writeFieldBegin("nonce", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->nonce);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->answer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->config_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkProbe &a, LinkProbe &b) {
+  using ::std::swap;
+  swap(a.nonce, b.nonce);
+  swap(a.answer, b.answer);
+  swap(a.config_version, b.config_version);
+  swap(a.__isset, b.__isset);
+}
+
+LinkProbe::LinkProbe(const LinkProbe& other383) noexcept {
+  nonce = other383.nonce;
+  answer = other383.answer;
+  config_version = other383.config_version;
+  __isset = other383.__isset;
+}
+LinkProbe::LinkProbe(LinkProbe&& other384) noexcept {
+  nonce = other384.nonce;
+  answer = other384.answer;
+  config_version = other384.config_version;
+  __isset = other384.__isset;
+}
+LinkProbe& LinkProbe::operator=(const LinkProbe& other385) noexcept {
+  nonce = other385.nonce;
+  answer = other385.answer;
+  config_version = other385.config_version;
+  __isset = other385.__isset;
+  return *this;
+}
+LinkProbe& LinkProbe::operator=(LinkProbe&& other386) noexcept {
+  nonce = other386.nonce;
+  answer = other386.answer;
+  config_version = other386.config_version;
+  __isset = other386.__isset;
+  return *this;
+}
+void LinkProbe::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkProbe(";
+  out << "nonce=" << to_string(nonce);
+  out << ", " << "answer=" << to_string(answer);
+  out << ", " << "config_version=" << to_string(config_version);
+  out << ")";
+}
+
+
+LinkMessage::~LinkMessage() noexcept {
+}
+
+
+void LinkMessage::__set_hello(const LinkHello& val) {
+  this->hello = val;
+__isset.hello = true;
+}
+
+void LinkMessage::__set_status(const TargetStatus& val) {
+  this->status = val;
+__isset.status = true;
+}
+
+void LinkMessage::__set_call(const LinkCall& val) {
+  this->call = val;
+__isset.call = true;
+}
+
+void LinkMessage::__set_reply(const LinkReply& val) {
+  this->reply = val;
+__isset.reply = true;
+}
+
+void LinkMessage::__set_cancel(const LinkCancel& val) {
+  this->cancel = val;
+__isset.cancel = true;
+}
+
+void LinkMessage::__set_config(const LinkConfig& val) {
+  this->config = val;
+__isset.config = true;
+}
+
+void LinkMessage::__set_config_request(const LinkConfigRequest& val) {
+  this->config_request = val;
+__isset.config_request = true;
+}
+
+void LinkMessage::__set_probe(const LinkProbe& val) {
+  this->probe = val;
+__isset.probe = true;
+}
+std::ostream& operator<<(std::ostream& out, const LinkMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->hello.read(iprot);
+          this->__isset.hello = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->status.read(iprot);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->call.read(iprot);
+          this->__isset.call = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->reply.read(iprot);
+          this->__isset.reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->cancel.read(iprot);
+          this->__isset.cancel = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->config.read(iprot);
+          this->__isset.config = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->config_request.read(iprot);
+          this->__isset.config_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->probe.read(iprot);
+          this->__isset.probe = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkMessage");
+
+  if (this->__isset.hello) {
+    xfer += oprot->writeFieldBegin("hello", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->hello.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.status) {
+    xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->status.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.call) {
+    xfer += oprot->writeFieldBegin("call", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->call.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.reply) {
+    xfer += oprot->writeFieldBegin("reply", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.cancel) {
+    xfer += oprot->writeFieldBegin("cancel", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->cancel.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.config) {
+    xfer += oprot->writeFieldBegin("config", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->config.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.config_request) {
+    xfer += oprot->writeFieldBegin("config_request", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->config_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.probe) {
+    xfer += oprot->writeFieldBegin("probe", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->probe.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkMessage &a, LinkMessage &b) {
+  using ::std::swap;
+  swap(a.hello, b.hello);
+  swap(a.status, b.status);
+  swap(a.call, b.call);
+  swap(a.reply, b.reply);
+  swap(a.cancel, b.cancel);
+  swap(a.config, b.config);
+  swap(a.config_request, b.config_request);
+  swap(a.probe, b.probe);
+  swap(a.__isset, b.__isset);
+}
+
+LinkMessage::LinkMessage(const LinkMessage& other387) {
+  hello = other387.hello;
+  status = other387.status;
+  call = other387.call;
+  reply = other387.reply;
+  cancel = other387.cancel;
+  config = other387.config;
+  config_request = other387.config_request;
+  probe = other387.probe;
+  __isset = other387.__isset;
+}
+LinkMessage::LinkMessage(LinkMessage&& other388) noexcept {
+  hello = std::move(other388.hello);
+  status = std::move(other388.status);
+  call = std::move(other388.call);
+  reply = std::move(other388.reply);
+  cancel = std::move(other388.cancel);
+  config = std::move(other388.config);
+  config_request = std::move(other388.config_request);
+  probe = std::move(other388.probe);
+  __isset = other388.__isset;
+}
+LinkMessage& LinkMessage::operator=(const LinkMessage& other389) {
+  hello = other389.hello;
+  status = other389.status;
+  call = other389.call;
+  reply = other389.reply;
+  cancel = other389.cancel;
+  config = other389.config;
+  config_request = other389.config_request;
+  probe = other389.probe;
+  __isset = other389.__isset;
+  return *this;
+}
+LinkMessage& LinkMessage::operator=(LinkMessage&& other390) noexcept {
+  hello = std::move(other390.hello);
+  status = std::move(other390.status);
+  call = std::move(other390.call);
+  reply = std::move(other390.reply);
+  cancel = std::move(other390.cancel);
+  config = std::move(other390.config);
+  config_request = std::move(other390.config_request);
+  probe = std::move(other390.probe);
+  __isset = other390.__isset;
+  return *this;
+}
+void LinkMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkMessage(";
+  out << "hello="; (__isset.hello ? (out << to_string(hello)) : (out << "<null>"));
+  out << ", " << "status="; (__isset.status ? (out << to_string(status)) : (out << "<null>"));
+  out << ", " << "call="; (__isset.call ? (out << to_string(call)) : (out << "<null>"));
+  out << ", " << "reply="; (__isset.reply ? (out << to_string(reply)) : (out << "<null>"));
+  out << ", " << "cancel="; (__isset.cancel ? (out << to_string(cancel)) : (out << "<null>"));
+  out << ", " << "config="; (__isset.config ? (out << to_string(config)) : (out << "<null>"));
+  out << ", " << "config_request="; (__isset.config_request ? (out << to_string(config_request)) : (out << "<null>"));
+  out << ", " << "probe="; (__isset.probe ? (out << to_string(probe)) : (out << "<null>"));
+  out << ")";
+}
+
 }} // namespace
--- a/src/gen/limpet_types.h
+++ b/src/gen/limpet_types.h
@@ -168,6 +168,26 @@
 
 class CallReply;
 
+class TargetStatus;
+
+class NodeAddress;
+
+class LinkHello;
+
+class LinkCall;
+
+class LinkReply;
+
+class LinkCancel;
+
+class LinkConfig;
+
+class LinkConfigRequest;
+
+class LinkProbe;
+
+class LinkMessage;
+
 typedef struct _Service__isset {
   _Service__isset() : name(false), timeout_ms(false), idempotent_methods(false), slots(false), connections(false) {}
   bool name :1;
@@ -2716,6 +2736,756 @@
 
 std::ostream& operator<<(std::ostream& out, const CallReply& obj);
 
+typedef struct _TargetStatus__isset {
+  _TargetStatus__isset() : instance(false), service_name(false), state(false), slots(false), cold_ms(false), load(false), failure_permille(false) {}
+  bool instance :1;
+  bool service_name :1;
+  bool state :1;
+  bool slots :1;
+  bool cold_ms :1;
+  bool load :1;
+  bool failure_permille :1;
+} _TargetStatus__isset;
+
+class TargetStatus : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetStatus(const TargetStatus&);
+  TargetStatus(TargetStatus&&) noexcept;
+  TargetStatus& operator=(const TargetStatus&);
+  TargetStatus& operator=(TargetStatus&&) noexcept;
+  TargetStatus() noexcept
+               : instance(),
+                 service_name(),
+                 state(static_cast<TargetState::type>(0)),
+                 slots(0),
+                 cold_ms(0),
+                 failure_permille(0) {
+  }
+
+  virtual ~TargetStatus() noexcept;
+  std::string instance;
+  std::string service_name;
+  /**
+   *
+   * @see TargetState
+   */
+  TargetState::type state;
+  int32_t slots;
+  int32_t cold_ms;
+  LoadReport load;
+  int32_t failure_permille;
+
+  _TargetStatus__isset __isset;
+
+  void __set_instance(const std::string& val);
+
+  void __set_service_name(const std::string& val);
+
+  void __set_state(const TargetState::type val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_cold_ms(const int32_t val);
+
+  void __set_load(const LoadReport& val);
+
+  void __set_failure_permille(const int32_t val);
+
+  bool operator == (const TargetStatus & rhs) const
+  {
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(cold_ms == rhs.cold_ms))
+      return false;
+    if (!(load == rhs.load))
+      return false;
+    if (!(failure_permille == rhs.failure_permille))
+      return false;
+    return true;
+  }
+  bool operator != (const TargetStatus &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TargetStatus & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TargetStatus &a, TargetStatus &b);
+
+std::ostream& operator<<(std::ostream& out, const TargetStatus& obj);
+
+typedef struct _NodeAddress__isset {
+  _NodeAddress__isset() : name(false), data_centre(false), host(false), port(false) {}
+  bool name :1;
+  bool data_centre :1;
+  bool host :1;
+  bool port :1;
+} _NodeAddress__isset;
+
+class NodeAddress : public virtual ::apache::thrift::TBase {
+ public:
+
+  NodeAddress(const NodeAddress&);
+  NodeAddress(NodeAddress&&) noexcept;
+  NodeAddress& operator=(const NodeAddress&);
+  NodeAddress& operator=(NodeAddress&&) noexcept;
+  NodeAddress() noexcept
+              : name(),
+                data_centre(),
+                host(),
+                port(0) {
+  }
+
+  virtual ~NodeAddress() noexcept;
+  std::string name;
+  std::string data_centre;
+  std::string host;
+  int32_t port;
+
+  _NodeAddress__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_data_centre(const std::string& val);
+
+  void __set_host(const std::string& val);
+
+  void __set_port(const int32_t val);
+
+  bool operator == (const NodeAddress & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(data_centre == rhs.data_centre))
+      return false;
+    if (!(host == rhs.host))
+      return false;
+    if (!(port == rhs.port))
+      return false;
+    return true;
+  }
+  bool operator != (const NodeAddress &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const NodeAddress & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(NodeAddress &a, NodeAddress &b);
+
+std::ostream& operator<<(std::ostream& out, const NodeAddress& obj);
+
+typedef struct _LinkHello__isset {
+  _LinkHello__isset() : node(false), incarnation(false), config_version(false), target(false), known_nodes(false) {}
+  bool node :1;
+  bool incarnation :1;
+  bool config_version :1;
+  bool target :1;
+  bool known_nodes :1;
+} _LinkHello__isset;
+
+class LinkHello : public virtual ::apache::thrift::TBase {
+ public:
+
+  LinkHello(const LinkHello&);
+  LinkHello(LinkHello&&) noexcept;
+  LinkHello& operator=(const LinkHello&);
+  LinkHello& operator=(LinkHello&&) noexcept;
+  LinkHello() noexcept
+            : incarnation(0),
+              config_version(0) {
+  }
+
+  virtual ~LinkHello() noexcept;
+  NodeAddress node;
+  int64_t incarnation;
+  int64_t config_version;
+  TargetStatus target;
+  std::vector<NodeAddress>  known_nodes;
+
+  _LinkHello__isset __isset;
+
+  void __set_node(const NodeAddress& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_config_version(const int64_t val);
+
+  void __set_target(const TargetStatus& val);
+
+  void __set_known_nodes(const std::vector<NodeAddress> & val);
+
+  bool operator == (const LinkHello & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(config_version == rhs.config_version))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(known_nodes == rhs.known_nodes))
+      return false;
+    return true;
+  }
+  bool operator != (const LinkHello &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LinkHello & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LinkHello &a, LinkHello &b);
+
+std::ostream& operator<<(std::ostream& out, const LinkHello& obj);
+
+typedef struct _LinkCall__isset {
+  _LinkCall__isset() : call_id(false), request_id(false), service_name(false), instance(false), method(false), path(false), headers(false), idempotent(false), priority(false), deadline_ms(false), latency_target_ms(false), route(false), accepts_late(false) {}
+  bool call_id :1;
+  bool request_id :1;
+  bool service_name :1;
+  bool instance :1;
+  bool method :1;
+  bool path :1;
+  bool headers :1;
+  bool idempotent :1;
+  bool priority :1;
+  bool deadline_ms :1;
+  bool latency_target_ms :1;
+  bool route :1;
+  bool accepts_late :1;
+} _LinkCall__isset;
+
+class LinkCall : public virtual ::apache::thrift::TBase {
+ public:
+
+  LinkCall(const LinkCall&);
+  LinkCall(LinkCall&&) noexcept;
+  LinkCall& operator=(const LinkCall&);
+  LinkCall& operator=(LinkCall&&) noexcept;
+  LinkCall() noexcept
+           : call_id(0),
+             request_id(),
+             service_name(),
+             instance(),
+             method(),
+             path(),
+             idempotent(0),
+             priority(0),
+             deadline_ms(0),
+             latency_target_ms(0),
+             route(),
+             accepts_late(0) {
+  }
+
+  virtual ~LinkCall() noexcept;
+  int64_t call_id;
+  std::string request_id;
+  std::string service_name;
+  std::string instance;
+  std::string method;
+  std::string path;
+  std::vector<Header>  headers;
+  bool idempotent;
+  int32_t priority;
+  int32_t deadline_ms;
+  int32_t latency_target_ms;
+  std::string route;
+  bool accepts_late;
+
+  _LinkCall__isset __isset;
+
+  void __set_call_id(const int64_t val);
+
+  void __set_request_id(const std::string& val);
+
+  void __set_service_name(const std::string& val);
+
+  void __set_instance(const std::string& val);
+
+  void __set_method(const std::string& val);
+
+  void __set_path(const std::string& val);
+
+  void __set_headers(const std::vector<Header> & val);
+
+  void __set_idempotent(const bool val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_deadline_ms(const int32_t val);
+
+  void __set_latency_target_ms(const int32_t val);
+
+  void __set_route(const std::string& val);
+
+  void __set_accepts_late(const bool val);
+
+  bool operator == (const LinkCall & rhs) const
+  {
+    if (!(call_id == rhs.call_id))
+      return false;
+    if (!(request_id == rhs.request_id))
+      return false;
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(method == rhs.method))
+      return false;
+    if (!(path == rhs.path))
+      return false;
+    if (!(headers == rhs.headers))
+      return false;
+    if (!(idempotent == rhs.idempotent))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(deadline_ms == rhs.deadline_ms))
+      return false;
+    if (!(latency_target_ms == rhs.latency_target_ms))
+      return false;
+    if (!(route == rhs.route))
+      return false;
+    if (!(accepts_late == rhs.accepts_late))
+      return false;
+    return true;
+  }
+  bool operator != (const LinkCall &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LinkCall & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LinkCall &a, LinkCall &b);
+
+std::ostream& operator<<(std::ostream& out, const LinkCall& obj);
+
+typedef struct _LinkReply__isset {
+  _LinkReply__isset() : call_id(false), outcome(false), reason(false), reached_target(false), http_status(false), headers(false), retry_after_ms(false), target(false) {}
+  bool call_id :1;
+  bool outcome :1;
+  bool reason :1;
+  bool reached_target :1;
+  bool http_status :1;
+  bool headers :1;
+  bool retry_after_ms :1;
+  bool target :1;
+} _LinkReply__isset;
+
+class LinkReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  LinkReply(const LinkReply&);
+  LinkReply(LinkReply&&) noexcept;
+  LinkReply& operator=(const LinkReply&);
+  LinkReply& operator=(LinkReply&&) noexcept;
+  LinkReply() noexcept
+            : call_id(0),
+              outcome(static_cast<Outcome::type>(0)),
+              reason(static_cast<RefusalReason::type>(0)),
+              reached_target(0),
+              http_status(0),
+              retry_after_ms(0) {
+  }
+
+  virtual ~LinkReply() noexcept;
+  int64_t call_id;
+  /**
+   *
+   * @see Outcome
+   */
+  Outcome::type outcome;
+  /**
+   *
+   * @see RefusalReason
+   */
+  RefusalReason::type reason;
+  bool reached_target;
+  int32_t http_status;
+  std::vector<Header>  headers;
+  int32_t retry_after_ms;
+  TargetStatus target;
+
+  _LinkReply__isset __isset;
+
+  void __set_call_id(const int64_t val);
+
+  void __set_outcome(const Outcome::type val);
+
+  void __set_reason(const RefusalReason::type val);
+
+  void __set_reached_target(const bool val);
+
+  void __set_http_status(const int32_t val);
+
+  void __set_headers(const std::vector<Header> & val);
+
+  void __set_retry_after_ms(const int32_t val);
+
+  void __set_target(const TargetStatus& val);
+
+  bool operator == (const LinkReply & rhs) const
+  {
+    if (!(call_id == rhs.call_id))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    if (!(reason == rhs.reason))
+      return false;
+    if (!(reached_target == rhs.reached_target))
+      return false;
+    if (!(http_status == rhs.http_status))
+      return false;
+    if (!(headers == rhs.headers))
+      return false;
+    if (!(retry_after_ms == rhs.retry_after_ms))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    return true;
+  }
+  bool operator != (const LinkReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LinkReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LinkReply &a, LinkReply &b);
+
+std::ostream& operator<<(std::ostream& out, const LinkReply& obj);
+
+typedef struct _LinkCancel__isset {
+  _LinkCancel__isset() : call_id(false) {}
+  bool call_id :1;
+} _LinkCancel__isset;
+
+class LinkCancel : public virtual ::apache::thrift::TBase {
+ public:
+
+  LinkCancel(const LinkCancel&) noexcept;
+  LinkCancel(LinkCancel&&) noexcept;
+  LinkCancel& operator=(const LinkCancel&) noexcept;
+  LinkCancel& operator=(LinkCancel&&) noexcept;
+  LinkCancel() noexcept
+             : call_id(0) {
+  }
+
+  virtual ~LinkCancel() noexcept;
+  int64_t call_id;
+
+  _LinkCancel__isset __isset;
+
+  void __set_call_id(const int64_t val);
+
+  bool operator == (const LinkCancel & rhs) const
+  {
+    if (!(call_id == rhs.call_id))
+      return false;
+    return true;
+  }
+  bool operator != (const LinkCancel &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LinkCancel & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LinkCancel &a, LinkCancel &b);
+
+std::ostream& operator<<(std::ostream& out, const LinkCancel& obj);
+
+typedef struct _LinkConfig__isset {
+  _LinkConfig__isset() : version(false) {}
+  bool version :1;
+} _LinkConfig__isset;
+
+class LinkConfig : public virtual ::apache::thrift::TBase {
+ public:
+
+  LinkConfig(const LinkConfig&) noexcept;
+  LinkConfig(LinkConfig&&) noexcept;
+  LinkConfig& operator=(const LinkConfig&) noexcept;
+  LinkConfig& operator=(LinkConfig&&) noexcept;
+  LinkConfig() noexcept
+             : version(0) {
+  }
+
+  virtual ~LinkConfig() noexcept;
+  int64_t version;
+
+  _LinkConfig__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const LinkConfig & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const LinkConfig &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LinkConfig & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LinkConfig &a, LinkConfig &b);
+
+std::ostream& operator<<(std::ostream& out, const LinkConfig& obj);
+
+typedef struct _LinkConfigRequest__isset {
+  _LinkConfigRequest__isset() : have(false) {}
+  bool have :1;
+} _LinkConfigRequest__isset;
+
+class LinkConfigRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  LinkConfigRequest(const LinkConfigRequest&) noexcept;
+  LinkConfigRequest(LinkConfigRequest&&) noexcept;
+  LinkConfigRequest& operator=(const LinkConfigRequest&) noexcept;
+  LinkConfigRequest& operator=(LinkConfigRequest&&) noexcept;
+  LinkConfigRequest() noexcept
+                    : have(0) {
+  }
+
+  virtual ~LinkConfigRequest() noexcept;
+  int64_t have;
+
+  _LinkConfigRequest__isset __isset;
+
+  void __set_have(const int64_t val);
+
+  bool operator == (const LinkConfigRequest & rhs) const
+  {
+    if (!(have == rhs.have))
+      return false;
+    return true;
+  }
+  bool operator != (const LinkConfigRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LinkConfigRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LinkConfigRequest &a, LinkConfigRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const LinkConfigRequest& obj);
+
+typedef struct _LinkProbe__isset {
+  _LinkProbe__isset() : nonce(false), answer(false), config_version(false) {}
+  bool nonce :1;
+  bool answer :1;
+  bool config_version :1;
+} _LinkProbe__isset;
+
+class LinkProbe : public virtual ::apache::thrift::TBase {
+ public:
+
+  LinkProbe(const LinkProbe&) noexcept;
+  LinkProbe(LinkProbe&&) noexcept;
+  LinkProbe& operator=(const LinkProbe&) noexcept;
+  LinkProbe& operator=(LinkProbe&&) noexcept;
+  LinkProbe() noexcept
+            : nonce(0),
+              answer(0),
+              config_version(0) {
+  }
+
+  virtual ~LinkProbe() noexcept;
+  int64_t nonce;
+  bool answer;
+  int64_t config_version;
+
+  _LinkProbe__isset __isset;
+
+  void __set_nonce(const int64_t val);
+
+  void __set_answer(const bool val);
+
+  void __set_config_version(const int64_t val);
+
+  bool operator == (const LinkProbe & rhs) const
+  {
+    if (!(nonce == rhs.nonce))
+      return false;
+    if (!(answer == rhs.answer))
+      return false;
+    if (!(config_version == rhs.config_version))
+      return false;
+    return true;
+  }
+  bool operator != (const LinkProbe &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LinkProbe & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LinkProbe &a, LinkProbe &b);
+
+std::ostream& operator<<(std::ostream& out, const LinkProbe& obj);
+
+typedef struct _LinkMessage__isset {
+  _LinkMessage__isset() : hello(false), status(false), call(false), reply(false), cancel(false), config(false), config_request(false), probe(false) {}
+  bool hello :1;
+  bool status :1;
+  bool call :1;
+  bool reply :1;
+  bool cancel :1;
+  bool config :1;
+  bool config_request :1;
+  bool probe :1;
+} _LinkMessage__isset;
+
+class LinkMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  LinkMessage(const LinkMessage&);
+  LinkMessage(LinkMessage&&) noexcept;
+  LinkMessage& operator=(const LinkMessage&);
+  LinkMessage& operator=(LinkMessage&&) noexcept;
+  LinkMessage() noexcept {
+  }
+
+  virtual ~LinkMessage() noexcept;
+  LinkHello hello;
+  TargetStatus status;
+  LinkCall call;
+  LinkReply reply;
+  LinkCancel cancel;
+  LinkConfig config;
+  LinkConfigRequest config_request;
+  LinkProbe probe;
+
+  _LinkMessage__isset __isset;
+
+  void __set_hello(const LinkHello& val);
+
+  void __set_status(const TargetStatus& val);
+
+  void __set_call(const LinkCall& val);
+
+  void __set_reply(const LinkReply& val);
+
+  void __set_cancel(const LinkCancel& val);
+
+  void __set_config(const LinkConfig& val);
+
+  void __set_config_request(const LinkConfigRequest& val);
+
+  void __set_probe(const LinkProbe& val);
+
+  bool operator == (const LinkMessage & rhs) const
+  {
+    if (__isset.hello != rhs.__isset.hello)
+      return false;
+    else if (__isset.hello && !(hello == rhs.hello))
+      return false;
+    if (__isset.status != rhs.__isset.status)
+      return false;
+    else if (__isset.status && !(status == rhs.status))
+      return false;
+    if (__isset.call != rhs.__isset.call)
+      return false;
+    else if (__isset.call && !(call == rhs.call))
+      return false;
+    if (__isset.reply != rhs.__isset.reply)
+      return false;
+    else if (__isset.reply && !(reply == rhs.reply))
+      return false;
+    if (__isset.cancel != rhs.__isset.cancel)
+      return false;
+    else if (__isset.cancel && !(cancel == rhs.cancel))
+      return false;
+    if (__isset.config != rhs.__isset.config)
+      return false;
+    else if (__isset.config && !(config == rhs.config))
+      return false;
+    if (__isset.config_request != rhs.__isset.config_request)
+      return false;
+    else if (__isset.config_request && !(config_request == rhs.config_request))
+      return false;
+    if (__isset.probe != rhs.__isset.probe)
+      return false;
+    else if (__isset.probe && !(probe == rhs.probe))
+      return false;
+    return true;
+  }
+  bool operator != (const LinkMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LinkMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LinkMessage &a, LinkMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const LinkMessage& obj);
+
 }} // namespace
 
 #endif
--- /dev/null
+++ b/src/registry/target_registry.cc
@@ -0,0 +1,68 @@
+#include "limpet/registry/target_registry.h"
+
+#include <algorithm>
+
+namespace limpet {
+
+namespace {
+
+/// Heartbeats can be seconds late; ten minutes is far beyond any delay in the network.
+constexpr Duration kDepartedLifetime = std::chrono::minutes(10);
+
+}  // namespace
+
+bool TargetRegistry::IsLate(const TargetAnnouncement& announcement) const {
+  const auto departed = departed_.find(announcement.instance);
+  if (departed != departed_.end() && announcement.born_ms <= departed->second.born_ms) {
+    return true;
+  }
+  if (!current_) {
+    return false;
+  }
+  if (announcement.born_ms != current_->born_ms) {
+    return announcement.born_ms < current_->born_ms;
+  }
+  return announcement.instance == current_->instance && announcement.sequence < current_->sequence;
+}
+
+AnnouncementResult TargetRegistry::OnAnnouncement(TimePoint now,
+                                                  const TargetAnnouncement& announcement) {
+  Forget(now);
+  if (announcement.address != address_) {
+    return AnnouncementResult::kWrongPlace;
+  }
+  if (IsLate(announcement)) {
+    return AnnouncementResult::kLate;
+  }
+  const bool same_start = current_ && current_->instance == announcement.instance &&
+                          current_->born_ms == announcement.born_ms;
+  if (current_ && !same_start) {
+    departed_[current_->instance] = {current_->born_ms, now};
+  }
+  // Draining is final for one start, whatever a reordered heartbeat says.
+  const bool draining = announcement.draining || (same_start && current_->draining);
+  current_ = announcement;
+  current_->draining = draining;
+  last_heard_ = now;
+  return draining ? AnnouncementResult::kDraining : AnnouncementResult::kCurrent;
+}
+
+void TargetRegistry::OnLeave(TimePoint now,
+                             const std::string& instance,
+                             std::optional<int64_t> born_ms) {
+  const bool is_current = current_ && current_->instance == instance &&
+                          (!born_ms || *born_ms >= current_->born_ms);
+  const int64_t born = born_ms.value_or(is_current ? current_->born_ms : 0);
+  Departed& departed = departed_[instance];
+  departed = {std::max(departed.born_ms, born), now};
+  if (is_current) {
+    current_.reset();
+  }
+}
+
+void TargetRegistry::Forget(TimePoint now) {
+  std::erase_if(departed_,
+                [now](const auto& entry) { return now - entry.second.at > kDepartedLifetime; });
+}
+
+}  // namespace limpet
--- /dev/null
+++ b/src/routing/mesh_config.cc
@@ -0,0 +1,49 @@
+#include "limpet/routing/mesh_config.h"
+
+#include <set>
+#include <utility>
+
+namespace limpet {
+namespace {
+
+void Require(bool condition, const MeshRoute& route, const std::string& problem) {
+  if (!condition) {
+    throw InvalidMeshConfig("route " + route.name + ": " + problem);
+  }
+}
+
+void CheckRoute(const MeshRoute& route, const std::set<std::string>& services) {
+  const std::string& prefix = route.path_prefix;
+  Require(!route.host.empty(), route, "no host");
+  Require(prefix.starts_with('/') && prefix.ends_with('/'), route,
+          "path prefix \"" + prefix + "\" is not between slashes");
+  Require(route.timeout > Duration(0), route, "the timeout is not positive");
+  Require(route.max_attempts > 0, route, "no attempt is allowed");
+  Require(!route.parts.empty(), route, "no service");
+  int total = 0;
+  for (const TrafficPart& part : route.parts) {
+    Require(services.contains(part.service), route, "unknown service " + part.service);
+    Require(part.weight >= 0, route, "negative weight of " + part.service);
+    total += part.weight;
+  }
+  Require(total > 0, route, "all weights are 0");
+}
+
+}  // namespace
+
+void ValidateMeshConfig(const MeshConfig& config) {
+  std::set<std::string> services;
+  for (const MeshService& service : config.services) {
+    if (!services.insert(service.name).second) {
+      throw InvalidMeshConfig("service " + service.name + " is given twice");
+    }
+  }
+  std::set<std::pair<std::string, std::string>> places;
+  for (const MeshRoute& route : config.routes) {
+    CheckRoute(route, services);
+    Require(places.emplace(route.host, route.path_prefix).second, route,
+            "another route has the same host and prefix");
+  }
+}
+
+}  // namespace limpet
--- /dev/null
+++ b/src/traffic/target_gate.cc
@@ -0,0 +1,228 @@
+#include "limpet/traffic/target_gate.h"
+
+#include <algorithm>
+
+namespace limpet {
+
+namespace {
+
+using Reason = wire::RefusalReason;
+
+/// Weight of one result in the share of failures: it follows a change within about 15 requests.
+constexpr double kFailureWeight = 0.07;
+/// Assumed before the first sample. Close to a typical request, so that a target that has just
+/// appeared is neither avoided nor preferred.
+constexpr Duration kAssumedServiceTime = std::chrono::milliseconds(100);
+
+}  // namespace
+
+TargetGate::TargetGate(TargetGateOptions options)
+    : options_(options), ledger_(options.ledger_capacity) {}
+
+std::vector<GateEvent> TargetGate::SetTarget(TimePoint now, const TargetAnnouncement* target) {
+  if (target == nullptr) {
+    target_.reset();
+    return RefuseAll(Reason::kTargetUnavailable);
+  }
+  const bool same = target_ && target_->instance == target->instance &&
+                    target_->born_ms == target->born_ms;
+  target_ = *target;
+  cold_until_ = now + target->cold_remaining;
+  if (!same) {
+    service_times_.Clear();
+    failure_share_ = 0;
+    failures_in_row_ = 0;
+    return RefuseAll(Reason::kTargetUnavailable);
+  }
+  if (target->draining) {
+    return RefuseAll(Reason::kDraining);
+  }
+  return Tick(now);
+}
+
+std::vector<GateEvent> TargetGate::StartDraining(TimePoint /*now*/) {
+  draining_ = true;
+  return RefuseAll(Reason::kDraining);
+}
+
+std::vector<GateEvent> TargetGate::RefuseAll(Reason::type reason) {
+  std::vector<GateEvent> events;
+  for (const auto& [position, call] : queue_) {
+    events.push_back({call.key, false, reason});
+  }
+  queue_.clear();
+  queued_keys_.clear();
+  return events;
+}
+
+bool TargetGate::IsDown(TimePoint now) const {
+  if (failures_in_row_ < options_.failures_until_down) {
+    return false;
+  }
+  if (now < next_trial_) {
+    return true;
+  }
+  next_trial_ = now + options_.trial_interval;
+  return false;
+}
+
+Reason::type TargetGate::CheckTarget(TimePoint now, const GateCall& call) const {
+  if (draining_ || (target_ && target_->draining)) {
+    return Reason::kDraining;
+  }
+  if (!target_ || target_->service != call.service) {
+    return Reason::kTargetUnavailable;
+  }
+  if (target_->instance != call.instance) {
+    return Reason::kWrongIncarnation;
+  }
+  if (now >= call.deadline) {
+    return Reason::kDeadlinePassed;
+  }
+  return IsDown(now) ? Reason::kTargetUnavailable : Reason::kNone;
+}
+
+Duration TargetGate::PredictWait(const QueueKey& position) const {
+  const auto free = target_->slots - running();
+  const auto ahead = std::distance(queue_.begin(), queue_.lower_bound(position));
+  const auto excess = static_cast<int64_t>(ahead) + 1 - free;
+  if (excess <= 0) {
+    return Duration(0);
+  }
+  Duration average = service_times_.average();
+  if (average == Duration(0)) {
+    average = kAssumedServiceTime;
+  }
+  return average * excess / std::max(1, target_->slots);
+}
+
+GateDecision TargetGate::Arrive(TimePoint now, const GateCall& call) {
+  if (running_.contains(call.key) || queued_keys_.contains(call.key)) {
+    return {.verdict = GateVerdict::kAttach};
+  }
+  ledger_.Expire(now);
+  if (!call.idempotent && ledger_.Find(call.request_id) == LedgerState::kTaken) {
+    return {.outcome = wire::Outcome::kUnknown, .reason = Reason::kDuplicate};
+  }
+  if (const auto reason = CheckTarget(now, call); reason != Reason::kNone) {
+    return {.reason = reason};
+  }
+  if (!call.idempotent && !ledger_.HasRoom(1)) {
+    return {.reason = Reason::kOverloaded};
+  }
+  const QueueKey position{call.priority, call.latency_target, next_sequence_++};
+  const Duration wait = PredictWait(position);
+  if (wait == Duration(0) && queue_.empty()) {
+    Start(now, call);
+    return {.verdict = GateVerdict::kStart};
+  }
+  const TimePoint limit = call.accepts_late ? call.deadline : call.latency_target;
+  const bool too_late = now + wait + service_times_.Of(call.route) > limit;
+  if (too_late || queue_.size() >= options_.queue_capacity) {
+    return {.reason = Reason::kOverloaded, .retry_after = wait};
+  }
+  queue_.emplace(position, call);
+  queued_keys_.emplace(call.key, position);
+  return {.verdict = GateVerdict::kQueue};
+}
+
+void TargetGate::Start(TimePoint now, const GateCall& call) {
+  running_.emplace(call.key, Running{call.route, now});
+  if (!call.idempotent) {
+    ledger_.Record(call.deadline + options_.ledger_margin, call.request_id, LedgerState::kTaken);
+  }
+}
+
+void TargetGate::RecordResult(TimePoint now, const Running& running, TargetResult result) {
+  if (result == TargetResult::kCancelled) {
+    return;
+  }
+  const bool answered = result == TargetResult::kAnswered || result == TargetResult::kFailed;
+  if (answered || result == TargetResult::kTimedOut) {
+    service_times_.Record(now, running.route, now - running.started);
+  }
+  const bool good = result == TargetResult::kAnswered;
+  failure_share_ += kFailureWeight * ((good ? 0.0 : 1.0) - failure_share_);
+  const bool responded = answered || result == TargetResult::kNotExecuted;
+  failures_in_row_ = responded ? 0 : failures_in_row_ + 1;
+  if (!responded) {
+    next_trial_ = now + options_.trial_interval;
+  }
+}
+
+std::vector<GateEvent> TargetGate::Finish(TimePoint now,
+                                          const std::string& key,
+                                          TargetResult result) {
+  const auto found = running_.find(key);
+  if (found == running_.end()) {
+    return {};
+  }
+  const Running running = found->second;
+  running_.erase(found);
+  RecordResult(now, running, result);
+  return Tick(now);
+}
+
+bool TargetGate::RemoveQueued(const std::string& key) {
+  const auto found = queued_keys_.find(key);
+  if (found == queued_keys_.end()) {
+    return false;
+  }
+  queue_.erase(found->second);
+  queued_keys_.erase(found);
+  return true;
+}
+
+std::vector<GateEvent> TargetGate::Tick(TimePoint now) {
+  std::vector<GateEvent> events;
+  for (auto it = queue_.begin(); it != queue_.end();) {
+    if (now >= it->second.deadline) {
+      events.push_back({it->second.key, false, Reason::kQueueTimeout});
+      queued_keys_.erase(it->second.key);
+      it = queue_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  StartQueued(now, events);
+  return events;
+}
+
+void TargetGate::StartQueued(TimePoint now, std::vector<GateEvent>& events) {
+  while (target_ && !queue_.empty() && running() < target_->slots) {
+    const auto first = queue_.begin();
+    const GateCall call = std::move(first->second);
+    queue_.erase(first);
+    queued_keys_.erase(call.key);
+    Start(now, call);
+    events.push_back({call.key, true, Reason::kNone});
+  }
+}
+
+wire::TargetStatus TargetGate::Status(TimePoint now) const {
+  wire::TargetStatus status;
+  if (!target_) {
+    status.state = wire::TargetState::kDown;
+    return status;
+  }
+  status.instance = target_->instance;
+  status.service_name = target_->service;
+  status.slots = target_->slots;
+  const bool draining = draining_ || target_->draining;
+  const bool down = failures_in_row_ >= options_.failures_until_down;
+  status.state = draining ? wire::TargetState::kDraining
+                 : down   ? wire::TargetState::kDown
+                          : wire::TargetState::kUp;
+  const Duration cold = std::max(Duration(0), cold_until_ - now);
+  status.cold_ms = static_cast<int32_t>(cold.count() / 1000);
+  status.load.in_flight = running();
+  status.load.limit = target_->slots;
+  status.load.queued = static_cast<int32_t>(queue_.size());
+  if (service_times_.IsFresh(now)) {
+    status.load.service_time_us = static_cast<int32_t>(service_times_.average().count());
+  }
+  status.failure_permille = static_cast<int32_t>(failure_share_ * 1000);
+  return status;
+}
+
+}  // namespace limpet
--- /dev/null
+++ b/src/traffic/target_placement.cc
@@ -0,0 +1,137 @@
+#include "limpet/traffic/target_placement.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace limpet {
+
+namespace {
+
+/// For a service without any sample yet.
+constexpr Duration kAssumedServiceTime = std::chrono::milliseconds(100);
+/// A cold target takes about twice as long (the platform's cold factor).
+constexpr double kColdFactor = 2.0;
+/// Expected cost of a failure in service times: the request has to run again elsewhere, if it may.
+constexpr double kFailureCost = 6.0;
+/// Equal scores are spread, so that callers with the same view do not all choose the same target.
+constexpr double kScoreNoise = 0.1;
+/// A silent node is used only if all others are far busier.
+constexpr double kSilenceFactor = 20.0;
+
+}  // namespace
+
+TargetPlacement::TargetPlacement(PlacementOptions options, std::string data_centre, Random random)
+    : options_(options), data_centre_(std::move(data_centre)), random_(random) {}
+
+void TargetPlacement::Update(TimePoint now,
+                             const std::string& node,
+                             const std::string& data_centre,
+                             const wire::TargetStatus& status) {
+  Entry& entry = entries_[node];
+  entry.data_centre = data_centre;
+  entry.status = status;
+  entry.cold_until = now + std::chrono::milliseconds(status.cold_ms);
+  entry.silent_until = {};
+}
+
+void TargetPlacement::SetReachable(const std::string& node, bool reachable) {
+  entries_[node].reachable = reachable;
+}
+
+void TargetPlacement::OnSilence(TimePoint now, const std::string& node) {
+  entries_[node].silent_until = now + options_.silence_penalty;
+}
+
+void TargetPlacement::Remove(const std::string& node) {
+  entries_.erase(node);
+}
+
+bool TargetPlacement::IsUsable(const Entry& entry, const std::string& service) const {
+  return entry.reachable && entry.status.state == wire::TargetState::kUp &&
+         entry.status.service_name == service && entry.status.slots > 0;
+}
+
+Duration TargetPlacement::AverageServiceTime(const std::string& service) const {
+  int64_t sum = 0;
+  int64_t count = 0;
+  for (const auto& [node, entry] : entries_) {
+    if (IsUsable(entry, service) && entry.status.load.service_time_us > 0) {
+      sum += entry.status.load.service_time_us;
+      ++count;
+    }
+  }
+  return count == 0 ? kAssumedServiceTime : Duration(sum / count);
+}
+
+Duration TargetPlacement::ServiceTime(const Entry& entry, Duration average) const {
+  const int measured = entry.status.load.service_time_us;
+  return measured > 0 ? Duration(measured) : average;
+}
+
+double TargetPlacement::Score(TimePoint now,
+                              const Entry& entry,
+                              Duration average,
+                              size_t bytes) const {
+  const wire::LoadReport& load = entry.status.load;
+  // A report holds this node's open calls as well as those of others.
+  const int total = std::max(load.in_flight + load.queued, entry.open_calls);
+  auto service_time = static_cast<double>(ServiceTime(entry, average).count());
+  if (now < entry.cold_until) {
+    service_time = std::max(service_time, kColdFactor * static_cast<double>(average.count()));
+  }
+  const double excess = std::max(0, total + 1 - entry.status.slots);
+  double score = service_time * (1 + excess / entry.status.slots);
+  // Among targets with free slots the emptier one absorbs what others send at the same time.
+  score *= 1 + 0.25 * std::min(1.0, static_cast<double>(total) / entry.status.slots);
+  score += service_time * kFailureCost * entry.status.failure_permille / 1000.0;
+  if (entry.data_centre != data_centre_) {
+    score += static_cast<double>(options_.remote_penalty.count()) +
+             static_cast<double>(options_.remote_penalty_per_kib.count()) *
+                 static_cast<double>(bytes) / 1024.0;
+  }
+  return now < entry.silent_until ? score * kSilenceFactor : score;
+}
+
+std::optional<PlacedTarget> TargetPlacement::Choose(TimePoint now,
+                                                    const std::string& service,
+                                                    size_t expected_response_bytes,
+                                                    const std::vector<std::string>& excluded) {
+  const Duration average = AverageServiceTime(service);
+  std::optional<PlacedTarget> best;
+  double best_score = 0;
+  for (const auto& [node, entry] : entries_) {
+    if (!IsUsable(entry, service) || std::ranges::find(excluded, node) != excluded.end()) {
+      continue;
+    }
+    const double noise = 1 + kScoreNoise * random_.Fraction();
+    const double score = Score(now, entry, average, expected_response_bytes) * noise;
+    if (!best || score < best_score) {
+      best = PlacedTarget{node, entry.status.instance};
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+void TargetPlacement::OnSend(const std::string& node) {
+  Entry& entry = entries_[node];
+  ++entry.open_calls;
+  // Counted until the next report, which holds it.
+  ++entry.status.load.in_flight;
+}
+
+void TargetPlacement::OnEnd(const std::string& node) {
+  const auto found = entries_.find(node);
+  if (found == entries_.end() || found->second.open_calls == 0) {
+    return;
+  }
+  --found->second.open_calls;
+  found->second.status.load.in_flight = std::max(0, found->second.status.load.in_flight - 1);
+}
+
+int TargetPlacement::CountUsable(const std::string& service) const {
+  return static_cast<int>(std::ranges::count_if(
+      entries_, [&](const auto& entry) { return IsUsable(entry.second, service); }));
+}
+
+}  // namespace limpet
--- /dev/null
+++ b/tests/registry/target_registry_test.cc
@@ -0,0 +1,80 @@
+#include "limpet/registry/target_registry.h"
+
+#include <doctest/doctest.h>
+
+namespace limpet {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr TimePoint kNow{seconds(100)};
+constexpr const char* kAddress = "10.0.0.1:8080";
+
+TargetAnnouncement Announce(const std::string& instance, int64_t born_ms, int64_t sequence) {
+  TargetAnnouncement announcement;
+  announcement.instance = instance;
+  announcement.service = "desk";
+  announcement.address = kAddress;
+  announcement.slots = 12;
+  announcement.sequence = sequence;
+  announcement.born_ms = born_ms;
+  return announcement;
+}
+
+TEST_CASE("a late heartbeat does not bring back a target that has left") {
+  TargetRegistry registry(kAddress);
+  CHECK(registry.OnAnnouncement(kNow, Announce("i-1", 1000, 5)) == AnnouncementResult::kCurrent);
+  registry.OnLeave(kNow, "i-1", std::nullopt);
+  CHECK(registry.current() == nullptr);
+  CHECK(registry.OnAnnouncement(kNow + seconds(3), Announce("i-1", 1000, 4)) ==
+        AnnouncementResult::kLate);
+  CHECK(registry.OnAnnouncement(kNow + seconds(3), Announce("i-1", 1000, 6)) ==
+        AnnouncementResult::kLate);
+  CHECK(registry.current() == nullptr);
+}
+
+TEST_CASE("a target that starts again under its name is taken as new") {
+  TargetRegistry registry(kAddress);
+  registry.OnAnnouncement(kNow, Announce("i-1", 1000, 90));
+  registry.OnLeave(kNow, "i-1", std::nullopt);
+  CHECK(registry.OnAnnouncement(kNow, Announce("i-1", 2000, 0)) == AnnouncementResult::kCurrent);
+  CHECK(registry.OnAnnouncement(kNow, Announce("i-1", 1000, 91)) == AnnouncementResult::kLate);
+  CHECK(registry.current()->born_ms == 2000);
+}
+
+TEST_CASE("a heartbeat of an earlier start at the same address does not replace a later start") {
+  TargetRegistry registry(kAddress);
+  registry.OnAnnouncement(kNow, Announce("i-2", 2000, 1));
+  CHECK(registry.OnAnnouncement(kNow, Announce("i-1", 1000, 50)) == AnnouncementResult::kLate);
+  CHECK(registry.current()->instance == "i-2");
+}
+
+TEST_CASE("draining is final for one start even if a ready heartbeat is reordered") {
+  TargetRegistry registry(kAddress);
+  TargetAnnouncement draining = Announce("i-1", 1000, 5);
+  draining.draining = true;
+  CHECK(registry.OnAnnouncement(kNow, draining) == AnnouncementResult::kDraining);
+  CHECK(registry.OnAnnouncement(kNow, Announce("i-1", 1000, 4)) == AnnouncementResult::kLate);
+  CHECK(registry.OnAnnouncement(kNow, Announce("i-1", 1000, 6)) == AnnouncementResult::kDraining);
+  CHECK(registry.OnAnnouncement(kNow, Announce("i-2", 2000, 0)) == AnnouncementResult::kCurrent);
+}
+
+TEST_CASE("a heartbeat for another place names no target here") {
+  TargetRegistry registry(kAddress);
+  TargetAnnouncement other = Announce("i-1", 1000, 1);
+  other.address = "10.0.0.2:8080";
+  CHECK(registry.OnAnnouncement(kNow, other) == AnnouncementResult::kWrongPlace);
+  CHECK(registry.current() == nullptr);
+}
+
+TEST_CASE("a leave of an earlier start does not remove the current one") {
+  TargetRegistry registry(kAddress);
+  registry.OnAnnouncement(kNow, Announce("i-1", 2000, 1));
+  registry.OnLeave(kNow, "i-1", 1000);
+  CHECK(registry.current() != nullptr);
+  registry.OnLeave(kNow, "i-0", std::nullopt);
+  CHECK(registry.current() != nullptr);
+}
+
+}  // namespace
+}  // namespace limpet
--- /dev/null
+++ b/tests/traffic/mesh_call_test.cc
@@ -0,0 +1,172 @@
+#include "limpet/traffic/mesh_call.h"
+
+#include <doctest/doctest.h>
+
+namespace limpet {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Reason = wire::RefusalReason;
+
+constexpr TimePoint kStart{seconds(100)};
+
+wire::TargetStatus Up(int in_flight = 0, int service_time_ms = 100) {
+  wire::TargetStatus status;
+  status.instance = "i";
+  status.service_name = "desk";
+  status.state = wire::TargetState::kUp;
+  status.slots = 10;
+  status.load.in_flight = in_flight;
+  status.load.service_time_us = service_time_ms * 1000;
+  return status;
+}
+
+wire::LinkReply Ran(int http_status) {
+  wire::LinkReply reply;
+  reply.outcome = wire::Outcome::kRan;
+  reply.reached_target = true;
+  reply.http_status = http_status;
+  return reply;
+}
+
+wire::LinkReply Refused(Reason::type reason, bool reached_target = false) {
+  wire::LinkReply reply;
+  reply.outcome = wire::Outcome::kNotRun;
+  reply.reason = reason;
+  reply.reached_target = reached_target;
+  reply.retry_after_ms = 80;
+  return reply;
+}
+
+wire::LinkReply Broken() {
+  wire::LinkReply reply;
+  reply.outcome = wire::Outcome::kUnknown;
+  reply.reason = Reason::kConnectionLost;
+  reply.reached_target = true;
+  return reply;
+}
+
+struct Fixture {
+  TargetPlacement placement{PlacementOptions{}, "a", Random(1)};
+  SharedRetryBudget budget{RetryBudgetOptions{.ratio = 0.2, .extra = 100}};
+
+  Fixture() {
+    for (const char* node : {"n1", "n2", "n3", "n4"}) {
+      placement.Update(kStart, node, "a", Up());
+      placement.SetReachable(node, true);
+    }
+  }
+  MeshCall Make(bool idempotent, int max_attempts = 2) {
+    MeshCallOptions options;
+    options.service = "desk";
+    options.idempotent = idempotent;
+    options.max_attempts = max_attempts;
+    options.deadline = kStart + milliseconds(800);
+    options.latency_target = kStart + milliseconds(400);
+    options.usual_latency = milliseconds(100);
+    return {options, placement, budget};
+  }
+};
+
+TEST_CASE_FIXTURE(Fixture, "a non-idempotent request that may have run is not sent again") {
+  MeshCall call = Make(false);
+  CHECK(call.Start(kStart).send);
+  SUBCASE("broken response") {
+    const CallStep step = call.OnReply(kStart, Broken());
+    CHECK_FALSE(step.send);
+    CHECK(step.finish->end == CallEnd::kUnknown);
+  }
+  SUBCASE("lost link") { CHECK(call.OnLost(kStart).finish->end == CallEnd::kUnknown); }
+  SUBCASE("failure of the target") {
+    CHECK(call.OnReply(kStart, Ran(500)).finish->end == CallEnd::kForward);
+  }
+  SUBCASE("time passes") {
+    const CallStep step = call.OnAttemptTimeout(kStart + milliseconds(300));
+    CHECK_FALSE(step.send);
+    CHECK_FALSE(step.cancel);
+  }
+}
+
+TEST_CASE_FIXTURE(Fixture, "a refusal that reached no target is tried elsewhere without a repeat") {
+  MeshCall call = Make(false, 1);
+  const CallStep first = call.Start(kStart);
+  const CallStep second = call.OnReply(kStart, Refused(Reason::kDraining));
+  REQUIRE(second.send);
+  CHECK(second.send->node != first.send->node);
+  CHECK(call.OnReply(kStart, Ran(200)).finish->end == CallEnd::kForward);
+}
+
+TEST_CASE_FIXTURE(Fixture, "overloaded nodes end the call with a refusal and a time to return") {
+  MeshCall call = Make(true);
+  call.Start(kStart);
+  call.OnReply(kStart, Refused(Reason::kOverloaded));
+  call.OnReply(kStart, Refused(Reason::kOverloaded));
+  const CallStep step = call.OnReply(kStart, Refused(Reason::kOverloaded));
+  REQUIRE(step.finish);
+  CHECK(step.finish->end == CallEnd::kNotRun);
+  CHECK(step.finish->retry_after == milliseconds(80));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a refusal after a broken attempt does not claim that nothing ran") {
+  MeshCall call = Make(true, 3);
+  call.Start(kStart);
+  CHECK(call.OnReply(kStart, Broken()).send);
+  call.OnReply(kStart, Refused(Reason::kOverloaded));
+  call.OnReply(kStart, Refused(Reason::kOverloaded));
+  const CallStep step = call.OnReply(kStart, Refused(Reason::kOverloaded));
+  REQUIRE(step.finish);
+  CHECK(step.finish->end == CallEnd::kUnknown);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a failure of the target is passed on if the repeat brings nothing") {
+  MeshCall call = Make(true);
+  call.Start(kStart);
+  const CallStep repeat = call.OnReply(kStart, Ran(500));
+  CHECK(repeat.send);
+  CHECK(repeat.save_reply);
+  CHECK(call.OnReply(kStart, Broken()).finish->end == CallEnd::kForwardSaved);
+}
+
+TEST_CASE_FIXTURE(Fixture, "no more targets receive a request than the route allows") {
+  MeshCall call = Make(true, 2);
+  call.Start(kStart);
+  CHECK(call.OnReply(kStart, Broken()).send);
+  CHECK(call.OnReply(kStart, Broken()).finish->end == CallEnd::kUnknown);
+  CHECK(call.arrivals() == 2);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a target that sheds although it has room is given up within attempts") {
+  MeshCall call = Make(false, 2);
+  call.Start(kStart);
+  CHECK(call.OnReply(kStart, Refused(Reason::kTargetUnavailable, true)).send);
+  const CallStep step = call.OnReply(kStart, Refused(Reason::kTargetUnavailable, true));
+  REQUIRE(step.finish);
+  CHECK(step.finish->end == CallEnd::kNotRun);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a lost response is noticed in time for a repeat") {
+  MeshCall call = Make(true);
+  const CallStep first = call.Start(kStart);
+  REQUIRE(first.attempt_timeout);
+  CHECK(*first.attempt_timeout < milliseconds(400));
+  const CallStep repeat = call.OnAttemptTimeout(kStart + *first.attempt_timeout);
+  CHECK(repeat.cancel);
+  REQUIRE(repeat.send);
+  CHECK(repeat.send->node != first.send->node);
+  CHECK_FALSE(repeat.attempt_timeout);
+}
+
+TEST_CASE_FIXTURE(Fixture, "without any target the call is refused at once") {
+  for (const char* node : {"n1", "n2", "n3", "n4"}) {
+    placement.SetReachable(node, false);
+  }
+  MeshCall call = Make(true);
+  const CallStep step = call.Start(kStart);
+  REQUIRE(step.finish);
+  CHECK(step.finish->end == CallEnd::kNotRun);
+  CHECK(step.finish->reason == Reason::kNoEndpoint);
+}
+
+}  // namespace
+}  // namespace limpet
--- /dev/null
+++ b/tests/traffic/target_gate_test.cc
@@ -0,0 +1,158 @@
+#include "limpet/traffic/target_gate.h"
+
+#include <doctest/doctest.h>
+
+namespace limpet {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Reason = wire::RefusalReason;
+
+constexpr TimePoint kStart{seconds(100)};
+
+TargetAnnouncement Target(int slots, bool draining = false) {
+  TargetAnnouncement target;
+  target.instance = "i-1";
+  target.service = "desk";
+  target.slots = slots;
+  target.draining = draining;
+  return target;
+}
+
+GateCall Call(const std::string& key, int priority = 1) {
+  GateCall call;
+  call.key = key;
+  call.request_id = "request-" + key;
+  call.service = "desk";
+  call.instance = "i-1";
+  call.route = "lots";
+  call.priority = priority;
+  call.deadline = kStart + seconds(2);
+  call.latency_target = kStart + milliseconds(400);
+  return call;
+}
+
+struct Fixture {
+  TargetGate gate{TargetGateOptions{}};
+
+  explicit Fixture(int slots = 2) {
+    const TargetAnnouncement target = Target(slots);
+    gate.SetTarget(kStart, &target);
+  }
+  void Learn(Duration service_time) {
+    for (int i = 0; i < 50; ++i) {
+      const std::string key = "learn" + std::to_string(i);
+      gate.Arrive(kStart - service_time, Call(key));
+      gate.Finish(kStart, key, TargetResult::kAnswered);
+    }
+  }
+};
+
+TEST_CASE_FIXTURE(Fixture, "the target never runs more requests than it has slots") {
+  CHECK(gate.Arrive(kStart, Call("a")).verdict == GateVerdict::kStart);
+  CHECK(gate.Arrive(kStart, Call("b")).verdict == GateVerdict::kStart);
+  CHECK(gate.Arrive(kStart, Call("c")).verdict == GateVerdict::kQueue);
+  const auto events = gate.Finish(kStart + milliseconds(50), "a", TargetResult::kAnswered);
+  REQUIRE(events.size() == 1);
+  CHECK(events[0].key == "c");
+  CHECK(events[0].starts);
+  CHECK(gate.running() == 2);
+}
+
+TEST_CASE_FIXTURE(Fixture, "urgent requests leave the queue first") {
+  gate.Arrive(kStart, Call("a"));
+  gate.Arrive(kStart, Call("b"));
+  gate.Arrive(kStart, Call("plain", 2));
+  gate.Arrive(kStart, Call("urgent", 0));
+  const auto events = gate.Finish(kStart, "a", TargetResult::kAnswered);
+  REQUIRE(events.size() == 1);
+  CHECK(events[0].key == "urgent");
+}
+
+TEST_CASE_FIXTURE(Fixture, "overload is refused on arrival with the time when room is expected") {
+  Learn(milliseconds(150));
+  int queued = 0;
+  GateDecision decision;
+  for (int i = 0; i < 20; ++i) {
+    decision = gate.Arrive(kStart, Call("k" + std::to_string(i)));
+    queued += decision.verdict == GateVerdict::kQueue ? 1 : 0;
+  }
+  // Two slots of 150 ms each give a place every 75 ms; 400 - 150 ms leave room for three.
+  CHECK(queued == 3);
+  CHECK(decision.verdict == GateVerdict::kRefuse);
+  CHECK(decision.outcome == wire::Outcome::kNotRun);
+  CHECK(decision.reason == Reason::kOverloaded);
+  CHECK(decision.retry_after > milliseconds(200));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a request that accepts a late response may wait until its deadline") {
+  Learn(milliseconds(150));
+  for (int i = 0; i < 5; ++i) {
+    gate.Arrive(kStart, Call("k" + std::to_string(i)));
+  }
+  GateCall late = Call("late");
+  CHECK(gate.Arrive(kStart, late).verdict == GateVerdict::kRefuse);
+  late.accepts_late = true;
+  CHECK(gate.Arrive(kStart, late).verdict == GateVerdict::kQueue);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a copy of a non-idempotent request never runs a second time") {
+  CHECK(gate.Arrive(kStart, Call("a")).verdict == GateVerdict::kStart);
+  CHECK(gate.Arrive(kStart, Call("a")).verdict == GateVerdict::kAttach);
+  gate.Finish(kStart, "a", TargetResult::kBroken);
+  const GateDecision copy = gate.Arrive(kStart + milliseconds(1), Call("a"));
+  CHECK(copy.verdict == GateVerdict::kRefuse);
+  CHECK(copy.outcome == wire::Outcome::kUnknown);
+}
+
+TEST_CASE_FIXTURE(Fixture, "draining refuses queued and new calls and lets running ones finish") {
+  gate.Arrive(kStart, Call("a"));
+  gate.Arrive(kStart, Call("b"));
+  gate.Arrive(kStart, Call("c"));
+  const TargetAnnouncement draining = Target(2, true);
+  const auto events = gate.SetTarget(kStart, &draining);
+  REQUIRE(events.size() == 1);
+  CHECK_FALSE(events[0].starts);
+  CHECK(events[0].reason == Reason::kDraining);
+  CHECK(gate.running() == 2);
+  CHECK(gate.Arrive(kStart, Call("d")).reason == Reason::kDraining);
+  CHECK(gate.Finish(kStart, "a", TargetResult::kAnswered).empty());
+}
+
+TEST_CASE_FIXTURE(Fixture, "calls for another instance or service are refused") {
+  GateCall other = Call("a");
+  other.instance = "i-0";
+  CHECK(gate.Arrive(kStart, other).reason == Reason::kWrongIncarnation);
+  other = Call("a");
+  other.service = "store";
+  CHECK(gate.Arrive(kStart, other).reason == Reason::kTargetUnavailable);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a target that stops answering counts as down but for one trial") {
+  for (int i = 0; i < 3; ++i) {
+    const std::string key = "k" + std::to_string(i);
+    gate.Arrive(kStart, Call(key));
+    gate.Finish(kStart, key, TargetResult::kBroken);
+  }
+  CHECK(gate.Status(kStart).state == wire::TargetState::kDown);
+  CHECK(gate.Arrive(kStart, Call("x")).reason == Reason::kTargetUnavailable);
+  const TimePoint later = kStart + milliseconds(501);
+  CHECK(gate.Arrive(later, Call("trial")).verdict == GateVerdict::kStart);
+  CHECK(gate.Arrive(later, Call("y")).reason == Reason::kTargetUnavailable);
+  gate.Finish(later, "trial", TargetResult::kAnswered);
+  CHECK(gate.Status(later).state == wire::TargetState::kUp);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a queued call is refused at its deadline") {
+  gate.Arrive(kStart, Call("a"));
+  gate.Arrive(kStart, Call("b"));
+  gate.Arrive(kStart, Call("c"));
+  const auto events = gate.Tick(kStart + seconds(2));
+  REQUIRE(events.size() == 1);
+  CHECK(events[0].key == "c");
+  CHECK(events[0].reason == Reason::kQueueTimeout);
+}
+
+}  // namespace
+}  // namespace limpet
--- /dev/null
+++ b/tests/traffic/target_placement_test.cc
@@ -0,0 +1,104 @@
+#include "limpet/traffic/target_placement.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+namespace limpet {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(100)};
+
+struct Fixture {
+  TargetPlacement placement{PlacementOptions{}, "a", Random(1)};
+
+  void Add(const std::string& node, int in_flight, int service_time_ms,
+           const std::string& data_centre = "a", int failure_permille = 0, int cold_ms = 0) {
+    wire::TargetStatus status;
+    status.instance = "i-" + node;
+    status.service_name = "desk";
+    status.state = wire::TargetState::kUp;
+    status.slots = 10;
+    status.cold_ms = cold_ms;
+    status.load.in_flight = in_flight;
+    status.load.service_time_us = service_time_ms * 1000;
+    status.failure_permille = failure_permille;
+    placement.Update(kStart, node, data_centre, status);
+    placement.SetReachable(node, true);
+  }
+  /// Sends `count` requests that stay open.
+  std::map<std::string, int> Send(int count, size_t bytes = 0) {
+    std::map<std::string, int> sent;
+    for (int i = 0; i < count; ++i) {
+      const auto target = placement.Choose(kStart, "desk", bytes, {});
+      if (target) {
+        ++sent[target->node];
+        placement.OnSend(target->node);
+      }
+    }
+    return sent;
+  }
+};
+
+// Pattern: join the shortest queue among targets of mixed speed.
+TEST_CASE_FIXTURE(Fixture, "a burst fills targets in proportion to their speed") {
+  Add("fast", 0, 50);
+  Add("slow", 0, 200);
+  auto sent = Send(50);
+  CHECK(sent["fast"] > 2 * sent["slow"]);
+  CHECK(sent["slow"] > 0);
+}
+
+// Pattern: outlier avoidance by failure share, whatever the health endpoint says.
+TEST_CASE_FIXTURE(Fixture, "a target that fails half of its requests gets work only when others are full") {
+  Add("good", 0, 100);
+  Add("grey", 0, 100, "a", 500);
+  CHECK(Send(10)["grey"] == 0);
+  CHECK(Send(60)["grey"] > 0);
+}
+
+// Pattern: locality by the price of the response.
+TEST_CASE_FIXTURE(Fixture, "large responses stay in the data centre longer than small ones") {
+  Add("near", 15, 100);
+  Add("far", 0, 100, "b");
+  CHECK(Send(1, 500)["far"] == 1);
+  CHECK(Send(1, 90 * 1024)["near"] == 1);
+}
+
+// Pattern: slow start.
+TEST_CASE_FIXTURE(Fixture, "a cold target gets less than a warm one") {
+  Add("warm", 0, 100);
+  Add("cold", 0, 0, "a", 0, 3000);
+  auto sent = Send(12);
+  CHECK(sent["warm"] > sent["cold"]);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a target without samples is tried") {
+  Add("known", 5, 100);
+  Add("new", 0, 0);
+  CHECK(Send(10)["new"] > 0);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a silent node is avoided until it is heard of again") {
+  Add("a", 0, 100);
+  Add("b", 0, 100);
+  placement.OnSilence(kStart, "a");
+  CHECK(Send(10)["a"] == 0);
+  Add("a", 0, 100);
+  CHECK(Send(10)["a"] > 0);
+}
+
+TEST_CASE_FIXTURE(Fixture, "excluded, unreachable and other services' targets are not chosen") {
+  Add("a", 0, 100);
+  Add("b", 0, 100);
+  placement.SetReachable("b", false);
+  CHECK_FALSE(placement.Choose(kStart, "desk", 0, {"a"}));
+  CHECK_FALSE(placement.Choose(kStart, "store", 0, {}));
+  CHECK(placement.Choose(kStart, "desk", 0, {})->node == "a");
+}
+
+}  // namespace
+}  // namespace limpet
