--- /dev/null
+++ b/include/limpet/edge/edge_node.h
@@ -0,0 +1,121 @@
+#ifndef LIMPET_EDGE_EDGE_NODE_H_
+#define LIMPET_EDGE_EDGE_NODE_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "limpet/core/counters.h"
+#include "limpet/edge/config_holder.h"
+#include "limpet/edge/coordination.h"
+#include "limpet/edge/http_dialect.h"
+#include "limpet/edge/link_server.h"
+#include "limpet/edge/listener.h"
+#include "limpet/edge/outbound_proxy.h"
+#include "limpet/edge/peer_links.h"
+#include "limpet/registry/target_registry.h"
+#include "limpet/settings/node_settings.h"
+
+namespace limpet::edge {
+
+/// Decoding of what targets say of themselves and of the other requests that a deployment sends to
+/// a node. Implemented by an adapter.
+class AnnouncementCodec {
+ public:
+  struct Leave {
+    std::string instance;
+    std::optional<int64_t> born_ms;
+  };
+  struct Message {
+    /// Exactly one is set.
+    std::optional<TargetAnnouncement> announcement;
+    std::optional<Leave> leave;
+  };
+
+  virtual ~AnnouncementCodec() = default;
+  /// Throws `DecodeError` for a request that names no target to use.
+  virtual Message Decode(const HttpRequest& request) const = 0;
+  /// Answer to a heartbeat that was taken in.
+  virtual HttpAnswer Acknowledge() const = 0;
+  virtual bool IsReadinessRequest(const HttpRequest& request) const = 0;
+};
+
+/// One node of the mesh on one event loop: callers, links, the target beside it, configuration and
+/// readiness.
+class EdgeNode final : private PeerLinksObserver {
+ public:
+  /// The references must outlive the node. Throws `ListenError`.
+  EdgeNode(Executor executor,
+           NodeSettings settings,
+           HttpDialect dialect,
+           AnnouncementCodec& codec,
+           Coordination& coordination);
+  ~EdgeNode() override;
+
+  void Start();
+  /// Takes over changed settings; addresses that are listened on stay as they are.
+  void Reload(const NodeSettings& settings);
+  /// Leaves the mesh gracefully; `on_stopped` is called when no request is open or the grace period
+  /// is nearly over.
+  void Stop(std::function<void()> on_stopped);
+
+  const Counters& counters() const { return counters_; }
+
+ private:
+  void OnPeerStatus(const wire::NodeAddress& node, const wire::TargetStatus& status) override;
+  void OnPeerReachable(const std::string& node, bool reachable) override;
+  void OnPeerSilent(const std::string& node) override;
+  void OnPeerVersion(const std::string& node, int64_t version) override;
+  void OnPeerConfig(std::string encoded) override;
+  void OnPeerAddresses(const std::vector<wire::NodeAddress>& nodes) override;
+
+  LinkServerHooks MakeLinkHooks();
+  void OfferConfig(std::string encoded, std::string_view source);
+  void OnStatusChanged();
+  void OnAnnouncement(const HttpSessionPtr& session);
+  void TakeAnnouncement(const TargetAnnouncement& announcement);
+  void OnReadiness(const HttpSessionPtr& session);
+  void OnMetrics(const HttpSessionPtr& session);
+  bool IsReady() const;
+  void Tick();
+  void CheckStopped();
+
+  Executor executor_;
+  NodeSettings settings_;
+  /// Identifies this process start to other nodes.
+  int64_t incarnation_;
+  HttpDialect dialect_;
+  AnnouncementCodec& codec_;
+  Coordination& coordination_;
+  Counters counters_;
+  ConfigHolder config_;
+  TargetRegistry registry_;
+  TargetGate gate_;
+  TargetPlacement placement_;
+  SharedRetryBudget budget_;
+  std::unique_ptr<PeerLinks> links_;
+  std::unique_ptr<InboundProxy> inbound_;
+  std::unique_ptr<OutboundProxy> outbound_;
+  std::unique_ptr<LinkServer> link_server_;
+  HttpSessionOptions caller_sessions_;
+  HttpSessionOptions readiness_sessions_;
+  HttpSessionOptions announcement_sessions_;
+  HttpSessionOptions metrics_sessions_;
+  std::vector<std::unique_ptr<Listener>> listeners_;
+  Timer tick_timer_;
+  TimePoint started_{};
+  TimePoint last_push_{};
+  bool push_due_ = false;
+  TimePoint last_probe_{};
+  bool joined_ = false;
+  TimePoint joined_at_{};
+  bool stopping_ = false;
+  TimePoint stop_begun_{};
+  std::function<void()> on_stopped_;
+};
+
+}  // namespace limpet::edge
+
+#endif  // LIMPET_EDGE_EDGE_NODE_H_
--- /dev/null
+++ b/include/limpet/edge/http_connection.h
@@ -0,0 +1,108 @@
+#ifndef LIMPET_EDGE_HTTP_CONNECTION_H_
+#define LIMPET_EDGE_HTTP_CONNECTION_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "limpet/control/control_output.h"
+#include "limpet/edge/asio.h"
+#include "limpet/edge/http_convert.h"
+
+namespace limpet::edge {
+
+/// How one exchange on a connection ended.
+enum class ExchangeStatus {
+  kAnswered,
+  kNotConnected,  // nothing was sent
+  kBroken,        // the connection failed before the response was complete
+  kTimedOut,
+};
+
+struct ExchangeResult {
+  ExchangeStatus status = ExchangeStatus::kBroken;
+  HttpAnswer answer;
+  /// Some bytes of a response had arrived.
+  bool response_begun = false;
+  /// What ended the exchange, for logs.
+  ErrorCode error;
+};
+
+struct HttpConnectionOptions {
+  PeerAddress peer;
+  Duration connect_timeout = std::chrono::seconds(1);
+  /// The kernel drops the connection when the peer is silent for about this long.
+  Duration silence = std::chrono::seconds(3);
+  /// Time that an idle connection may be used again if the peer does not state one.
+  Duration idle_timeout = std::chrono::seconds(4);
+  size_t max_response_bytes = size_t{64} << 20;
+};
+
+/// One HTTP/1.1 connection to a server, with one exchange at a time. Never sends a request a second
+/// time. A response that another exchange should have had is recognised and dropped.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+ public:
+  using Callback = std::function<void(ExchangeResult)>;
+  /// True if a response belongs to the request that was sent.
+  using Matcher = std::function<bool(const HttpHeaders&)>;
+
+  HttpConnection(Executor executor, HttpConnectionOptions options);
+
+  /// Connects first if needed. `timeout` covers the response, not the connection. `callback` is
+  /// called exactly once, never from within `Send`, unless `Close` is called first.
+  void Send(HttpRequest request, Duration timeout, Matcher matches, Callback callback);
+  /// Ends an open exchange without its callback.
+  void Close();
+
+  /// False once the connection cannot carry a further exchange.
+  bool IsReusable(TimePoint now) const;
+  bool IsConnected() const { return state_ != State::kNew && state_ != State::kConnecting; }
+  TimePoint idle_since() const { return idle_since_; }
+
+ private:
+  enum class State { kNew, kConnecting, kIdle, kBusy, kClosed };
+  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void Connect();
+  void OnConnected(ErrorCode error);
+  void WriteRequest();
+  void BeginResponse();
+  void Read();
+  void OnRead(ErrorCode error, std::size_t bytes);
+  void Parse(bool at_end);
+  void OnResponse();
+  void FinishExchange();
+  void Fail(ExchangeStatus status, ErrorCode error);
+  void StartTimer(Duration timeout, ExchangeStatus status);
+  void Shut();
+
+  HttpConnectionOptions options_;
+  TcpSocket socket_;
+  Timer timer_;
+  State state_ = State::kNew;
+  BeastRequest request_;
+  Duration timeout_{0};
+  Matcher matches_;
+  Callback callback_;
+  bool writing_ = false;
+  bool reading_ = false;
+  bool response_complete_ = false;
+  bool response_begun_ = false;
+  bool keep_alive_ = true;
+  int skipped_responses_ = 0;
+  HttpAnswer answer_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  TimePoint idle_since_{};
+  TimePoint usable_until_{};
+};
+
+using HttpConnectionPtr = std::shared_ptr<HttpConnection>;
+
+}  // namespace limpet::edge
+
+#endif  // LIMPET_EDGE_HTTP_CONNECTION_H_
--- /dev/null
+++ b/include/limpet/edge/http_session.h
@@ -0,0 +1,84 @@
+#ifndef LIMPET_EDGE_HTTP_SESSION_H_
+#define LIMPET_EDGE_HTTP_SESSION_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "limpet/edge/asio.h"
+#include "limpet/net/http_message.h"
+#include "limpet/routing/mesh_config.h"
+
+namespace limpet::edge {
+
+class HttpSession;
+using HttpSessionPtr = std::shared_ptr<HttpSession>;
+
+/// What sessions need from the server that accepted them.
+struct HttpSessionOptions {
+  /// Called for each complete request. The handler answers by `Respond`, now or later.
+  std::function<void(const HttpSessionPtr&)> on_request;
+  std::function<CallerLimits()> limits;
+  /// True while the node is leaving: every answer asks the caller to close the connection.
+  std::function<bool()> is_closing;
+};
+
+/// One connection of a caller. Serves one request at a time and notices at once when the caller
+/// closes the connection while its request is open. Malformed requests get 400, oversized headers
+/// 431, oversized bodies 413 and slow ones 408, each with a closed connection.
+class HttpSession : public std::enable_shared_from_this<HttpSession> {
+ public:
+  /// `options` must outlive the session.
+  HttpSession(TcpSocket socket, const HttpSessionOptions& options);
+
+  void Start();
+
+  /// The open request; valid until `Respond`.
+  const HttpRequest& request() const { return request_; }
+  /// Moves the body out of the open request.
+  std::string TakeBody() { return std::move(request_.body); }
+  /// `on_gone` is called if the caller closes the connection before it has its answer.
+  void WatchCaller(std::function<void()> on_gone) { on_gone_ = std::move(on_gone); }
+  /// Answers the open request; ignored if the caller has gone.
+  void Respond(HttpAnswer answer);
+
+ private:
+  enum class State { kIdle, kHeaders, kBody, kOpen, kWriting, kClosing, kClosed };
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  void Read();
+  void OnRead(ErrorCode error, std::size_t bytes);
+  void Parse();
+  void BeginRequest();
+  void Dispatch();
+  void Reject(const ErrorCode& error);
+  void RespondAndClose(int status, std::string text);
+  void OnWritten(bool keep_alive);
+  void BeginClose();
+  void Close();
+  void SetTimeout(Duration timeout);
+  void WaitForTimeout();
+  void OnTimeout();
+
+  TcpSocket socket_;
+  const HttpSessionOptions& options_;
+  Timer timer_;
+  TimePoint expiry_{};
+  bool timer_pending_ = false;
+  State state_ = State::kIdle;
+  bool reading_ = false;
+  bool keep_alive_ = true;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  HttpRequest request_;
+  std::function<void()> on_gone_;
+};
+
+}  // namespace limpet::edge
+
+#endif  // LIMPET_EDGE_HTTP_SESSION_H_
--- /dev/null
+++ b/include/limpet/edge/inbound_proxy.h
@@ -0,0 +1,106 @@
+#ifndef LIMPET_EDGE_INBOUND_PROXY_H_
+#define LIMPET_EDGE_INBOUND_PROXY_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "limpet/core/counters.h"
+#include "limpet/edge/http_connection.h"
+#include "limpet/edge/http_dialect.h"
+#include "limpet/traffic/target_gate.h"
+
+namespace limpet::edge {
+
+/// The caller's side of an open call: a link from another node, or this node itself.
+class CallSink {
+ public:
+  virtual ~CallSink() = default;
+  /// False once nobody can take the reply any more.
+  virtual bool IsOpen() const = 0;
+  virtual void Deliver(wire::LinkReply reply, std::string body) = 0;
+};
+
+using CallSinkPtr = std::shared_ptr<CallSink>;
+
+/// Runs calls of nodes at the target beside this node, behind the `TargetGate`. A reply whose link
+/// has broken is kept for a while, so that the calling node gets it when it asks again with the
+/// same key.
+class InboundProxy {
+ public:
+  /// The references must outlive the proxy. `on_status` is called when the target's status has
+  /// changed so much that other nodes should know.
+  InboundProxy(Executor executor,
+               const HttpDialect& dialect,
+               TargetGate& gate,
+               Counters& counters,
+               std::function<void()> on_status);
+  ~InboundProxy();
+
+  /// `key` is unique among the calls of all nodes; a call that is sent again has the same key.
+  void Call(const std::string& key, wire::LinkCall call, std::string body, CallSinkPtr sink);
+  /// The caller is no longer interested. A non-idempotent request that runs is left to finish.
+  void Cancel(const std::string& key);
+
+  /// The target beside this node; null when there is none.
+  void SetTarget(const TargetAnnouncement* target);
+  void StartDraining();
+  /// Removes what is out of time; called every 50 ms or so.
+  void Tick();
+
+  wire::TargetStatus Status() const;
+  bool idle() const { return pending_.empty(); }
+
+ private:
+  struct Pending {
+    wire::LinkCall call;
+    std::string body;
+    CallSinkPtr sink;
+    TimePoint arrived{};
+    TimePoint deadline{};
+    HttpConnectionPtr connection;
+    bool reused_connection = false;
+    bool sent_again = false;
+    /// Set when the sink was first found closed.
+    TimePoint orphaned{};
+  };
+  struct FinishedReply {
+    wire::LinkReply reply;
+    std::string body;
+    TimePoint expiry{};
+  };
+  struct Outcome {
+    wire::LinkReply reply;
+    TargetResult result = TargetResult::kBroken;
+  };
+
+  void Run(const std::string& key, Pending& pending);
+  HttpRequest MakeRequest(const Pending& pending, TimePoint now) const;
+  HttpConnectionPtr Acquire(TimePoint now, bool idempotent, bool& reused);
+  void OnExchange(const std::string& key, ExchangeResult result);
+  Outcome Classify(const ExchangeResult& result) const;
+  Outcome ClassifyAnswer(const HttpAnswer& answer) const;
+  void Finish(const std::string& key, Outcome outcome, std::string body);
+  void Handle(const std::vector<GateEvent>& events);
+  void Refuse(const std::string& key, const GateDecision& decision);
+  void Reply(Pending& pending, const std::string& key, wire::LinkReply reply, std::string body);
+  void NoteStatus();
+
+  Executor executor_;
+  const HttpDialect& dialect_;
+  TargetGate& gate_;
+  Counters& counters_;
+  std::function<void()> on_status_;
+  std::unordered_map<std::string, Pending> pending_;
+  std::unordered_map<std::string, FinishedReply> finished_;
+  PeerAddress target_address_;
+  std::string target_instance_;
+  std::vector<HttpConnectionPtr> idle_;
+  wire::TargetStatus announced_;
+};
+
+}  // namespace limpet::edge
+
+#endif  // LIMPET_EDGE_INBOUND_PROXY_H_
--- /dev/null
+++ b/include/limpet/edge/link_server.h
@@ -0,0 +1,48 @@
+#ifndef LIMPET_EDGE_LINK_SERVER_H_
+#define LIMPET_EDGE_LINK_SERVER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "limpet/edge/inbound_proxy.h"
+#include "limpet/edge/link.h"
+
+namespace limpet::edge {
+
+/// What the server side of links needs from its node.
+struct LinkServerHooks {
+  /// The answer to a peer's hello.
+  std::function<wire::LinkHello()> make_hello;
+  /// Another node has opened a link, so it is known from now on.
+  std::function<void(const wire::NodeAddress&)> on_node;
+  std::function<void(const std::string& node, int64_t version)> on_peer_version;
+  std::function<int64_t()> config_version;
+  /// The configuration in effect as its source encoded it; empty if there is none.
+  std::function<std::string()> encoded_config;
+};
+
+/// The links that other nodes opened to this one: takes their calls to the target beside this node
+/// and pushes status and configuration versions to them.
+class LinkServer {
+ public:
+  LinkServer(InboundProxy& inbound, LinkServerHooks hooks);
+  ~LinkServer();
+
+  void Accept(TcpSocket socket);
+  void PushStatus(const wire::TargetStatus& status);
+  /// Tells all linked nodes that a version is in effect here.
+  void PushVersion(int64_t version);
+
+ private:
+  class Session;
+
+  InboundProxy& inbound_;
+  LinkServerHooks hooks_;
+  std::map<Session*, std::shared_ptr<Session>> sessions_;
+};
+
+}  // namespace limpet::edge
+
+#endif  // LIMPET_EDGE_LINK_SERVER_H_
--- /dev/null
+++ b/include/limpet/edge/outbound_proxy.h
@@ -0,0 +1,76 @@
+#ifndef LIMPET_EDGE_OUTBOUND_PROXY_H_
+#define LIMPET_EDGE_OUTBOUND_PROXY_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "limpet/core/counters.h"
+#include "limpet/edge/http_dialect.h"
+#include "limpet/edge/http_session.h"
+#include "limpet/edge/inbound_proxy.h"
+#include "limpet/edge/peer_links.h"
+#include "limpet/routing/route_table.h"
+#include "limpet/routing/split_picker.h"
+#include "limpet/traffic/mesh_call.h"
+#include "limpet/traffic/service_times.h"
+
+namespace limpet::edge {
+
+struct OutboundProxyOptions {
+  std::string node;
+  std::string data_centre;
+  /// Service on this VM, which every request names as its caller.
+  std::string service;
+};
+
+/// Takes requests of callers on this VM through route, target and attempts to an answer.
+class OutboundProxy {
+ public:
+  /// The references must outlive the proxy. `routes` returns null before the first configuration.
+  OutboundProxy(Executor executor,
+                OutboundProxyOptions options,
+                const HttpDialect& dialect,
+                std::function<RouteTablePtr()> routes,
+                TargetPlacement& placement,
+                SharedRetryBudget& budget,
+                PeerLinks& links,
+                InboundProxy& inbound,
+                Counters& counters,
+                Random random);
+  ~OutboundProxy();
+
+  void Handle(const HttpSessionPtr& session);
+  bool idle() const { return calls_.empty(); }
+  void set_service(std::string service) { options_.service = std::move(service); }
+
+ private:
+  class ActiveCall;
+
+  void Answer(const HttpSessionPtr& session, int status, std::string_view reason, Duration retry);
+  MeshCallOptions MakeCallOptions(const MeshRoute& route,
+                                  std::string_view deadline_ms,
+                                  TimePoint now);
+
+  Executor executor_;
+  OutboundProxyOptions options_;
+  const HttpDialect& dialect_;
+  std::function<RouteTablePtr()> routes_;
+  TargetPlacement& placement_;
+  SharedRetryBudget& budget_;
+  PeerLinks& links_;
+  InboundProxy& inbound_;
+  Counters& counters_;
+  SplitPicker splits_;
+  ServiceTimes latencies_;
+  /// Moving average of the response size by route, in bytes.
+  std::unordered_map<std::string, double> response_bytes_;
+  std::unordered_set<std::shared_ptr<ActiveCall>> calls_;
+  int64_t next_local_call_ = 1;
+};
+
+}  // namespace limpet::edge
+
+#endif  // LIMPET_EDGE_OUTBOUND_PROXY_H_
--- a/include/limpet/net/http_message.h
+++ b/include/limpet/net/http_message.h
@@ -26,6 +26,8 @@
   std::string path;
   /// Without the question mark.
   std::string query;
+  /// Path and query exactly as the caller sent them; set by `edge::HttpSession` only.
+  std::string target;
   HttpHeaders headers;
   std::string body;
 
--- a/include/limpet/settings/node_settings.h
+++ b/include/limpet/settings/node_settings.h
@@ -80,6 +80,33 @@
   LimitKind limit_policy = LimitKind::kGradient;
   SelectionKind selection_policy = SelectionKind::kPowerOfTwo;
 
+  // [edge]
+  /// Where callers on this VM send their requests.
+  PeerAddress outbound;
+  /// Where readiness is asked for.
+  PeerAddress readiness;
+  /// Where the target on this VM sends its heartbeats.
+  PeerAddress announcements;
+  /// Where the target on this VM takes requests.
+  PeerAddress target;
+  /// Where the store is that keeps the configuration and the addresses of nodes.
+  PeerAddress store;
+  /// TCP port of links from other nodes.
+  int link_port = 7401;
+  /// TCP port of /metrics.
+  int metrics_port = 7481;
+
+  // [retries]
+  /// Repeats that all nodes together may send, as a share of the requests.
+  double retry_ratio = 0.2;
+  /// Repeats beyond that share in one window.
+  int retry_extra = 10;
+  int retry_window_ms = 10'000;
+
+  // [stop]
+  /// The process is killed this long after it was asked to stop.
+  int grace_period_ms = 6000;
+
   // [control]
   DistributionMode distribution = DistributionMode::kTree;
   int tick_ms = 50;
--- a/include/limpet/traffic/target_placement.h
+++ b/include/limpet/traffic/target_placement.h
@@ -55,6 +55,8 @@
   void OnSend(const std::string& node);
   void OnEnd(const std::string& node);
 
+  /// Whether a target outside `excluded` could be chosen now.
+  bool HasOther(const std::string& service, const std::vector<std::string>& excluded) const;
   /// Number of targets that could be chosen for a service now.
   int CountUsable(const std::string& service) const;
 
--- a/include/limpet/wire/codec.h
+++ b/include/limpet/wire/codec.h
@@ -17,6 +17,7 @@
 std::string Encode(const SystemRecord& record);
 std::string Encode(const FullConfig& config);
 std::string Encode(const Envelope& envelope);
+std::string Encode(const LinkMessage& message);
 
 /// Reverse of `Encode`. Throws `DecodeError` on truncated, oversized or malformed bytes and on
 /// bytes after the message.
@@ -24,6 +25,7 @@
 void Decode(std::string_view bytes, SystemRecord& record);
 void Decode(std::string_view bytes, FullConfig& config);
 void Decode(std::string_view bytes, Envelope& envelope);
+void Decode(std::string_view bytes, LinkMessage& message);
 
 }  // namespace limpet::wire
 
--- /dev/null
+++ b/src/edge/asio.cc
@@ -0,0 +1,35 @@
+#include "limpet/edge/asio.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+namespace limpet::edge {
+
+namespace {
+
+/// Unanswered keep-alive probes, one a second, until the kernel drops the connection.
+constexpr int kKeepAliveProbes = 2;
+
+void SetOption(TcpSocket& socket, int level, int name, int value) {
+  // A connection without the option still works; it is only noticed later that its peer is gone.
+  ::setsockopt(socket.native_handle(), level, name, &value, sizeof value);
+}
+
+}  // namespace
+
+void SetConnectionOptions(TcpSocket& socket, Duration silence) {
+  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(silence).count();
+  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(silence).count();
+  SetOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE,
+            std::max(1, static_cast<int>(seconds) - kKeepAliveProbes));
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  SetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(millis));
+}
+
+}  // namespace limpet::edge
--- /dev/null
+++ b/src/edge/edge_node.cc
@@ -0,0 +1,359 @@
+#include "limpet/edge/edge_node.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "limpet/edge/event_log.h"
+#include "limpet/net/clock.h"
+
+namespace limpet::edge {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(50);
+/// Load changes are pushed to other nodes at most this often; replies carry the load as well.
+constexpr Duration kPushInterval = std::chrono::milliseconds(100);
+/// Two random peers a second compare configuration versions, which repairs a node that its source
+/// does not reach within about a second.
+constexpr Duration kProbeInterval = std::chrono::seconds(1);
+constexpr int kProbedPeers = 2;
+/// A node that knows no peer after this long serves with what it has.
+constexpr Duration kJoinTimeout = std::chrono::seconds(2);
+/// Requests go on being taken for this long after the request to stop, until callers have noticed.
+constexpr Duration kStopNotice = std::chrono::milliseconds(2500);
+/// What is still open this long before the kill is given up in an orderly way.
+constexpr Duration kStopMargin = std::chrono::milliseconds(300);
+
+uint64_t DrawSeed() {
+  std::random_device device;
+  return (uint64_t{device()} << 32) | device();
+}
+
+/// Distinguishes this start from earlier ones; only equality matters.
+int64_t MakeIncarnation() {
+  return static_cast<int64_t>(DrawSeed() >> 1);
+}
+
+std::string AddressText(const PeerAddress& address) {
+  return address.host + ":" + std::to_string(address.port);
+}
+
+wire::NodeAddress AddressOf(const NodeSettings& settings) {
+  wire::NodeAddress address;
+  address.name = settings.name;
+  address.data_centre = settings.data_centre;
+  address.host = settings.host;
+  address.port = settings.link_port;
+  return address;
+}
+
+RetryBudgetOptions MakeBudgetOptions(const NodeSettings& settings) {
+  RetryBudgetOptions options;
+  options.ratio = settings.retry_ratio;
+  options.extra = settings.retry_extra;
+  options.window = std::chrono::milliseconds(settings.retry_window_ms);
+  return options;
+}
+
+CallerLimits AdminLimits() {
+  return {};
+}
+
+}  // namespace
+
+EdgeNode::EdgeNode(Executor executor,
+                   NodeSettings settings,
+                   HttpDialect dialect,
+                   AnnouncementCodec& codec,
+                   Coordination& coordination)
+    : executor_(executor),
+      settings_(std::move(settings)),
+      incarnation_(MakeIncarnation()),
+      dialect_(std::move(dialect)),
+      codec_(codec),
+      coordination_(coordination),
+      config_([this](std::string_view encoded) { return coordination_.DecodeConfig(encoded); }),
+      registry_(AddressText(settings_.target)),
+      gate_(TargetGateOptions{}),
+      placement_(PlacementOptions{}, settings_.data_centre, Random(DrawSeed())),
+      budget_(MakeBudgetOptions(settings_)),
+      tick_timer_(executor) {
+  PeerLinksObserver& observer = *this;
+  links_ = std::make_unique<PeerLinks>(
+      executor_, PeerLinksOptions{AddressOf(settings_), incarnation_}, observer, counters_,
+      Random(DrawSeed()));
+  inbound_ = std::make_unique<InboundProxy>(executor_, dialect_, gate_, counters_,
+                                            [this] { OnStatusChanged(); });
+  outbound_ = std::make_unique<OutboundProxy>(
+      executor_, OutboundProxyOptions{settings_.name, settings_.data_centre, settings_.service},
+      dialect_, [this] { return config_.routes(); }, placement_, budget_, *links_, *inbound_,
+      counters_, Random(DrawSeed()));
+  link_server_ = std::make_unique<LinkServer>(*inbound_, MakeLinkHooks());
+}
+
+EdgeNode::~EdgeNode() = default;
+
+LinkServerHooks EdgeNode::MakeLinkHooks() {
+  LinkServerHooks hooks;
+  hooks.make_hello = [this] {
+    wire::LinkHello hello;
+    hello.node = AddressOf(settings_);
+    hello.incarnation = incarnation_;
+    hello.config_version = config_.version();
+    hello.target = inbound_->Status();
+    hello.known_nodes = links_->KnownNodes();
+    return hello;
+  };
+  hooks.on_node = [this](const wire::NodeAddress& node) { links_->Add(node); };
+  hooks.on_peer_version = [this](const std::string& node, int64_t version) {
+    OnPeerVersion(node, version);
+  };
+  hooks.config_version = [this] { return config_.version(); };
+  hooks.encoded_config = [this] { return config_.encoded(); };
+  return hooks;
+}
+
+void EdgeNode::Start() {
+  started_ = MonotonicNow();
+  const auto closing = [this] { return stopping_; };
+  const auto never_closing = [] { return false; };
+  caller_sessions_ = {[this](const HttpSessionPtr& session) { outbound_->Handle(session); },
+                      [this] {
+                        return config_.routes() ? config_.routes()->config().limits
+                                                : CallerLimits{};
+                      },
+                      closing};
+  readiness_sessions_ = {[this](const HttpSessionPtr& session) { OnReadiness(session); },
+                         AdminLimits, never_closing};
+  announcement_sessions_ = {[this](const HttpSessionPtr& session) { OnAnnouncement(session); },
+                            AdminLimits, never_closing};
+  metrics_sessions_ = {[this](const HttpSessionPtr& session) { OnMetrics(session); }, AdminLimits,
+                       never_closing};
+  const auto serve = [this](const PeerAddress& address, const HttpSessionOptions& options) {
+    listeners_.push_back(
+        std::make_unique<Listener>(executor_, address, [&options](TcpSocket socket) {
+          std::make_shared<HttpSession>(std::move(socket), options)->Start();
+        }));
+  };
+  serve(settings_.readiness, readiness_sessions_);
+  serve(settings_.announcements, announcement_sessions_);
+  serve({settings_.host, settings_.metrics_port}, metrics_sessions_);
+  listeners_.push_back(std::make_unique<Listener>(
+      executor_, PeerAddress{settings_.host, settings_.link_port},
+      [this](TcpSocket socket) { link_server_->Accept(std::move(socket)); }));
+  serve(settings_.outbound, caller_sessions_);
+  coordination_.WatchConfig(
+      [this](std::string encoded) { OfferConfig(std::move(encoded), "store"); });
+  coordination_.JoinNodes(AddressOf(settings_),
+                          [this](const std::vector<wire::NodeAddress>& nodes) {
+                            joined_ = true;
+                            joined_at_ = MonotonicNow();
+                            OnPeerAddresses(nodes);
+                          });
+  LogEvent("started")
+      .Add("service", settings_.service)
+      .Add("data_centre", settings_.data_centre)
+      .Add("outbound", AddressText(settings_.outbound))
+      .Add("store", AddressText(settings_.store));
+  Tick();
+}
+
+void EdgeNode::Reload(const NodeSettings& settings) {
+  settings_.service = settings.service;
+  settings_.retry_ratio = settings.retry_ratio;
+  settings_.retry_extra = settings.retry_extra;
+  settings_.retry_window_ms = settings.retry_window_ms;
+  settings_.grace_period_ms = settings.grace_period_ms;
+  budget_.set_options(MakeBudgetOptions(settings_));
+  outbound_->set_service(settings_.service);
+  registry_.set_address(AddressText(settings.target));
+  LogEvent("reloaded").Add("service", settings_.service);
+}
+
+void EdgeNode::OfferConfig(std::string encoded, std::string_view source) {
+  const ConfigOffer offer = config_.Offer(std::move(encoded));
+  if (offer == ConfigOffer::kNotNewer) {
+    return;
+  }
+  LogEvent("config_offered")
+      .Add("source", source)
+      .Add("result", NameOf(kConfigOfferNames, offer))
+      .Add("version", config_.version())
+      .Add("problem", config_.problem());
+  counters_.Get("config_" + std::string(NameOf(kConfigOfferNames, offer))).Add();
+  if (offer == ConfigOffer::kApplied) {
+    counters_.Get("config_version").Set(config_.version());
+    link_server_->PushVersion(config_.version());
+  }
+}
+
+void EdgeNode::OnPeerStatus(const wire::NodeAddress& node, const wire::TargetStatus& status) {
+  placement_.Update(MonotonicNow(), node.name, node.data_centre, status);
+}
+
+void EdgeNode::OnPeerReachable(const std::string& node, bool reachable) {
+  placement_.SetReachable(node, reachable);
+  budget_.set_nodes(links_->CountReachable() + 1);
+}
+
+void EdgeNode::OnPeerSilent(const std::string& node) {
+  placement_.OnSilence(MonotonicNow(), node);
+}
+
+void EdgeNode::OnPeerVersion(const std::string& node, int64_t version) {
+  if (version > config_.version()) {
+    links_->RequestConfig(node, config_.version());
+  }
+}
+
+void EdgeNode::OnPeerConfig(std::string encoded) {
+  OfferConfig(std::move(encoded), "peer");
+}
+
+void EdgeNode::OnPeerAddresses(const std::vector<wire::NodeAddress>& nodes) {
+  for (const wire::NodeAddress& node : nodes) {
+    links_->Add(node);
+  }
+}
+
+void EdgeNode::OnStatusChanged() {
+  placement_.Update(MonotonicNow(), settings_.name, settings_.data_centre, inbound_->Status());
+  placement_.SetReachable(settings_.name, true);
+  push_due_ = true;
+}
+
+void EdgeNode::OnAnnouncement(const HttpSessionPtr& session) {
+  try {
+    const AnnouncementCodec::Message message = codec_.Decode(session->request());
+    if (message.announcement) {
+      TakeAnnouncement(*message.announcement);
+    } else if (message.leave) {
+      registry_.OnLeave(MonotonicNow(), message.leave->instance, message.leave->born_ms);
+      inbound_->SetTarget(registry_.current());
+      LogEvent("target_left").Add("instance", message.leave->instance);
+    }
+  } catch (const DecodeError& error) {
+    counters_.Get("announcements_malformed").Add();
+    LogEvent("announcement_malformed").Add("problem", error.what());
+    session->Respond(TextAnswer(400, std::string(error.what()) + "\n"));
+    return;
+  }
+  session->Respond(codec_.Acknowledge());
+}
+
+void EdgeNode::TakeAnnouncement(const TargetAnnouncement& announcement) {
+  const bool known_service = announcement.service == settings_.service || !config_.routes() ||
+                             config_.routes()->FindService(announcement.service) != nullptr;
+  if (!known_service) {
+    throw DecodeError("service " + announcement.service + " is not in the configuration");
+  }
+  const TargetAnnouncement* before = registry_.current();
+  const std::string instance = before == nullptr ? "" : before->instance;
+  const bool was_draining = before != nullptr && before->draining;
+  const AnnouncementResult result = registry_.OnAnnouncement(MonotonicNow(), announcement);
+  const bool news = result == AnnouncementResult::kLate ||
+                    result == AnnouncementResult::kWrongPlace ||
+                    instance != announcement.instance ||
+                    was_draining != (result == AnnouncementResult::kDraining);
+  if (news) {
+    LogEvent("target_announced")
+        .Add("instance", announcement.instance)
+        .Add("result", NameOf(kAnnouncementResultNames, result))
+        .Add("sequence", announcement.sequence)
+        .Add("address", announcement.address)
+        .Add("slots", announcement.slots);
+  }
+  if (result == AnnouncementResult::kCurrent || result == AnnouncementResult::kDraining) {
+    inbound_->SetTarget(registry_.current());
+  }
+}
+
+bool EdgeNode::IsReady() const {
+  if (stopping_ || !config_.routes()) {
+    return false;
+  }
+  const TimePoint now = MonotonicNow();
+  if (!joined_) {
+    return now - started_ > kJoinTimeout && links_->CountReachable() > 0;
+  }
+  return !links_->IsConnecting() || now - joined_at_ > kJoinTimeout;
+}
+
+void EdgeNode::OnReadiness(const HttpSessionPtr& session) {
+  if (!codec_.IsReadinessRequest(session->request())) {
+    session->Respond(TextAnswer(404, "unknown path\n"));
+    return;
+  }
+  const bool ready = IsReady();
+  counters_.Get("ready").Set(ready ? 1 : 0);
+  session->Respond(TextAnswer(ready ? 200 : 503, ready ? "ready\n" : "not ready\n"));
+}
+
+void EdgeNode::OnMetrics(const HttpSessionPtr& session) {
+  if (session->request().path != "/metrics") {
+    session->Respond(TextAnswer(404, "unknown path\n"));
+    return;
+  }
+  counters_.Get("log_lines_dropped").Set(DroppedLogLines());
+  counters_.Get("inbound_running").Set(gate_.running());
+  counters_.Get("inbound_queued").Set(static_cast<int64_t>(gate_.queued()));
+  counters_.Get("peers_reachable").Set(links_->CountReachable());
+  session->Respond(TextAnswer(200, counters_.Render()));
+}
+
+void EdgeNode::Tick() {
+  const TimePoint now = MonotonicNow();
+  inbound_->Tick();
+  links_->Tick();
+  if (push_due_ && now - last_push_ >= kPushInterval) {
+    push_due_ = false;
+    last_push_ = now;
+    link_server_->PushStatus(inbound_->Status());
+  }
+  if (now - last_probe_ >= kProbeInterval) {
+    last_probe_ = now;
+    links_->ProbeSome(kProbedPeers, config_.version());
+  }
+  FlushEventLog();
+  if (stopping_) {
+    CheckStopped();
+  }
+  tick_timer_.expires_after(kTick);
+  tick_timer_.async_wait([this](ErrorCode error) {
+    if (!error) {
+      Tick();
+    }
+  });
+}
+
+void EdgeNode::Stop(std::function<void()> on_stopped) {
+  if (stopping_) {
+    return;
+  }
+  LogEvent("stopping");
+  stopping_ = true;
+  stop_begun_ = MonotonicNow();
+  on_stopped_ = std::move(on_stopped);
+  inbound_->StartDraining();
+  last_push_ = stop_begun_;
+  push_due_ = false;
+  link_server_->PushStatus(inbound_->Status());
+}
+
+void EdgeNode::CheckStopped() {
+  if (!on_stopped_) {
+    return;
+  }
+  const Duration elapsed = MonotonicNow() - stop_begun_;
+  const bool idle = inbound_->idle() && outbound_->idle();
+  const bool out_of_time =
+      elapsed >= std::chrono::milliseconds(settings_.grace_period_ms) - kStopMargin;
+  if ((idle && elapsed >= kStopNotice) || out_of_time) {
+    LogEvent("stopped").Add("idle", int{idle}).Add("after_ms", elapsed);
+    FlushEventLog();
+    std::exchange(on_stopped_, nullptr)();
+  }
+}
+
+}  // namespace limpet::edge
--- /dev/null
+++ b/src/edge/inbound_proxy.cc
@@ -0,0 +1,383 @@
+#include "limpet/edge/inbound_proxy.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "limpet/edge/event_log.h"
+#include "limpet/net/clock.h"
+
+namespace limpet::edge {
+
+namespace {
+
+using Reason = wire::RefusalReason;
+
+/// A connection to the target on the same VM takes well under a millisecond.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+/// The target itself stops at the deadline that it was given; its own answer gets this much time.
+constexpr Duration kDeadlineGrace = std::chrono::milliseconds(30);
+/// A target may drop an idle connection without notice. A request that must not be sent twice uses
+/// only connections that were in use a moment ago.
+constexpr Duration kFreshConnection = std::chrono::milliseconds(1000);
+/// Replies without a link are kept this long for a caller that connects again.
+constexpr Duration kReplyLifetime = std::chrono::seconds(3);
+/// An idempotent request whose caller lost its link goes on for this long.
+constexpr Duration kOrphanLifetime = std::chrono::seconds(1);
+/// Idle connections beyond this are closed; the most recently used ones are kept.
+constexpr std::size_t kMaxIdleConnections = 64;
+/// A change of the load by this share of the slots is worth a message to other nodes.
+constexpr double kLoadStep = 0.25;
+/// Answers by which a node promises that a request has not run. A target gives them without that
+/// promise, so they are not passed on.
+constexpr std::array<int, 4> kPromisingStatuses = {408, 421, 429, 503};
+
+std::optional<PeerAddress> ParsePeer(const std::string& address) {
+  const std::size_t colon = address.rfind(':');
+  const int port = colon == std::string::npos ? -1 : ParseNonNegative(address.substr(colon + 1), -1);
+  if (port <= 0 || port > 65535) {
+    return std::nullopt;
+  }
+  return PeerAddress{address.substr(0, colon), port};
+}
+
+bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
+}  // namespace
+
+InboundProxy::InboundProxy(Executor executor,
+                           const HttpDialect& dialect,
+                           TargetGate& gate,
+                           Counters& counters,
+                           std::function<void()> on_status)
+    : executor_(executor),
+      dialect_(dialect),
+      gate_(gate),
+      counters_(counters),
+      on_status_(std::move(on_status)) {}
+
+InboundProxy::~InboundProxy() {
+  for (auto& [key, pending] : pending_) {
+    if (pending.connection) {
+      pending.connection->Close();
+    }
+  }
+  for (const HttpConnectionPtr& connection : idle_) {
+    connection->Close();
+  }
+}
+
+void InboundProxy::Call(const std::string& key,
+                        wire::LinkCall call,
+                        std::string body,
+                        CallSinkPtr sink) {
+  counters_.Get("inbound_calls").Add();
+  if (const auto done = finished_.find(key); done != finished_.end()) {
+    sink->Deliver(std::move(done->second.reply), std::move(done->second.body));
+    finished_.erase(done);
+    return;
+  }
+  const TimePoint now = MonotonicNow();
+  GateCall gate_call;
+  gate_call.key = key;
+  gate_call.request_id = call.request_id;
+  gate_call.service = call.service_name;
+  gate_call.instance = call.instance;
+  gate_call.route = call.route;
+  gate_call.idempotent = call.idempotent;
+  gate_call.priority = call.priority;
+  gate_call.deadline = now + std::chrono::milliseconds(call.deadline_ms);
+  gate_call.latency_target = now + std::chrono::milliseconds(call.latency_target_ms);
+  gate_call.accepts_late = call.accepts_late;
+  const GateDecision decision = gate_.Arrive(now, gate_call);
+  if (decision.verdict == GateVerdict::kAttach) {
+    Pending& pending = pending_.at(key);
+    pending.sink = std::move(sink);
+    pending.orphaned = {};
+    return;
+  }
+  Pending pending;
+  pending.call = std::move(call);
+  pending.body = std::move(body);
+  pending.sink = std::move(sink);
+  pending.arrived = now;
+  pending.deadline = gate_call.deadline;
+  const auto [entry, inserted] = pending_.emplace(key, std::move(pending));
+  if (decision.verdict == GateVerdict::kRefuse) {
+    Refuse(key, decision);
+  } else if (decision.verdict == GateVerdict::kStart) {
+    Run(key, entry->second);
+  }
+  NoteStatus();
+}
+
+void InboundProxy::Refuse(const std::string& key, const GateDecision& decision) {
+  const auto found = pending_.find(key);
+  wire::LinkReply reply;
+  reply.outcome = decision.outcome;
+  reply.reason = decision.reason;
+  reply.retry_after_ms = static_cast<int32_t>(decision.retry_after.count() / 1000);
+  counters_.Get("inbound_refusals").Add();
+  LogEvent("inbound_refused")
+      .Add("request", found->second.call.request_id)
+      .Add("reason", static_cast<int64_t>(decision.reason))
+      .Add("running", gate_.running())
+      .Add("queued", static_cast<int64_t>(gate_.queued()))
+      .Add("waited_ms", MonotonicNow() - found->second.arrived)
+      .Add("retry_after_ms", decision.retry_after);
+  Pending pending = std::move(found->second);
+  pending_.erase(found);
+  Reply(pending, key, std::move(reply), {});
+}
+
+void InboundProxy::Reply(Pending& pending,
+                         const std::string& key,
+                         wire::LinkReply reply,
+                         std::string body) {
+  reply.call_id = pending.call.call_id;
+  reply.target = Status();
+  if (pending.sink && pending.sink->IsOpen()) {
+    pending.sink->Deliver(std::move(reply), std::move(body));
+  } else if (pending.sink) {
+    finished_[key] = {std::move(reply), std::move(body), MonotonicNow() + kReplyLifetime};
+  }
+}
+
+HttpRequest InboundProxy::MakeRequest(const Pending& pending, TimePoint now) const {
+  HttpRequest request;
+  request.method = pending.call.method;
+  request.target = pending.call.path;
+  request.headers = pending.call.headers;
+  request.body = pending.body;
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(pending.deadline - now).count();
+  SetHeader(request.headers, dialect_.deadline_ms, std::to_string(std::max<int64_t>(1, left)));
+  SetHeader(request.headers, dialect_.expected_instance, pending.call.instance);
+  return request;
+}
+
+HttpConnectionPtr InboundProxy::Acquire(TimePoint now, bool idempotent, bool& reused) {
+  std::erase_if(idle_, [now](const HttpConnectionPtr& c) { return !c->IsReusable(now); });
+  reused = !idle_.empty() && (idempotent || now - idle_.back()->idle_since() < kFreshConnection);
+  if (reused) {
+    HttpConnectionPtr connection = std::move(idle_.back());
+    idle_.pop_back();
+    return connection;
+  }
+  counters_.Get("target_connections_opened").Add();
+  HttpConnectionOptions options;
+  options.peer = target_address_;
+  options.connect_timeout = kConnectTimeout;
+  return std::make_shared<HttpConnection>(executor_, options);
+}
+
+void InboundProxy::Run(const std::string& key, Pending& pending) {
+  const TimePoint now = MonotonicNow();
+  const bool idempotent = pending.call.idempotent && !pending.sent_again;
+  pending.connection = Acquire(now, idempotent, pending.reused_connection);
+  auto matches = [id = pending.call.request_id, name = &dialect_.request_id](
+                     const HttpHeaders& headers) {
+    const std::string_view echoed = FindHeader(headers, *name);
+    return echoed.empty() || echoed == id;
+  };
+  pending.connection->Send(
+      MakeRequest(pending, now), pending.deadline - now + kDeadlineGrace, std::move(matches),
+      [this, key](ExchangeResult result) { OnExchange(key, std::move(result)); });
+}
+
+InboundProxy::Outcome InboundProxy::ClassifyAnswer(const HttpAnswer& answer) const {
+  Outcome outcome;
+  outcome.reply.reached_target = true;
+  outcome.reply.http_status = answer.status;
+  const bool not_executed = !answer.Header(dialect_.not_executed).empty() || answer.status == 421;
+  if (not_executed) {
+    outcome.reply.outcome = wire::Outcome::kNotRun;
+    outcome.reply.reason =
+        answer.status == 421 ? Reason::kWrongIncarnation : Reason::kTargetUnavailable;
+    outcome.result = TargetResult::kNotExecuted;
+    return outcome;
+  }
+  const bool signed_by_target = dialect_.response_signature.empty() ||
+                                !answer.Header(dialect_.response_signature).empty();
+  const bool promising =
+      std::ranges::find(kPromisingStatuses, answer.status) != kPromisingStatuses.end();
+  const bool encoded = !answer.Header("Content-Encoding").empty();
+  if (promising || (IsSuccess(answer.status) && (!signed_by_target || encoded))) {
+    outcome.reply.outcome = wire::Outcome::kUnknown;
+    outcome.reply.reason = Reason::kTruncatedReply;
+    outcome.result = TargetResult::kBroken;
+    return outcome;
+  }
+  outcome.reply.outcome = wire::Outcome::kRan;
+  outcome.result = answer.status >= 500 ? TargetResult::kFailed : TargetResult::kAnswered;
+  return outcome;
+}
+
+InboundProxy::Outcome InboundProxy::Classify(const ExchangeResult& result) const {
+  Outcome outcome;
+  outcome.reply.outcome = wire::Outcome::kUnknown;
+  outcome.reply.reached_target = true;
+  switch (result.status) {
+    case ExchangeStatus::kAnswered:
+      return ClassifyAnswer(result.answer);
+    case ExchangeStatus::kNotConnected:
+      outcome.reply.outcome = wire::Outcome::kNotRun;
+      outcome.reply.reached_target = false;
+      outcome.reply.reason = Reason::kTargetUnavailable;
+      outcome.result = TargetResult::kUnreachable;
+      break;
+    case ExchangeStatus::kBroken:
+      outcome.reply.reason = Reason::kConnectionLost;
+      outcome.result = TargetResult::kBroken;
+      break;
+    case ExchangeStatus::kTimedOut:
+      outcome.reply.reason = Reason::kTargetTimeout;
+      outcome.result = TargetResult::kTimedOut;
+      break;
+  }
+  return outcome;
+}
+
+void InboundProxy::OnExchange(const std::string& key, ExchangeResult result) {
+  const auto found = pending_.find(key);
+  if (found == pending_.end()) {
+    return;
+  }
+  Pending& pending = found->second;
+  HttpConnectionPtr connection = std::move(pending.connection);
+  if (connection->IsReusable(MonotonicNow()) && idle_.size() < kMaxIdleConnections) {
+    idle_.push_back(std::move(connection));
+  } else {
+    connection->Close();
+  }
+  // The target had closed the idle connection when the request was sent.
+  const bool stale = result.status == ExchangeStatus::kBroken && pending.reused_connection &&
+                     !result.response_begun;
+  if (stale && pending.call.idempotent && !pending.sent_again) {
+    pending.sent_again = true;
+    idle_.clear();
+    Run(key, pending);
+    return;
+  }
+  Outcome outcome = Classify(result);
+  if (outcome.result != TargetResult::kAnswered) {
+    LogEvent("target_failed")
+        .Add("request", pending.call.request_id)
+        .Add("instance", pending.call.instance)
+        .Add("exchange", static_cast<int64_t>(result.status))
+        .Add("status", result.answer.status)
+        .Add("ran_ms", MonotonicNow() - pending.arrived)
+        .Add("error", result.error.message());
+  }
+  if (outcome.reply.outcome == wire::Outcome::kRan) {
+    outcome.reply.headers = std::move(result.answer.headers);
+  }
+  Finish(key, std::move(outcome), std::move(result.answer.body));
+}
+
+void InboundProxy::Finish(const std::string& key, Outcome outcome, std::string body) {
+  const auto found = pending_.find(key);
+  Pending pending = std::move(found->second);
+  pending_.erase(found);
+  const auto events = gate_.Finish(MonotonicNow(), key, outcome.result);
+  if (outcome.reply.outcome != wire::Outcome::kRan) {
+    body.clear();
+  }
+  Reply(pending, key, std::move(outcome.reply), std::move(body));
+  Handle(events);
+  NoteStatus();
+}
+
+void InboundProxy::Handle(const std::vector<GateEvent>& events) {
+  for (const GateEvent& event : events) {
+    const auto found = pending_.find(event.key);
+    if (found == pending_.end()) {
+      continue;
+    }
+    if (event.starts) {
+      Run(event.key, found->second);
+    } else {
+      Refuse(event.key, {.reason = event.reason});
+    }
+  }
+}
+
+void InboundProxy::Cancel(const std::string& key) {
+  finished_.erase(key);
+  const auto found = pending_.find(key);
+  if (found == pending_.end()) {
+    return;
+  }
+  if (gate_.RemoveQueued(key)) {
+    pending_.erase(found);
+    return;
+  }
+  if (!found->second.call.idempotent) {
+    found->second.sink = nullptr;
+    return;
+  }
+  if (found->second.connection) {
+    found->second.connection->Close();
+  }
+  pending_.erase(found);
+  Handle(gate_.Finish(MonotonicNow(), key, TargetResult::kCancelled));
+  NoteStatus();
+}
+
+void InboundProxy::SetTarget(const TargetAnnouncement* target) {
+  if (target != nullptr && target->instance != target_instance_) {
+    idle_.clear();
+    target_instance_ = target->instance;
+    if (const auto address = ParsePeer(target->address)) {
+      target_address_ = *address;
+    }
+  }
+  Handle(gate_.SetTarget(MonotonicNow(), target));
+  NoteStatus();
+}
+
+void InboundProxy::StartDraining() {
+  Handle(gate_.StartDraining(MonotonicNow()));
+  NoteStatus();
+}
+
+void InboundProxy::Tick() {
+  const TimePoint now = MonotonicNow();
+  Handle(gate_.Tick(now));
+  std::erase_if(finished_, [now](const auto& entry) { return now >= entry.second.expiry; });
+  std::vector<std::string> abandoned;
+  for (auto& [key, pending] : pending_) {
+    if (!pending.sink || pending.sink->IsOpen()) {
+      continue;
+    }
+    if (pending.orphaned == TimePoint{}) {
+      pending.orphaned = now;
+    } else if (now - pending.orphaned > kOrphanLifetime && pending.call.idempotent) {
+      abandoned.push_back(key);
+    }
+  }
+  for (const std::string& key : abandoned) {
+    Cancel(key);
+  }
+  NoteStatus();
+}
+
+wire::TargetStatus InboundProxy::Status() const {
+  return gate_.Status(MonotonicNow());
+}
+
+void InboundProxy::NoteStatus() {
+  const wire::TargetStatus status = Status();
+  const int load = status.load.in_flight + status.load.queued;
+  const int announced = announced_.load.in_flight + announced_.load.queued;
+  const bool load_changed =
+      std::abs(load - announced) >= std::max(1.0, kLoadStep * status.slots);
+  if (status.state != announced_.state || status.instance != announced_.instance || load_changed) {
+    announced_ = status;
+    on_status_();
+  }
+}
+
+}  // namespace limpet::edge
--- /dev/null
+++ b/src/edge/link.cc
@@ -0,0 +1,170 @@
+#include "limpet/edge/link.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+#include <vector>
+
+#include "limpet/core/error.h"
+#include "limpet/net/clock.h"
+#include "limpet/wire/codec.h"
+
+namespace limpet::edge {
+
+namespace {
+
+constexpr std::size_t kPrefixBytes = 8;
+constexpr std::size_t kReadBytes = 16 * 1024;
+/// Largest frame: the largest body that a configuration allows, with room for its message.
+constexpr std::size_t kMaxFrameBytes = std::size_t{72} << 20;
+/// A node that does not read for this long is gone, or its link is silent.
+constexpr Duration kPeerSilence = std::chrono::seconds(2);
+
+void PutLength(std::string& out, std::size_t value) {
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    out.push_back(static_cast<char>((value >> shift) & 0xff));
+  }
+}
+
+std::size_t GetLength(const char* bytes) {
+  std::size_t value = 0;
+  for (int i = 0; i < 4; ++i) {
+    value = value << 8 | static_cast<unsigned char>(bytes[i]);
+  }
+  return value;
+}
+
+}  // namespace
+
+Link::Link(TcpSocket socket) : socket_(std::move(socket)), last_received_(MonotonicNow()) {
+  SetConnectionOptions(socket_, kPeerSilence);
+}
+
+void Link::Start(Handlers handlers) {
+  handlers_ = std::make_shared<const Handlers>(std::move(handlers));
+  Read();
+}
+
+void Link::Send(const wire::LinkMessage& message, std::string body) {
+  if (closed_) {
+    return;
+  }
+  const std::string head = wire::Encode(message);
+  std::string frame;
+  frame.reserve(kPrefixBytes + head.size());
+  PutLength(frame, head.size() + body.size());
+  PutLength(frame, head.size());
+  frame += head;
+  backlog_ += frame.size() + body.size();
+  outbox_.push_back(std::move(frame));
+  if (!body.empty()) {
+    outbox_.push_back(std::move(body));
+  }
+  if (writing_.empty()) {
+    Write();
+  }
+}
+
+void Link::Write() {
+  writing_.swap(outbox_);
+  std::vector<asio::const_buffer> buffers;
+  buffers.reserve(writing_.size());
+  for (const std::string& part : writing_) {
+    buffers.emplace_back(asio::buffer(part));
+  }
+  asio::async_write(socket_, buffers,
+                    [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+                      self->writing_.clear();
+                      self->backlog_ -= std::min(bytes, self->backlog_);
+                      if (error) {
+                        self->Fail(error);
+                      } else if (!self->outbox_.empty() && !self->closed_) {
+                        self->Write();
+                      }
+                    });
+}
+
+void Link::Read() {
+  if (input_start_ > 0) {
+    input_.erase(0, input_start_);
+    input_start_ = 0;
+  }
+  const std::size_t filled = input_.size();
+  input_.resize(filled + kReadBytes);
+  socket_.async_read_some(asio::buffer(input_.data() + filled, kReadBytes),
+                          [self = shared_from_this(), filled](ErrorCode error, std::size_t bytes) {
+                            self->input_.resize(filled + bytes);
+                            if (error) {
+                              self->Fail(error);
+                            } else {
+                              self->OnRead(bytes);
+                            }
+                          });
+}
+
+void Link::OnRead(std::size_t /*bytes*/) {
+  last_received_ = MonotonicNow();
+  while (!closed_ && TakeFrame()) {
+  }
+  if (!closed_) {
+    Read();
+  }
+}
+
+bool Link::TakeFrame() {
+  const std::size_t available = input_.size() - input_start_;
+  if (available < kPrefixBytes) {
+    return false;
+  }
+  const char* start = input_.data() + input_start_;
+  const std::size_t total = GetLength(start);
+  const std::size_t head = GetLength(start + 4);
+  if (total > kMaxFrameBytes || head > total) {
+    Fail(asio::error::invalid_argument);
+    return false;
+  }
+  if (available < kPrefixBytes + total) {
+    return false;
+  }
+  wire::LinkMessage message;
+  try {
+    wire::Decode({start + kPrefixBytes, head}, message);
+  } catch (const DecodeError& error) {
+    spdlog::warn("[link] closing after a malformed frame: {}", error.what());
+    Fail(asio::error::invalid_argument);
+    return false;
+  }
+  std::string body(start + kPrefixBytes + head, total - head);
+  input_start_ += kPrefixBytes + total;
+  const auto handlers = handlers_;
+  handlers->on_message(std::move(message), std::move(body));
+  return true;
+}
+
+void Link::Fail(ErrorCode error) {
+  if (closed_) {
+    return;
+  }
+  const auto handlers = handlers_;
+  Close();
+  if (handlers && handlers->on_closed) {
+    handlers->on_closed(error);
+  }
+}
+
+void Link::Close() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  ErrorCode ignored;
+  socket_.close(ignored);
+  outbox_.clear();
+  // The handlers may hold this link; a read or write that still ends finds it closed.
+  handlers_.reset();
+}
+
+}  // namespace limpet::edge
--- /dev/null
+++ b/src/edge/link_server.cc
@@ -0,0 +1,152 @@
+#include "limpet/edge/link_server.h"
+
+#include <utility>
+#include <vector>
+
+namespace limpet::edge {
+
+/// One accepted link.
+class LinkServer::Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(LinkServer& server, TcpSocket socket)
+      : server_(server), link_(std::make_shared<Link>(std::move(socket))) {}
+
+  void Start() {
+    link_->Start({[self = weak_from_this()](wire::LinkMessage message, std::string body) {
+                    if (const auto session = self.lock()) {
+                      session->OnMessage(std::move(message), std::move(body));
+                    }
+                  },
+                  [self = weak_from_this()](ErrorCode) {
+                    if (const auto session = self.lock()) {
+                      session->server_.sessions_.erase(session.get());
+                    }
+                  }});
+  }
+  void Send(const wire::LinkMessage& message, std::string body = {}) {
+    link_->Send(message, std::move(body));
+  }
+  bool greeted() const { return !key_prefix_.empty(); }
+  void Close() { link_->Close(); }
+
+ private:
+  class ReplySink final : public CallSink {
+   public:
+    explicit ReplySink(std::weak_ptr<Link> link) : link_(std::move(link)) {}
+    bool IsOpen() const override {
+      const auto link = link_.lock();
+      return link && !link->closed();
+    }
+    void Deliver(wire::LinkReply reply, std::string body) override {
+      if (const auto link = link_.lock()) {
+        wire::LinkMessage message;
+        message.__isset.reply = true;
+        message.reply = std::move(reply);
+        link->Send(message, std::move(body));
+      }
+    }
+
+   private:
+    std::weak_ptr<Link> link_;
+  };
+
+  void OnMessage(wire::LinkMessage message, std::string body) {
+    if (message.__isset.hello) {
+      OnHello(message.hello);
+    }
+    if (!greeted()) {
+      return;
+    }
+    if (message.__isset.call) {
+      const std::string key = KeyOf(message.call.call_id);
+      server_.inbound_.Call(key, std::move(message.call), std::move(body),
+                            std::make_shared<ReplySink>(link_));
+    }
+    if (message.__isset.cancel) {
+      server_.inbound_.Cancel(KeyOf(message.cancel.call_id));
+    }
+    if (message.__isset.probe) {
+      OnProbe(message.probe);
+    }
+    if (message.__isset.config_request) {
+      OnConfigRequest(message.config_request);
+    }
+  }
+
+  void OnHello(const wire::LinkHello& hello) {
+    name_ = hello.node.name;
+    key_prefix_ = name_ + "/" + std::to_string(hello.incarnation) + "/";
+    wire::LinkMessage message;
+    message.__isset.hello = true;
+    message.hello = server_.hooks_.make_hello();
+    link_->Send(message);
+    server_.hooks_.on_node(hello.node);
+  }
+
+  void OnProbe(const wire::LinkProbe& probe) {
+    wire::LinkMessage message;
+    message.__isset.probe = true;
+    message.probe.answer = true;
+    message.probe.config_version = server_.hooks_.config_version();
+    link_->Send(message);
+    server_.hooks_.on_peer_version(name_, probe.config_version);
+  }
+
+  void OnConfigRequest(const wire::LinkConfigRequest& request) {
+    const int64_t version = server_.hooks_.config_version();
+    if (version <= request.have) {
+      return;
+    }
+    wire::LinkMessage message;
+    message.__isset.config = true;
+    message.config.version = version;
+    link_->Send(message, server_.hooks_.encoded_config());
+  }
+
+  std::string KeyOf(int64_t call_id) const { return key_prefix_ + std::to_string(call_id); }
+
+  LinkServer& server_;
+  LinkPtr link_;
+  std::string name_;
+  std::string key_prefix_;
+};
+
+LinkServer::LinkServer(InboundProxy& inbound, LinkServerHooks hooks)
+    : inbound_(inbound), hooks_(std::move(hooks)) {}
+
+LinkServer::~LinkServer() {
+  for (const auto& [key, session] : sessions_) {
+    session->Close();
+  }
+}
+
+void LinkServer::Accept(TcpSocket socket) {
+  const auto session = std::make_shared<Session>(*this, std::move(socket));
+  sessions_.emplace(session.get(), session);
+  session->Start();
+}
+
+void LinkServer::PushStatus(const wire::TargetStatus& status) {
+  wire::LinkMessage message;
+  message.__isset.status = true;
+  message.status = status;
+  for (const auto& [key, session] : sessions_) {
+    if (session->greeted()) {
+      session->Send(message);
+    }
+  }
+}
+
+void LinkServer::PushVersion(int64_t version) {
+  wire::LinkMessage message;
+  message.__isset.probe = true;
+  message.probe.answer = true;
+  message.probe.config_version = version;
+  for (const auto& [key, session] : sessions_) {
+    if (session->greeted()) {
+      session->Send(message);
+    }
+  }
+}
+
+}  // namespace limpet::edge
--- /dev/null
+++ b/src/edge/listener.cc
@@ -0,0 +1,67 @@
+#include "limpet/edge/listener.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <utility>
+
+#include "limpet/edge/event_log.h"
+#include "limpet/net/http_server.h"
+
+namespace limpet::edge {
+
+namespace {
+
+/// Connections that wait to be accepted; a burst of new callers must not overflow it.
+constexpr int kBacklog = 1024;
+/// After a failure, usually for want of descriptors, accepting pauses this long.
+constexpr Duration kPauseAfterFailure = std::chrono::milliseconds(50);
+
+void Check(const ErrorCode& error, const PeerAddress& address) {
+  if (error) {
+    throw ListenError("cannot listen on " + address.host + ":" + std::to_string(address.port) +
+                      ": " + error.message());
+  }
+}
+
+}  // namespace
+
+Listener::Listener(Executor executor, const PeerAddress& address, Handler on_connection)
+    : executor_(executor),
+      acceptor_(executor),
+      pause_(executor),
+      on_connection_(std::move(on_connection)) {
+  ErrorCode error;
+  const auto host = asio::ip::make_address(address.host, error);
+  Check(error, address);
+  const asio::ip::tcp::endpoint endpoint(host, static_cast<uint16_t>(address.port));
+  acceptor_.open(endpoint.protocol(), error);
+  Check(error, address);
+  acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  Check(error, address);
+  acceptor_.bind(endpoint, error);
+  Check(error, address);
+  acceptor_.listen(kBacklog, error);
+  Check(error, address);
+  Accept();
+}
+
+void Listener::Accept() {
+  acceptor_.async_accept([this](ErrorCode error, TcpSocket socket) {
+    if (error == asio::error::operation_aborted) {
+      return;
+    }
+    if (error) {
+      LogEvent("accept_failed").Add("error", error.message());
+      pause_.expires_after(kPauseAfterFailure);
+      pause_.async_wait([this](ErrorCode stopped) {
+        if (!stopped) {
+          Accept();
+        }
+      });
+      return;
+    }
+    on_connection_(std::move(socket));
+    Accept();
+  });
+}
+
+}  // namespace limpet::edge
--- /dev/null
+++ b/src/edge/outbound_proxy.cc
@@ -0,0 +1,381 @@
+#include "limpet/edge/outbound_proxy.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+#include "limpet/edge/event_log.h"
+#include "limpet/net/clock.h"
+
+namespace limpet::edge {
+
+namespace {
+
+using Reason = wire::RefusalReason;
+
+/// The target is told to stop this much before the caller is answered, so that its own answer at
+/// the deadline still arrives in time.
+constexpr Duration kDeadlineMargin = std::chrono::milliseconds(5);
+/// Of callers that name no deadline.
+constexpr int kDefaultDeadlineMs = 60'000;
+/// A node without a configuration usually has one within this time.
+constexpr Duration kNotReadyRetry = std::chrono::milliseconds(300);
+constexpr double kBytesWeight = 0.1;
+/// Statuses by which this node promises that a request has not run.
+constexpr std::array<int, 4> kPromisingStatuses = {408, 421, 429, 503};
+
+/// Retry-After in seconds with fractions, which the callers of this mesh accept.
+std::string RetryAfterText(Duration retry) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(retry).count());
+  return text.data();
+}
+
+}  // namespace
+
+/// One request of a caller while it is open.
+class OutboundProxy::ActiveCall : public std::enable_shared_from_this<ActiveCall> {
+ public:
+  ActiveCall(OutboundProxy& proxy, HttpSessionPtr session, const MeshRoute& route,
+             MeshCallOptions options)
+      : proxy_(proxy),
+        session_(std::move(session)),
+        route_(route.name),
+        priority_(route.priority),
+        started_(MonotonicNow()),
+        call_(std::move(options), proxy.placement_, proxy.budget_),
+        deadline_timer_(proxy.executor_),
+        attempt_timer_(proxy.executor_) {}
+
+  void Start() {
+    const HttpRequest& request = session_->request();
+    method_ = request.method;
+    path_ = request.target;
+    request_id_ = std::string(request.Header(proxy_.dialect_.request_id));
+    for (const wire::Header& header : request.headers) {
+      headers_.push_back(header);
+    }
+    SetHeader(headers_, proxy_.dialect_.caller_service, proxy_.options_.service);
+    body_ = session_->TakeBody();
+    session_->WatchCaller([self = shared_from_this()] { self->OnCallerGone(); });
+    deadline_timer_.expires_after(call_.options().deadline - started_);
+    deadline_timer_.async_wait([self = weak_from_this()](ErrorCode error) {
+      const auto active = self.lock();
+      if (!error && active) {
+        active->Apply(active->call_.OnDeadline(MonotonicNow()), {}, {});
+      }
+    });
+    Apply(call_.Start(started_), {}, {});
+  }
+
+ private:
+  /// Replies of this node's own target to this node's own calls.
+  class LocalSink final : public CallSink {
+   public:
+    LocalSink(std::weak_ptr<ActiveCall> call, int64_t attempt)
+        : call_(std::move(call)), attempt_(attempt) {}
+    bool IsOpen() const override { return !call_.expired(); }
+    void Deliver(wire::LinkReply reply, std::string body) override {
+      if (const auto call = call_.lock()) {
+        call->proxy_.placement_.Update(MonotonicNow(), call->proxy_.options_.node,
+                                       call->proxy_.options_.data_centre, reply.target);
+        call->OnReply(attempt_, std::move(reply), std::move(body));
+      }
+    }
+
+   private:
+    std::weak_ptr<ActiveCall> call_;
+    int64_t attempt_;
+  };
+
+  void Apply(CallStep step, wire::LinkReply reply, std::string body) {
+    if (finished_) {
+      return;
+    }
+    if (step.cancel) {
+      CancelAttempt();
+    }
+    if (step.save_reply) {
+      saved_reply_ = std::move(reply);
+      saved_body_ = std::move(body);
+    }
+    if (step.finish) {
+      Finish(*step.finish, std::move(reply), std::move(body));
+    } else if (step.send) {
+      Send(*step.send, step.attempt_timeout);
+    }
+  }
+
+  wire::LinkCall MakeLinkCall(const PlacedTarget& target, TimePoint now) const {
+    const auto left_ms = [now](TimePoint end) {
+      return static_cast<int32_t>(std::max<int64_t>(0, (end - now).count() / 1000));
+    };
+    wire::LinkCall call;
+    call.request_id = request_id_;
+    call.service_name = call_.options().service;
+    call.instance = target.instance;
+    call.method = method_;
+    call.path = path_;
+    call.headers = headers_;
+    call.route = route_;
+    call.idempotent = call_.options().idempotent;
+    call.priority = priority_;
+    call.deadline_ms = left_ms(call_.options().deadline - kDeadlineMargin);
+    call.latency_target_ms = left_ms(call_.options().latency_target);
+    return call;
+  }
+
+  void Send(const PlacedTarget& target, std::optional<Duration> timeout) {
+    const TimePoint now = MonotonicNow();
+    attempt_started_ = now;
+    const int64_t attempt = ++attempt_;
+    node_ = target.node;
+    proxy_.counters_.Get("outbound_attempts").Add();
+    attempt_timer_.cancel();
+    if (timeout) {
+      attempt_timer_.expires_after(*timeout);
+      attempt_timer_.async_wait([self = weak_from_this(), attempt](ErrorCode error) {
+        const auto active = self.lock();
+        if (!error && active && active->attempt_ == attempt) {
+          active->proxy_.counters_.Get("outbound_attempt_timeouts").Add();
+          active->Apply(active->call_.OnAttemptTimeout(MonotonicNow()), {}, {});
+        }
+      });
+    }
+    // Kept, because cancelling may destroy the last other reference.
+    const auto self = shared_from_this();
+    if (target.node == proxy_.options_.node) {
+      local_key_ = "local/" + std::to_string(proxy_.next_local_call_++);
+      proxy_.inbound_.Call(local_key_, MakeLinkCall(target, now), body_,
+                           std::make_shared<LocalSink>(weak_from_this(), attempt));
+      return;
+    }
+    link_call_ = proxy_.links_.Call(
+        target.node, MakeLinkCall(target, now), body_,
+        [self, attempt](wire::LinkReply reply, std::string body) {
+          self->OnReply(attempt, std::move(reply), std::move(body));
+        },
+        [self, attempt](LinkFailure failure) { self->OnFailure(attempt, failure); });
+  }
+
+  void OnReply(int64_t attempt, wire::LinkReply reply, std::string body) {
+    if (attempt != attempt_ || finished_) {
+      return;
+    }
+    attempt_timer_.cancel();
+    const TimePoint now = MonotonicNow();
+    if (reply.outcome == wire::Outcome::kRan && reply.http_status < 500) {
+      proxy_.latencies_.Record(now, route_, now - attempt_started_);
+      double& average = proxy_.response_bytes_[route_];
+      average += kBytesWeight * (static_cast<double>(body.size()) - average);
+    }
+    ClearAttempt();
+    CallStep step = call_.OnReply(now, reply);
+    Apply(std::move(step), std::move(reply), std::move(body));
+  }
+
+  void OnFailure(int64_t attempt, LinkFailure failure) {
+    if (attempt != attempt_ || finished_) {
+      return;
+    }
+    attempt_timer_.cancel();
+    ClearAttempt();
+    const TimePoint now = MonotonicNow();
+    Apply(failure == LinkFailure::kNotSent ? call_.OnNotSent(now) : call_.OnLost(now), {}, {});
+  }
+
+  void ClearAttempt() {
+    link_call_ = 0;
+    local_key_.clear();
+  }
+
+  void CancelAttempt() {
+    ++attempt_;
+    if (link_call_ != 0) {
+      proxy_.links_.Cancel(node_, link_call_);
+    }
+    if (!local_key_.empty()) {
+      proxy_.inbound_.Cancel(local_key_);
+    }
+    ClearAttempt();
+  }
+
+  void OnCallerGone() {
+    if (finished_) {
+      return;
+    }
+    const auto self = shared_from_this();
+    proxy_.counters_.Get("outbound_callers_gone").Add();
+    Apply(call_.OnCallerGone(MonotonicNow()), {}, {});
+    End();
+  }
+
+  void Finish(const CallFinish& finish, wire::LinkReply reply, std::string body) {
+    const auto self = shared_from_this();
+    HttpAnswer answer;
+    switch (finish.end) {
+      case CallEnd::kForward:
+        answer = MakeAnswer(std::move(reply), std::move(body));
+        break;
+      case CallEnd::kForwardSaved:
+        answer = MakeAnswer(std::move(saved_reply_), std::move(saved_body_));
+        break;
+      case CallEnd::kNotRun:
+        answer = TextAnswer(503, "not run\n");
+        answer.headers.push_back(MakeHeader("Retry-After", RetryAfterText(finish.retry_after)));
+        break;
+      case CallEnd::kUnknown:
+        answer = TextAnswer(502, "outcome unknown\n");
+        break;
+      case CallEnd::kTimedOut:
+        answer = TextAnswer(504, "timed out\n");
+        break;
+    }
+    Log(finish, answer.status);
+    HttpSessionPtr session = session_;
+    End();
+    session->Respond(std::move(answer));
+  }
+
+  HttpAnswer MakeAnswer(wire::LinkReply reply, std::string body) const {
+    const bool promising = std::ranges::find(kPromisingStatuses, reply.http_status) !=
+                           kPromisingStatuses.end();
+    if (promising) {
+      return TextAnswer(502, "the target's answer would promise that nothing ran\n");
+    }
+    HttpAnswer answer;
+    answer.status = reply.http_status;
+    answer.headers = std::move(reply.headers);
+    answer.body = std::move(body);
+    return answer;
+  }
+
+  void Log(const CallFinish& finish, int status) const {
+    proxy_.counters_.Get("outbound_ends_" + std::string(NameOf(kCallEndNames, finish.end))).Add();
+    const bool plain = finish.end == CallEnd::kForward && status < 500 && call_.arrivals() <= 1;
+    if (plain) {
+      return;
+    }
+    LogEvent("call_ended")
+        .Add("request", request_id_)
+        .Add("route", route_)
+        .Add("service", call_.options().service)
+        .Add("end", NameOf(kCallEndNames, finish.end))
+        .Add("status", status)
+        .Add("reason", static_cast<int64_t>(finish.reason))
+        .Add("last_node", node_)
+        .Add("arrivals", call_.arrivals())
+        .Add("took_ms", MonotonicNow() - started_)
+        .Add("deadline_ms", call_.options().deadline - started_)
+        .Add("retry_after_ms", finish.retry_after);
+  }
+
+  void End() {
+    finished_ = true;
+    deadline_timer_.cancel();
+    attempt_timer_.cancel();
+    proxy_.calls_.erase(shared_from_this());
+  }
+
+  OutboundProxy& proxy_;
+  HttpSessionPtr session_;
+  std::string route_;
+  int priority_;
+  TimePoint started_;
+  MeshCall call_;
+  Timer deadline_timer_;
+  Timer attempt_timer_;
+  std::string method_;
+  std::string path_;
+  std::string request_id_;
+  HttpHeaders headers_;
+  std::string body_;
+  std::string node_;
+  int64_t attempt_ = 0;
+  TimePoint attempt_started_{};
+  int64_t link_call_ = 0;
+  std::string local_key_;
+  bool finished_ = false;
+  wire::LinkReply saved_reply_;
+  std::string saved_body_;
+};
+
+OutboundProxy::OutboundProxy(Executor executor,
+                             OutboundProxyOptions options,
+                             const HttpDialect& dialect,
+                             std::function<RouteTablePtr()> routes,
+                             TargetPlacement& placement,
+                             SharedRetryBudget& budget,
+                             PeerLinks& links,
+                             InboundProxy& inbound,
+                             Counters& counters,
+                             Random random)
+    : executor_(executor),
+      options_(std::move(options)),
+      dialect_(dialect),
+      routes_(std::move(routes)),
+      placement_(placement),
+      budget_(budget),
+      links_(links),
+      inbound_(inbound),
+      counters_(counters),
+      splits_(random) {}
+
+OutboundProxy::~OutboundProxy() = default;
+
+void OutboundProxy::Answer(const HttpSessionPtr& session,
+                           int status,
+                           std::string_view reason,
+                           Duration retry) {
+  LogEvent("request_refused")
+      .Add("request", session->request().Header(dialect_.request_id))
+      .Add("status", status)
+      .Add("reason", reason);
+  HttpAnswer answer = TextAnswer(status, std::string(reason) + "\n");
+  if (retry > Duration(0)) {
+    answer.headers.push_back(MakeHeader("Retry-After", RetryAfterText(retry)));
+  }
+  session->Respond(std::move(answer));
+}
+
+MeshCallOptions OutboundProxy::MakeCallOptions(const MeshRoute& route,
+                                               std::string_view deadline_ms,
+                                               TimePoint now) {
+  const Duration caller =
+      std::chrono::milliseconds(ParseNonNegative(deadline_ms, kDefaultDeadlineMs));
+  MeshCallOptions options;
+  options.service = splits_.Pick(route);
+  options.idempotent = route.IsIdempotent();
+  options.max_attempts = route.max_attempts;
+  options.deadline = now + std::min(caller, route.timeout);
+  const Duration target = route.target_latency > Duration(0) ? route.target_latency : route.timeout;
+  options.latency_target = std::min(options.deadline, now + target);
+  const auto bytes = response_bytes_.find(route.name);
+  options.expected_response_bytes =
+      bytes == response_bytes_.end() ? 0 : static_cast<size_t>(bytes->second);
+  options.usual_latency = latencies_.Of(route.name);
+  return options;
+}
+
+void OutboundProxy::Handle(const HttpSessionPtr& session) {
+  counters_.Get("outbound_requests").Add();
+  const RouteTablePtr routes = routes_();
+  if (!routes) {
+    Answer(session, 503, "no configuration yet", kNotReadyRetry);
+    return;
+  }
+  const HttpRequest& request = session->request();
+  const MeshRoute* route = routes->Match(request.Header("Host"), request.target);
+  if (route == nullptr) {
+    Answer(session, 404, "no route", Duration(0));
+    return;
+  }
+  const auto call = std::make_shared<ActiveCall>(
+      *this, session, *route,
+      MakeCallOptions(*route, request.Header(dialect_.deadline_ms), MonotonicNow()));
+  calls_.insert(call);
+  call->Start();
+}
+
+}  // namespace limpet::edge
--- /dev/null
+++ b/src/edge/peer_links.cc
@@ -0,0 +1,354 @@
+#include "limpet/edge/peer_links.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "limpet/edge/event_log.h"
+#include "limpet/net/clock.h"
+
+namespace limpet::edge {
+
+namespace {
+
+/// Round trips between data centres take a few milliseconds.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(1000);
+constexpr Duration kMinBackoff = std::chrono::milliseconds(50);
+constexpr Duration kMaxBackoff = std::chrono::milliseconds(1000);
+constexpr double kBackoffSpread = 0.5;
+/// An idempotent call is better repeated elsewhere than held for a node that may be gone.
+constexpr Duration kIdempotentResume = std::chrono::milliseconds(150);
+/// A call that must not run twice waits this long for its node to be reached again.
+constexpr Duration kResume = std::chrono::milliseconds(1200);
+/// A node answers a probe from its loop at once, so silence beyond this shows a cut or a pause.
+constexpr Duration kProbeAfter = std::chrono::milliseconds(200);
+constexpr Duration kSilentAfter = std::chrono::milliseconds(300);
+/// A link that stays silent this long is opened anew.
+constexpr Duration kReopenAfter = std::chrono::milliseconds(900);
+
+}  // namespace
+
+PeerLinks::PeerLinks(Executor executor,
+                     PeerLinksOptions options,
+                     PeerLinksObserver& observer,
+                     Counters& counters,
+                     Random random)
+    : executor_(executor),
+      options_(std::move(options)),
+      observer_(observer),
+      counters_(counters),
+      random_(random) {}
+
+PeerLinks::~PeerLinks() {
+  *alive_ = false;
+  for (auto& [name, peer] : peers_) {
+    if (peer.link) {
+      peer.link->Close();
+    }
+  }
+}
+
+void PeerLinks::Add(const wire::NodeAddress& node) {
+  if (node.name == options_.self.name || node.port <= 0) {
+    return;
+  }
+  const auto [entry, is_new] = peers_.try_emplace(node.name);
+  Peer& peer = entry->second;
+  const bool moved = peer.address.host != node.host || peer.address.port != node.port;
+  if (!is_new && !moved) {
+    return;
+  }
+  peer.address = node;
+  if (peer.link) {
+    peer.link->Close();
+    OnClosed(node.name, {});
+  }
+  Connect(node.name);
+}
+
+void PeerLinks::Connect(const std::string& name) {
+  Peer& peer = peers_.at(name);
+  ErrorCode error;
+  const auto address = asio::ip::make_address(peer.address.host, error);
+  if (error) {
+    LogEvent("peer_address_invalid").Add("peer", name).Add("host", peer.address.host);
+    return;
+  }
+  auto socket = std::make_shared<TcpSocket>(executor_);
+  peer.connecting = socket;
+  auto timer = std::make_shared<Timer>(executor_, kConnectTimeout);
+  timer->async_wait([socket](ErrorCode result) {
+    if (!result) {
+      ErrorCode ignored;
+      socket->close(ignored);
+    }
+  });
+  socket->async_connect({address, static_cast<uint16_t>(peer.address.port)},
+                        [this, alive = alive_, name, socket, timer](ErrorCode result) {
+                          timer->cancel();
+                          if (*alive) {
+                            OnConnected(name, socket, result);
+                          }
+                        });
+}
+
+void PeerLinks::OnConnected(const std::string& name,
+                            const std::shared_ptr<TcpSocket>& socket,
+                            ErrorCode error) {
+  Peer& peer = peers_.at(name);
+  if (peer.connecting != socket) {
+    return;
+  }
+  peer.connecting.reset();
+  peer.tried = true;
+  if (error) {
+    ConnectLater(name);
+    return;
+  }
+  peer.link = std::make_shared<Link>(std::move(*socket));
+  peer.link->Start({[this, alive = alive_, name](wire::LinkMessage message, std::string body) {
+                      if (*alive) {
+                        OnMessage(name, std::move(message), std::move(body));
+                      }
+                    },
+                    [this, alive = alive_, name](ErrorCode closed) {
+                      if (*alive) {
+                        OnClosed(name, closed);
+                      }
+                    }});
+  wire::LinkMessage message;
+  message.__isset.hello = true;
+  message.hello.node = options_.self;
+  message.hello.incarnation = options_.incarnation;
+  peer.link->Send(message);
+}
+
+void PeerLinks::ConnectLater(const std::string& name) {
+  Peer& peer = peers_.at(name);
+  peer.backoff = std::clamp(peer.backoff * 2, kMinBackoff, kMaxBackoff);
+  peer.retry_timer =
+      std::make_unique<Timer>(executor_, random_.Jitter(peer.backoff, kBackoffSpread));
+  peer.retry_timer->async_wait([this, alive = alive_, name](ErrorCode error) {
+    if (!error && *alive) {
+      Connect(name);
+    }
+  });
+}
+
+void PeerLinks::OnMessage(const std::string& name, wire::LinkMessage message, std::string body) {
+  Peer& peer = peers_.at(name);
+  if (message.__isset.hello) {
+    OnHello(peer, message.hello);
+  }
+  if (message.__isset.status) {
+    observer_.OnPeerStatus(peer.address, message.status);
+  }
+  if (message.__isset.reply) {
+    OnReply(peer, std::move(message.reply), std::move(body));
+  }
+  if (message.__isset.probe) {
+    observer_.OnPeerVersion(name, message.probe.config_version);
+  }
+  if (message.__isset.config) {
+    observer_.OnPeerConfig(std::move(body));
+  }
+}
+
+void PeerLinks::OnHello(Peer& peer, const wire::LinkHello& hello) {
+  if (hello.node.name != peer.address.name) {
+    // The address was reused by another node.
+    const std::string name = peer.address.name;
+    peer.link->Close();
+    OnClosed(name, {});
+    observer_.OnPeerAddresses({hello.node});
+    return;
+  }
+  const bool same_process = peer.incarnation == hello.incarnation;
+  if (!same_process) {
+    LoseCalls(peer, false);
+  }
+  peer.incarnation = hello.incarnation;
+  peer.ready = true;
+  peer.backoff = Duration(0);
+  peer.probed_at = {};
+  LogEvent("peer_reached").Add("peer", peer.address.name).Add("same_process", int{same_process});
+  for (const auto& [id, call] : peer.calls) {
+    SendCall(peer, call);
+  }
+  observer_.OnPeerStatus(peer.address, hello.target);
+  observer_.OnPeerReachable(peer.address.name, true);
+  observer_.OnPeerVersion(peer.address.name, hello.config_version);
+  observer_.OnPeerAddresses(hello.known_nodes);
+}
+
+void PeerLinks::OnReply(Peer& peer, wire::LinkReply reply, std::string body) {
+  observer_.OnPeerStatus(peer.address, reply.target);
+  const auto found = peer.calls.find(reply.call_id);
+  if (found == peer.calls.end()) {
+    return;
+  }
+  const ReplyCallback on_reply = std::move(found->second.on_reply);
+  peer.calls.erase(found);
+  on_reply(std::move(reply), std::move(body));
+}
+
+void PeerLinks::OnClosed(const std::string& name, ErrorCode error) {
+  Peer& peer = peers_.at(name);
+  peer.link.reset();
+  if (peer.ready) {
+    peer.ready = false;
+    peer.lost_at = MonotonicNow();
+    counters_.Get("links_lost").Add();
+    LogEvent("peer_lost")
+        .Add("peer", name)
+        .Add("error", error.message())
+        .Add("open_calls", static_cast<int64_t>(peer.calls.size()));
+    observer_.OnPeerReachable(name, false);
+  }
+  ConnectLater(name);
+}
+
+void PeerLinks::LoseCalls(Peer& peer, bool idempotent_only) {
+  std::vector<FailureCallback> lost;
+  for (auto it = peer.calls.begin(); it != peer.calls.end();) {
+    if (idempotent_only && !it->second.call.idempotent) {
+      ++it;
+      continue;
+    }
+    lost.push_back(std::move(it->second.on_failure));
+    it = peer.calls.erase(it);
+  }
+  for (const FailureCallback& on_failure : lost) {
+    on_failure(LinkFailure::kLost);
+  }
+}
+
+void PeerLinks::SendCall(Peer& peer, const OpenCall& call) {
+  wire::LinkMessage message;
+  message.__isset.call = true;
+  message.call = call.call;
+  peer.link->Send(message, call.body);
+}
+
+int64_t PeerLinks::Call(const std::string& node,
+                        wire::LinkCall call,
+                        std::string body,
+                        ReplyCallback on_reply,
+                        FailureCallback on_failure) {
+  call.call_id = next_call_id_++;
+  const int64_t id = call.call_id;
+  const auto found = peers_.find(node);
+  if (found == peers_.end() || !found->second.ready) {
+    asio::post(executor_, [on_failure = std::move(on_failure)] {
+      on_failure(LinkFailure::kNotSent);
+    });
+    return id;
+  }
+  Peer& peer = found->second;
+  OpenCall open{std::move(call), std::move(body), std::move(on_reply), std::move(on_failure)};
+  SendCall(peer, open);
+  peer.calls.emplace(id, std::move(open));
+  return id;
+}
+
+void PeerLinks::Cancel(const std::string& node, int64_t call_id) {
+  const auto found = peers_.find(node);
+  if (found == peers_.end() || found->second.calls.erase(call_id) == 0 || !found->second.ready) {
+    return;
+  }
+  wire::LinkMessage message;
+  message.__isset.cancel = true;
+  message.cancel.call_id = call_id;
+  found->second.link->Send(message);
+}
+
+void PeerLinks::RequestConfig(const std::string& node, int64_t have) {
+  const auto found = peers_.find(node);
+  if (found == peers_.end() || !found->second.ready) {
+    return;
+  }
+  wire::LinkMessage message;
+  message.__isset.config_request = true;
+  message.config_request.have = have;
+  found->second.link->Send(message);
+}
+
+void PeerLinks::ProbeSome(int count, int64_t config_version) {
+  std::vector<Peer*> ready;
+  for (auto& [name, peer] : peers_) {
+    if (peer.ready) {
+      ready.push_back(&peer);
+    }
+  }
+  for (int i = 0; i < count && !ready.empty(); ++i) {
+    const std::size_t index = random_.Below(ready.size());
+    wire::LinkMessage message;
+    message.__isset.probe = true;
+    message.probe.config_version = config_version;
+    ready[index]->link->Send(message);
+    ready.erase(ready.begin() + static_cast<std::ptrdiff_t>(index));
+  }
+}
+
+void PeerLinks::CheckSilence(const std::string& name, Peer& peer, TimePoint now) {
+  if (!peer.ready || peer.calls.empty()) {
+    peer.probed_at = {};
+    return;
+  }
+  const Duration silence = now - peer.link->last_received();
+  if (silence < kProbeAfter) {
+    peer.probed_at = {};
+    return;
+  }
+  if (peer.probed_at == TimePoint{}) {
+    peer.probed_at = now;
+    wire::LinkMessage message;
+    message.__isset.probe = true;
+    peer.link->Send(message);
+    return;
+  }
+  if (now - peer.probed_at >= kReopenAfter) {
+    LogEvent("peer_silent").Add("peer", name).Add("silence_ms", silence);
+    peer.link->Close();
+    OnClosed(name, asio::error::timed_out);
+  } else if (now - peer.probed_at >= kSilentAfter) {
+    observer_.OnPeerSilent(name);
+    LoseCalls(peer, true);
+  }
+}
+
+void PeerLinks::Tick() {
+  const TimePoint now = MonotonicNow();
+  for (auto& [name, peer] : peers_) {
+    CheckSilence(name, peer, now);
+    if (!peer.ready && !peer.calls.empty()) {
+      const Duration gone = now - peer.lost_at;
+      if (gone > kIdempotentResume) {
+        LoseCalls(peer, gone <= kResume);
+      }
+    }
+  }
+}
+
+std::vector<wire::NodeAddress> PeerLinks::KnownNodes() const {
+  std::vector<wire::NodeAddress> nodes = {options_.self};
+  for (const auto& [name, peer] : peers_) {
+    if (peer.ready) {
+      nodes.push_back(peer.address);
+    }
+  }
+  return nodes;
+}
+
+int PeerLinks::CountReachable() const {
+  return static_cast<int>(
+      std::ranges::count_if(peers_, [](const auto& entry) { return entry.second.ready; }));
+}
+
+bool PeerLinks::IsConnecting() const {
+  return std::ranges::any_of(
+      peers_, [](const auto& entry) { return !entry.second.tried && !entry.second.ready; });
+}
+
+}  // namespace limpet::edge
--- a/src/net/base64.cc
+++ b/src/net/base64.cc
@@ -2,12 +2,21 @@
 
 #include <cxxtools/base64codec.h>
 
+#include <algorithm>
 #include <exception>
 
 namespace limpet {
 
 std::string EncodeBase64(const std::string& bytes) {
-  return bytes.empty() ? "" : cxxtools::Base64Codec::encode(bytes);
+  if (bytes.empty()) {
+    return "";
+  }
+  std::string text = cxxtools::Base64Codec::encode(bytes);
+  // cxxtools breaks lines as MIME does; RFC 4648 forbids that unless a format asks for it.
+  text.erase(std::remove_if(text.begin(), text.end(),
+                            [](char c) { return c == '\r' || c == '\n'; }),
+             text.end());
+  return text;
 }
 
 std::optional<std::string> DecodeBase64(const std::string& text) {
--- a/src/net/clock.cc
+++ b/src/net/clock.cc
@@ -1,9 +1,16 @@
 #include "limpet/net/clock.h"
 
+#include <ctime>
+
 namespace limpet {
 
 TimePoint MonotonicNow() {
-  return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+  // CLOCK_BOOTTIME counts the time that a VM was suspended, so that deadlines and leases which ran
+  // out meanwhile are seen as passed after it resumes.
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec) +
+                                                        std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 }  // namespace limpet
--- a/src/settings/node_settings.cc
+++ b/src/settings/node_settings.cc
@@ -23,6 +23,7 @@
                             LimitKind NodeSettings::*,
                             SelectionKind NodeSettings::*,
                             DistributionMode NodeSettings::*,
+                            PeerAddress NodeSettings::*,
                             std::vector<PeerAddress> NodeSettings::*>;
 
 /// Syntax of a text value.
@@ -131,6 +132,19 @@
      {1024, 64 << 20}},
     {"limits", "limit_policy", &S::limit_policy, "Controller of the limit on requests in flight"},
     {"limits", "selection_policy", &S::selection_policy, "How an endpoint is chosen for a call"},
+    {"edge", "outbound", &S::outbound, "Address for callers on this VM"},
+    {"edge", "readiness", &S::readiness, "Address at which readiness is asked for"},
+    {"edge", "announcements", &S::announcements, "Address for heartbeats of the target"},
+    {"edge", "target", &S::target, "Address at which the target on this VM takes requests"},
+    {"edge", "store", &S::store, "Address of the store of configuration and node addresses"},
+    {"edge", "link_port", &S::link_port, "TCP port for links from other nodes", kPortRange},
+    {"edge", "metrics_port", &S::metrics_port, "HTTP port of /metrics", kPortRange},
+    {"retries", "ratio", &S::retry_ratio,
+     "Repeats of all nodes together as a share of the requests"},
+    {"retries", "extra", &S::retry_extra, "Repeats beyond that share in one window", {0, 1'000'000}},
+    {"retries", "window_ms", &S::retry_window_ms, "Length of the window", kMsRange},
+    {"stop", "grace_period_ms", &S::grace_period_ms,
+     "Time from the request to stop until the process is killed", kMsRange},
     {"control", "distribution", &S::distribution,
      "How changes reach this node; poll_log is a baseline for measurements"},
     {"control", "tick_ms", &S::tick_ms, "Time between two steps of the control thread", {10, 1000}},
@@ -231,6 +245,9 @@
   bool operator()(Enum NodeSettings::*member) const {
     return ParseName(NamesOf(Enum{}), text, settings.*member);
   }
+  bool operator()(PeerAddress NodeSettings::*member) const {
+    return ParseAddress(text, settings.*member);
+  }
   bool operator()(std::vector<PeerAddress> NodeSettings::*member) const {
     return ParseAddresses(text, settings.*member);
   }
@@ -258,6 +275,7 @@
   std::string operator()(Enum NodeSettings::* /*member*/) const {
     return NamesText(NamesOf(Enum{}));
   }
+  std::string operator()(PeerAddress NodeSettings::*) const { return "host:port"; }
   std::string operator()(std::vector<PeerAddress> NodeSettings::*) const {
     return "a list of host:port";
   }
@@ -271,6 +289,7 @@
   std::string operator()(Enum NodeSettings::* /*member*/) const {
     return "choice";
   }
+  std::string operator()(PeerAddress NodeSettings::*) const { return "address"; }
   std::string operator()(std::vector<PeerAddress> NodeSettings::*) const { return "list"; }
 };
 
@@ -290,6 +309,7 @@
   std::string operator()(Enum NodeSettings::*member) const {
     return std::string(NameOf(NamesOf(Enum{}), defaults.*member));
   }
+  std::string operator()(PeerAddress NodeSettings::*) const { return ""; }
   std::string operator()(std::vector<PeerAddress> NodeSettings::*) const { return ""; }
 };
 
--- a/src/traffic/mesh_call.cc
+++ b/src/traffic/mesh_call.cc
@@ -17,6 +17,8 @@
 /// An attempt that takes this many times as long as usual has probably lost its response.
 constexpr double kSlowAttemptFactor = 2.5;
 constexpr Duration kSlowAttemptMargin = std::chrono::milliseconds(40);
+/// Below this a pause of a node looks like a lost response.
+constexpr Duration kMinAttemptTimeout = std::chrono::milliseconds(100);
 /// A second attempt needs at least this many usual times to be worth sending.
 constexpr double kRoomForRepeat = 1.2;
 /// Return time without an estimate: a few service times, so that slots have turned over.
@@ -70,7 +72,8 @@
   if (!options_.idempotent || usual == Duration(0) || arrivals_ + 1 >= options_.max_attempts) {
     return std::nullopt;
   }
-  const Duration timeout = Times(usual, kSlowAttemptFactor) + kSlowAttemptMargin;
+  const Duration timeout =
+      std::max(kMinAttemptTimeout, Times(usual, kSlowAttemptFactor) + kSlowAttemptMargin);
   const Duration left = options_.deadline - now;
   if (left - timeout < Times(usual, kRoomForRepeat)) {
     return std::nullopt;
@@ -160,12 +163,13 @@
 }
 
 CallStep MeshCall::OnAttemptTimeout(TimePoint now) {
-  ++arrivals_;
-  if (!options_.idempotent || !MayRepeat(now)) {
+  const bool has_other = placement_.HasOther(options_.service, tried_);
+  const bool allowed = options_.idempotent && arrivals_ + 1 < options_.max_attempts;
+  if (!has_other || !allowed || !budget_.Take(now, options_.service)) {
     // Without a repeat the open attempt is still the best chance.
-    --arrivals_;
     return {};
   }
+  ++arrivals_;
   may_have_run_ = true;
   CloseAttempt();
   CallStep step = SendNext(now);
--- a/src/traffic/target_placement.cc
+++ b/src/traffic/target_placement.cc
@@ -129,6 +129,14 @@
   found->second.status.load.in_flight = std::max(0, found->second.status.load.in_flight - 1);
 }
 
+bool TargetPlacement::HasOther(const std::string& service,
+                               const std::vector<std::string>& excluded) const {
+  return std::ranges::any_of(entries_, [&](const auto& entry) {
+    return IsUsable(entry.second, service) &&
+           std::ranges::find(excluded, entry.first) == excluded.end();
+  });
+}
+
 int TargetPlacement::CountUsable(const std::string& service) const {
   return static_cast<int>(std::ranges::count_if(
       entries_, [&](const auto& entry) { return IsUsable(entry.second, service); }));
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -64,6 +64,9 @@
 std::string Encode(const Envelope& envelope) {
   return EncodeValue(envelope);
 }
+std::string Encode(const LinkMessage& message) {
+  return EncodeValue(message);
+}
 
 void Decode(std::string_view bytes, ChangeRecord& record) {
   DecodeValue(bytes, record);
@@ -77,5 +80,8 @@
 void Decode(std::string_view bytes, Envelope& envelope) {
   DecodeValue(bytes, envelope);
 }
+void Decode(std::string_view bytes, LinkMessage& message) {
+  DecodeValue(bytes, message);
+}
 
 }  // namespace limpet::wire
