Hedge overdue responses and refuse requests late in the grace period

Ruled out: the target's own failure, its logs show it at work. Now an overdue idempotent request gets a second attempt only into a free slot, beside the first; requests later than 2.8 s after SIGTERM are refused with 503 at once.

--- a/idl/limpet.thrift
+++ b/idl/limpet.thrift
@@ -388,6 +388,8 @@
   13: string route
   // The gate may queue beyond the latency target.
   12: bool accepts_late
+  // A second attempt beside an open one: taken only into a free slot.
+  14: bool hedge
 }
 
 struct LinkReply {
--- a/include/limpet/edge/edge_node.h
+++ b/include/limpet/edge/edge_node.h
@@ -76,6 +76,7 @@
   void OnStatusChanged();
   void OnAnnouncement(const HttpSessionPtr& session);
   void TakeAnnouncement(const TargetAnnouncement& announcement);
+  void OnCallerRequest(const HttpSessionPtr& session);
   void OnReadiness(const HttpSessionPtr& session);
   void OnMetrics(const HttpSessionPtr& session);
   bool IsReady() const;
--- a/include/limpet/edge/outbound_proxy.h
+++ b/include/limpet/edge/outbound_proxy.h
@@ -43,6 +43,8 @@
   ~OutboundProxy();
 
   void Handle(const HttpSessionPtr& session);
+  /// Answers that the request has not run and when to return.
+  void Refuse(const HttpSessionPtr& session, std::string_view reason, Duration retry_after);
   bool idle() const { return calls_.empty(); }
   void set_service(std::string service) { options_.service = std::move(service); }
 
--- a/include/limpet/traffic/mesh_call.h
+++ b/include/limpet/traffic/mesh_call.h
@@ -49,20 +49,29 @@
   Duration retry_after{0};
 };
 
+/// An attempt that the driver has to send.
+struct CallSend {
+  /// Names the attempt in later events.
+  int attempt = 0;
+  PlacedTarget target;
+  /// Runs beside an open attempt, so it is only worth a free slot.
+  bool hedge = false;
+};
+
 /// What the driver has to do after an event.
 struct CallStep {
-  /// The open attempt is to be cancelled.
-  bool cancel = false;
   /// The reply at hand is kept for `CallEnd::kForwardSaved`.
   bool save_reply = false;
-  std::optional<PlacedTarget> send;
-  /// Set with `send`: the attempt is given up after this long; empty if it may use all the time.
-  std::optional<Duration> attempt_timeout;
+  std::optional<CallSend> send;
+  /// Set with `send`: `OnSlow` is due after this long.
+  std::optional<Duration> slow_after;
+  /// All attempts that are still open are to be cancelled.
   std::optional<CallFinish> finish;
 };
 
-/// The call of one caller through its attempts: at most one at a time. A request that is not
-/// idempotent is sent again only if the earlier attempt proved that it has not run. Free of I/O.
+/// The call of one caller through its attempts. A request that is not idempotent is sent again only
+/// if the earlier attempt proved that it has not run. An idempotent one whose response is overdue
+/// gets a second attempt beside the first (hedged request). Free of I/O.
 class MeshCall {
  public:
   /// The references must outlive the call.
@@ -72,36 +81,44 @@
   MeshCall& operator=(const MeshCall&) = delete;
 
   CallStep Start(TimePoint now);
-  CallStep OnReply(TimePoint now, const wire::LinkReply& reply);
+  CallStep OnReply(TimePoint now, int attempt, const wire::LinkReply& reply);
   /// The attempt was not handed to the node, so nothing has run.
-  CallStep OnNotSent(TimePoint now);
+  CallStep OnNotSent(TimePoint now, int attempt);
   /// The link was lost after the attempt was handed over, and its outcome cannot be asked for.
-  CallStep OnLost(TimePoint now);
-  CallStep OnAttemptTimeout(TimePoint now);
+  CallStep OnLost(TimePoint now, int attempt);
+  /// The response is overdue.
+  CallStep OnSlow(TimePoint now);
   CallStep OnDeadline(TimePoint now);
   /// The caller has left; no finish follows.
-  CallStep OnCallerGone(TimePoint now);
+  void OnCallerGone();
 
-  /// Empty without an open attempt.
-  const std::string& open_node() const { return open_node_; }
+  /// Attempts that are known to have reached a target.
   int arrivals() const { return arrivals_; }
   const MeshCallOptions& options() const { return options_; }
 
  private:
-  CallStep SendNext(TimePoint now);
+  struct OpenAttempt {
+    int attempt = 0;
+    std::string node;
+  };
+
+  CallStep SendNext(TimePoint now, bool hedge);
   CallStep Finish(CallEnd end, wire::RefusalReason::type reason);
+  /// Ends the call without a success, unless another attempt is still open.
+  CallStep GiveUp(wire::RefusalReason::type reason);
   CallStep OnRefused(TimePoint now, const wire::LinkReply& reply);
   CallStep OnFailedRun(TimePoint now, wire::RefusalReason::type reason, bool has_reply);
   bool MayRepeat(TimePoint now);
-  std::optional<Duration> AttemptTimeout(TimePoint now) const;
-  void CloseAttempt();
+  std::optional<Duration> SlowAfter(TimePoint now) const;
+  void Close(int attempt);
+  void CloseAll();
 
   MeshCallOptions options_;
   TargetPlacement& placement_;
   SharedRetryBudget& budget_;
-  std::string open_node_;
+  std::vector<OpenAttempt> open_;
+  int last_attempt_ = 0;
   std::vector<std::string> tried_;
-  /// Attempts that reached a target.
   int arrivals_ = 0;
   int refusals_ = 0;
   bool may_have_run_ = false;
--- a/include/limpet/traffic/target_gate.h
+++ b/include/limpet/traffic/target_gate.h
@@ -45,6 +45,8 @@
   TimePoint latency_target{};
   /// May wait beyond the latency target.
   bool accepts_late = false;
+  /// Another attempt of the same request is open: taken only into a free slot.
+  bool hedge = false;
 };
 
 enum class GateVerdict {
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -20,8 +20,11 @@
 constexpr int kProbedPeers = 2;
 /// A node that knows no peer after this long serves with what it has.
 constexpr Duration kJoinTimeout = std::chrono::seconds(2);
-/// Requests go on being taken for this long after the request to stop, until callers have noticed.
-constexpr Duration kStopNotice = std::chrono::milliseconds(2500);
+/// Requests go on being taken for this long after the request to stop: readiness is asked for once
+/// a second, and two misses take a node out. Later requests are refused at once, because they might
+/// not end before the kill.
+constexpr Duration kStopNotice = std::chrono::milliseconds(2800);
+constexpr Duration kStoppingRetry = std::chrono::milliseconds(200);
 /// What is still open this long before the kill is given up in an orderly way.
 constexpr Duration kStopMargin = std::chrono::milliseconds(300);
 
@@ -118,7 +121,7 @@
   started_ = MonotonicNow();
   const auto closing = [this] { return stopping_; };
   const auto never_closing = [] { return false; };
-  caller_sessions_ = {[this](const HttpSessionPtr& session) { outbound_->Handle(session); },
+  caller_sessions_ = {[this](const HttpSessionPtr& session) { OnCallerRequest(session); },
                       [this] {
                         return config_.routes() ? config_.routes()->config().limits
                                                 : CallerLimits{};
@@ -280,6 +283,14 @@
   return !links_->IsConnecting() || now - joined_at_ > kJoinTimeout;
 }
 
+void EdgeNode::OnCallerRequest(const HttpSessionPtr& session) {
+  if (stopping_ && MonotonicNow() - stop_begun_ >= kStopNotice) {
+    outbound_->Refuse(session, "stopping", kStoppingRetry);
+    return;
+  }
+  outbound_->Handle(session);
+}
+
 void EdgeNode::OnReadiness(const HttpSessionPtr& session) {
   if (!codec_.IsReadinessRequest(session->request())) {
     session->Respond(TextAnswer(404, "unknown path\n"));
--- a/src/edge/outbound_proxy.cc
+++ b/src/edge/outbound_proxy.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <map>
 #include <utility>
 
 #include "limpet/edge/event_log.h"
@@ -46,7 +47,7 @@
         started_(MonotonicNow()),
         call_(std::move(options), proxy.placement_, proxy.budget_),
         deadline_timer_(proxy.executor_),
-        attempt_timer_(proxy.executor_) {}
+        slow_timer_(proxy.executor_) {}
 
   void Start() {
     const HttpRequest& request = session_->request();
@@ -73,7 +74,7 @@
   /// Replies of this node's own target to this node's own calls.
   class LocalSink final : public CallSink {
    public:
-    LocalSink(std::weak_ptr<ActiveCall> call, int64_t attempt)
+    LocalSink(std::weak_ptr<ActiveCall> call, int attempt)
         : call_(std::move(call)), attempt_(attempt) {}
     bool IsOpen() const override { return !call_.expired(); }
     void Deliver(wire::LinkReply reply, std::string body) override {
@@ -86,16 +87,20 @@
 
    private:
     std::weak_ptr<ActiveCall> call_;
-    int64_t attempt_;
+    int attempt_;
+  };
+  struct Attempt {
+    std::string node;
+    TimePoint started{};
+    /// Of a call over a link; 0 for one to this node's own target.
+    int64_t link_call = 0;
+    std::string local_key;
   };
 
   void Apply(CallStep step, wire::LinkReply reply, std::string body) {
     if (finished_) {
       return;
     }
-    if (step.cancel) {
-      CancelAttempt();
-    }
     if (step.save_reply) {
       saved_reply_ = std::move(reply);
       saved_body_ = std::move(body);
@@ -103,7 +108,7 @@
     if (step.finish) {
       Finish(*step.finish, std::move(reply), std::move(body));
     } else if (step.send) {
-      Send(*step.send, step.attempt_timeout);
+      Send(*step.send, step.slow_after);
     }
   }
 
@@ -126,79 +131,75 @@
     return call;
   }
 
-  void Send(const PlacedTarget& target, std::optional<Duration> timeout) {
+  void Send(const CallSend& send, std::optional<Duration> slow_after) {
     const TimePoint now = MonotonicNow();
-    attempt_started_ = now;
-    const int64_t attempt = ++attempt_;
-    node_ = target.node;
-    proxy_.counters_.Get("outbound_attempts").Add();
-    attempt_timer_.cancel();
-    if (timeout) {
-      attempt_timer_.expires_after(*timeout);
-      attempt_timer_.async_wait([self = weak_from_this(), attempt](ErrorCode error) {
+    const std::string& node = send.target.node;
+    last_node_ = node;
+    proxy_.counters_.Get(send.hedge ? "outbound_hedges" : "outbound_attempts").Add();
+    if (slow_after) {
+      slow_timer_.expires_after(*slow_after);
+      slow_timer_.async_wait([self = weak_from_this()](ErrorCode error) {
         const auto active = self.lock();
-        if (!error && active && active->attempt_ == attempt) {
-          active->proxy_.counters_.Get("outbound_attempt_timeouts").Add();
-          active->Apply(active->call_.OnAttemptTimeout(MonotonicNow()), {}, {});
+        if (!error && active) {
+          active->Apply(active->call_.OnSlow(MonotonicNow()), {}, {});
         }
       });
     }
-    // Kept, because cancelling may destroy the last other reference.
-    const auto self = shared_from_this();
-    if (target.node == proxy_.options_.node) {
-      local_key_ = "local/" + std::to_string(proxy_.next_local_call_++);
-      proxy_.inbound_.Call(local_key_, MakeLinkCall(target, now), body_,
-                           std::make_shared<LocalSink>(weak_from_this(), attempt));
+    wire::LinkCall call = MakeLinkCall(send.target, now);
+    call.hedge = send.hedge;
+    Attempt& attempt = attempts_[send.attempt];
+    attempt.node = node;
+    attempt.started = now;
+    if (node == proxy_.options_.node) {
+      attempt.local_key = "local/" + std::to_string(proxy_.next_local_call_++);
+      proxy_.inbound_.Call(attempt.local_key, std::move(call), body_,
+                           std::make_shared<LocalSink>(weak_from_this(), send.attempt));
       return;
     }
-    link_call_ = proxy_.links_.Call(
-        target.node, MakeLinkCall(target, now), body_,
-        [self, attempt](wire::LinkReply reply, std::string body) {
-          self->OnReply(attempt, std::move(reply), std::move(body));
+    const auto self = shared_from_this();
+    attempt.link_call = proxy_.links_.Call(
+        node, std::move(call), body_,
+        [self, id = send.attempt](wire::LinkReply reply, std::string body) {
+          self->OnReply(id, std::move(reply), std::move(body));
         },
-        [self, attempt](LinkFailure failure) { self->OnFailure(attempt, failure); });
+        [self, id = send.attempt](LinkFailure failure) { self->OnFailure(id, failure); });
   }
 
-  void OnReply(int64_t attempt, wire::LinkReply reply, std::string body) {
-    if (attempt != attempt_ || finished_) {
+  void OnReply(int id, wire::LinkReply reply, std::string body) {
+    const auto found = attempts_.find(id);
+    if (found == attempts_.end() || finished_) {
       return;
     }
-    attempt_timer_.cancel();
     const TimePoint now = MonotonicNow();
     if (reply.outcome == wire::Outcome::kRan && reply.http_status < 500) {
-      proxy_.latencies_.Record(now, route_, now - attempt_started_);
+      proxy_.latencies_.Record(now, route_, now - found->second.started);
       double& average = proxy_.response_bytes_[route_];
       average += kBytesWeight * (static_cast<double>(body.size()) - average);
     }
-    ClearAttempt();
-    CallStep step = call_.OnReply(now, reply);
+    attempts_.erase(found);
+    CallStep step = call_.OnReply(now, id, reply);
     Apply(std::move(step), std::move(reply), std::move(body));
   }
 
-  void OnFailure(int64_t attempt, LinkFailure failure) {
-    if (attempt != attempt_ || finished_) {
+  void OnFailure(int id, LinkFailure failure) {
+    if (finished_ || attempts_.erase(id) == 0) {
       return;
     }
-    attempt_timer_.cancel();
-    ClearAttempt();
     const TimePoint now = MonotonicNow();
-    Apply(failure == LinkFailure::kNotSent ? call_.OnNotSent(now) : call_.OnLost(now), {}, {});
-  }
-
-  void ClearAttempt() {
-    link_call_ = 0;
-    local_key_.clear();
+    Apply(failure == LinkFailure::kNotSent ? call_.OnNotSent(now, id) : call_.OnLost(now, id), {},
+          {});
   }
 
-  void CancelAttempt() {
-    ++attempt_;
-    if (link_call_ != 0) {
-      proxy_.links_.Cancel(node_, link_call_);
-    }
-    if (!local_key_.empty()) {
-      proxy_.inbound_.Cancel(local_key_);
+  void CancelAttempts() {
+    const auto attempts = std::exchange(attempts_, {});
+    for (const auto& [id, attempt] : attempts) {
+      if (attempt.link_call != 0) {
+        proxy_.links_.Cancel(attempt.node, attempt.link_call);
+      }
+      if (!attempt.local_key.empty()) {
+        proxy_.inbound_.Cancel(attempt.local_key);
+      }
     }
-    ClearAttempt();
   }
 
   void OnCallerGone() {
@@ -207,7 +208,7 @@
     }
     const auto self = shared_from_this();
     proxy_.counters_.Get("outbound_callers_gone").Add();
-    Apply(call_.OnCallerGone(MonotonicNow()), {}, {});
+    call_.OnCallerGone();
     End();
   }
 
@@ -264,7 +265,7 @@
         .Add("end", NameOf(kCallEndNames, finish.end))
         .Add("status", status)
         .Add("reason", static_cast<int64_t>(finish.reason))
-        .Add("last_node", node_)
+        .Add("last_node", last_node_)
         .Add("arrivals", call_.arrivals())
         .Add("took_ms", MonotonicNow() - started_)
         .Add("deadline_ms", call_.options().deadline - started_)
@@ -274,7 +275,8 @@
   void End() {
     finished_ = true;
     deadline_timer_.cancel();
-    attempt_timer_.cancel();
+    slow_timer_.cancel();
+    CancelAttempts();
     proxy_.calls_.erase(shared_from_this());
   }
 
@@ -285,17 +287,14 @@
   TimePoint started_;
   MeshCall call_;
   Timer deadline_timer_;
-  Timer attempt_timer_;
+  Timer slow_timer_;
   std::string method_;
   std::string path_;
   std::string request_id_;
   HttpHeaders headers_;
   std::string body_;
-  std::string node_;
-  int64_t attempt_ = 0;
-  TimePoint attempt_started_{};
-  int64_t link_call_ = 0;
-  std::string local_key_;
+  std::map<int, Attempt> attempts_;
+  std::string last_node_;
   bool finished_ = false;
   wire::LinkReply saved_reply_;
   std::string saved_body_;
@@ -339,6 +338,12 @@
   session->Respond(std::move(answer));
 }
 
+void OutboundProxy::Refuse(const HttpSessionPtr& session,
+                           std::string_view reason,
+                           Duration retry_after) {
+  Answer(session, 503, reason, retry_after);
+}
+
 MeshCallOptions OutboundProxy::MakeCallOptions(const MeshRoute& route,
                                                std::string_view deadline_ms,
                                                TimePoint now) {
@@ -362,7 +367,7 @@
   counters_.Get("outbound_requests").Add();
   const RouteTablePtr routes = routes_();
   if (!routes) {
-    Answer(session, 503, "no configuration yet", kNotReadyRetry);
+    Refuse(session, "no configuration yet", kNotReadyRetry);
     return;
   }
   const HttpRequest& request = session->request();
--- a/src/gen/limpet_types.cpp
+++ b/src/gen/limpet_types.cpp
@@ -7936,6 +7936,10 @@
 void LinkCall::__set_accepts_late(const bool val) {
   this->accepts_late = val;
 }
+
+void LinkCall::__set_hedge(const bool val) {
+  this->hedge = val;
+}
 std::ostream& operator<<(std::ostream& out, const LinkCall& obj)
 {
   obj.printTo(out);
@@ -8080,6 +8084,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->hedge);
+          this->__isset.hedge = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8157,6 +8169,10 @@
   xfer += oprot->writeString(this->route);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("hedge", ::apache::thrift::protocol::T_BOOL, 14);
+  xfer += oprot->writeBool(this->hedge);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8177,6 +8193,7 @@
   swap(a.latency_target_ms, b.latency_target_ms);
   swap(a.route, b.route);
   swap(a.accepts_late, b.accepts_late);
+  swap(a.hedge, b.hedge);
   swap(a.__isset, b.__isset);
 }
 
@@ -8194,6 +8211,7 @@
   latency_target_ms = other355.latency_target_ms;
   route = other355.route;
   accepts_late = other355.accepts_late;
+  hedge = other355.hedge;
   __isset = other355.__isset;
 }
 LinkCall::LinkCall(LinkCall&& other356) noexcept {
@@ -8210,6 +8228,7 @@
   latency_target_ms = other356.latency_target_ms;
   route = std::move(other356.route);
   accepts_late = other356.accepts_late;
+  hedge = other356.hedge;
   __isset = other356.__isset;
 }
 LinkCall& LinkCall::operator=(const LinkCall& other357) {
@@ -8226,6 +8245,7 @@
   latency_target_ms = other357.latency_target_ms;
   route = other357.route;
   accepts_late = other357.accepts_late;
+  hedge = other357.hedge;
   __isset = other357.__isset;
   return *this;
 }
@@ -8243,6 +8263,7 @@
   latency_target_ms = other358.latency_target_ms;
   route = std::move(other358.route);
   accepts_late = other358.accepts_late;
+  hedge = other358.hedge;
   __isset = other358.__isset;
   return *this;
 }
@@ -8262,6 +8283,7 @@
   out << ", " << "latency_target_ms=" << to_string(latency_target_ms);
   out << ", " << "route=" << to_string(route);
   out << ", " << "accepts_late=" << to_string(accepts_late);
+  out << ", " << "hedge=" << to_string(hedge);
   out << ")";
 }
 
--- a/src/gen/limpet_types.h
+++ b/src/gen/limpet_types.h
@@ -2963,7 +2963,7 @@
 std::ostream& operator<<(std::ostream& out, const LinkHello& obj);
 
 typedef struct _LinkCall__isset {
-  _LinkCall__isset() : call_id(false), request_id(false), service_name(false), instance(false), method(false), path(false), headers(false), idempotent(false), priority(false), deadline_ms(false), latency_target_ms(false), route(false), accepts_late(false) {}
+  _LinkCall__isset() : call_id(false), request_id(false), service_name(false), instance(false), method(false), path(false), headers(false), idempotent(false), priority(false), deadline_ms(false), latency_target_ms(false), route(false), accepts_late(false), hedge(false) {}
   bool call_id :1;
   bool request_id :1;
   bool service_name :1;
@@ -2977,6 +2977,7 @@
   bool latency_target_ms :1;
   bool route :1;
   bool accepts_late :1;
+  bool hedge :1;
 } _LinkCall__isset;
 
 class LinkCall : public virtual ::apache::thrift::TBase {
@@ -2998,7 +2999,8 @@
              deadline_ms(0),
              latency_target_ms(0),
              route(),
-             accepts_late(0) {
+             accepts_late(0),
+             hedge(0) {
   }
 
   virtual ~LinkCall() noexcept;
@@ -3015,6 +3017,7 @@
   int32_t latency_target_ms;
   std::string route;
   bool accepts_late;
+  bool hedge;
 
   _LinkCall__isset __isset;
 
@@ -3044,6 +3047,8 @@
 
   void __set_accepts_late(const bool val);
 
+  void __set_hedge(const bool val);
+
   bool operator == (const LinkCall & rhs) const
   {
     if (!(call_id == rhs.call_id))
@@ -3072,6 +3077,8 @@
       return false;
     if (!(accepts_late == rhs.accepts_late))
       return false;
+    if (!(hedge == rhs.hedge))
+      return false;
     return true;
   }
   bool operator != (const LinkCall &rhs) const {
--- a/src/traffic/mesh_call.cc
+++ b/src/traffic/mesh_call.cc
@@ -15,10 +15,10 @@
 /// Refusals that only show an outdated view (draining, replaced target) are cheap and end soon.
 constexpr int kMaxTried = 6;
 /// An attempt that takes this many times as long as usual has probably lost its response.
-constexpr double kSlowAttemptFactor = 2.5;
-constexpr Duration kSlowAttemptMargin = std::chrono::milliseconds(40);
+constexpr double kSlowFactor = 2.5;
+constexpr Duration kSlowMargin = std::chrono::milliseconds(40);
 /// Below this a pause of a node looks like a lost response.
-constexpr Duration kMinAttemptTimeout = std::chrono::milliseconds(100);
+constexpr Duration kMinSlow = std::chrono::milliseconds(100);
 /// A second attempt needs at least this many usual times to be worth sending.
 constexpr double kRoomForRepeat = 1.2;
 /// Return time without an estimate: a few service times, so that slots have turned over.
@@ -36,60 +36,61 @@
     : options_(std::move(options)), placement_(placement), budget_(budget) {}
 
 MeshCall::~MeshCall() {
-  CloseAttempt();
+  CloseAll();
 }
 
 CallStep MeshCall::Start(TimePoint now) {
   budget_.OnRequest(now, options_.service);
-  return SendNext(now);
+  return SendNext(now, false);
 }
 
-CallStep MeshCall::SendNext(TimePoint now) {
+CallStep MeshCall::SendNext(TimePoint now, bool hedge) {
   const auto target =
       tried_.size() >= kMaxTried
           ? std::nullopt
           : placement_.Choose(now, options_.service, options_.expected_response_bytes, tried_);
   if (!target) {
-    if (has_saved_reply_) {
-      return Finish(CallEnd::kForwardSaved, Reason::kNone);
-    }
-    if (may_have_run_) {
-      return Finish(CallEnd::kUnknown, Reason::kConnectionLost);
-    }
-    return Finish(CallEnd::kNotRun, refusals_ > 0 ? Reason::kOverloaded : Reason::kNoEndpoint);
-  }
-  open_node_ = target->node;
+    return GiveUp(refusals_ > 0 ? Reason::kOverloaded : Reason::kNoEndpoint);
+  }
+  open_.push_back({++last_attempt_, target->node});
   tried_.push_back(target->node);
   placement_.OnSend(target->node);
   CallStep step;
-  step.send = target;
-  step.attempt_timeout = AttemptTimeout(now);
+  step.send = CallSend{last_attempt_, *target, hedge};
+  step.slow_after = hedge ? std::nullopt : SlowAfter(now);
   return step;
 }
 
-std::optional<Duration> MeshCall::AttemptTimeout(TimePoint now) const {
+std::optional<Duration> MeshCall::SlowAfter(TimePoint now) const {
   const Duration usual = options_.usual_latency;
-  if (!options_.idempotent || usual == Duration(0) || arrivals_ + 1 >= options_.max_attempts) {
+  const bool more_allowed = arrivals_ + static_cast<int>(open_.size()) < options_.max_attempts;
+  if (!options_.idempotent || usual == Duration(0) || !more_allowed) {
     return std::nullopt;
   }
-  const Duration timeout =
-      std::max(kMinAttemptTimeout, Times(usual, kSlowAttemptFactor) + kSlowAttemptMargin);
+  const Duration slow = std::max(kMinSlow, Times(usual, kSlowFactor) + kSlowMargin);
   const Duration left = options_.deadline - now;
-  if (left - timeout < Times(usual, kRoomForRepeat)) {
+  if (left - slow < Times(usual, kRoomForRepeat)) {
     return std::nullopt;
   }
-  return timeout;
+  return slow;
 }
 
-void MeshCall::CloseAttempt() {
-  if (!open_node_.empty()) {
-    placement_.OnEnd(open_node_);
-    open_node_.clear();
+void MeshCall::Close(int attempt) {
+  const auto found = std::ranges::find(open_, attempt, &OpenAttempt::attempt);
+  if (found != open_.end()) {
+    placement_.OnEnd(found->node);
+    open_.erase(found);
+  }
+}
+
+void MeshCall::CloseAll() {
+  while (!open_.empty()) {
+    Close(open_.back().attempt);
   }
 }
 
 CallStep MeshCall::Finish(CallEnd end, Reason::type reason) {
-  CloseAttempt();
+  CloseAll();
   CallStep step;
   step.finish = CallFinish{end, reason, Duration(0)};
   if (end == CallEnd::kNotRun) {
@@ -99,8 +100,18 @@
   return step;
 }
 
-CallStep MeshCall::OnReply(TimePoint now, const wire::LinkReply& reply) {
-  CloseAttempt();
+CallStep MeshCall::GiveUp(Reason::type reason) {
+  if (!open_.empty()) {
+    return {};
+  }
+  if (has_saved_reply_) {
+    return Finish(CallEnd::kForwardSaved, Reason::kNone);
+  }
+  return Finish(may_have_run_ ? CallEnd::kUnknown : CallEnd::kNotRun, reason);
+}
+
+CallStep MeshCall::OnReply(TimePoint now, int attempt, const wire::LinkReply& reply) {
+  Close(attempt);
   if (reply.reached_target) {
     ++arrivals_;
   }
@@ -122,73 +133,60 @@
     ++refusals_;
   }
   const bool spent = reply.reached_target && !MayRepeat(now);
-  if (refusals_ >= kMaxRefusals || spent || now >= options_.deadline) {
-    if (has_saved_reply_) {
-      return Finish(CallEnd::kForwardSaved, Reason::kNone);
-    }
-    return Finish(may_have_run_ ? CallEnd::kUnknown : CallEnd::kNotRun, reply.reason);
+  if (refusals_ >= kMaxRefusals || spent || now >= options_.deadline || !open_.empty()) {
+    return GiveUp(reply.reason);
   }
-  return SendNext(now);
+  return SendNext(now, false);
 }
 
 bool MeshCall::MayRepeat(TimePoint now) {
-  return arrivals_ < options_.max_attempts && now < options_.deadline &&
-         budget_.Take(now, options_.service);
+  return arrivals_ + static_cast<int>(open_.size()) < options_.max_attempts &&
+         now < options_.deadline && budget_.Take(now, options_.service);
 }
 
 CallStep MeshCall::OnFailedRun(TimePoint now, Reason::type reason, bool has_reply) {
   may_have_run_ = true;
   const bool time_left = options_.deadline - now > options_.usual_latency;
-  if (options_.idempotent && time_left && MayRepeat(now)) {
+  if (options_.idempotent && time_left && open_.empty() && MayRepeat(now)) {
     has_saved_reply_ = has_saved_reply_ || has_reply;
-    CallStep step = SendNext(now);
+    CallStep step = SendNext(now, false);
     step.save_reply = has_reply;
     return step;
   }
-  if (has_reply) {
+  if (has_reply && open_.empty()) {
     return Finish(CallEnd::kForward, Reason::kNone);
   }
-  return Finish(has_saved_reply_ ? CallEnd::kForwardSaved : CallEnd::kUnknown, reason);
+  has_saved_reply_ = has_saved_reply_ || has_reply;
+  CallStep step = GiveUp(reason);
+  step.save_reply = has_reply;
+  return step;
 }
 
-CallStep MeshCall::OnNotSent(TimePoint now) {
-  CloseAttempt();
-  return SendNext(now);
+CallStep MeshCall::OnNotSent(TimePoint now, int attempt) {
+  Close(attempt);
+  return open_.empty() ? SendNext(now, false) : CallStep{};
 }
 
-CallStep MeshCall::OnLost(TimePoint now) {
-  CloseAttempt();
+CallStep MeshCall::OnLost(TimePoint now, int attempt) {
+  Close(attempt);
   ++arrivals_;
   return OnFailedRun(now, Reason::kConnectionLost, false);
 }
 
-CallStep MeshCall::OnAttemptTimeout(TimePoint now) {
-  const bool has_other = placement_.HasOther(options_.service, tried_);
-  const bool allowed = options_.idempotent && arrivals_ + 1 < options_.max_attempts;
-  if (!has_other || !allowed || !budget_.Take(now, options_.service)) {
-    // Without a repeat the open attempt is still the best chance.
-    return {};
-  }
-  ++arrivals_;
-  may_have_run_ = true;
-  CloseAttempt();
-  CallStep step = SendNext(now);
-  step.cancel = true;
-  return step;
+CallStep MeshCall::OnSlow(TimePoint now) {
+  const bool allowed = options_.idempotent && open_.size() == 1 &&
+                       placement_.HasOther(options_.service, tried_);
+  // Without a second target the open attempt is the only chance.
+  return allowed && MayRepeat(now) ? SendNext(now, true) : CallStep{};
 }
 
 CallStep MeshCall::OnDeadline(TimePoint /*now*/) {
-  CallStep step = Finish(has_saved_reply_ ? CallEnd::kForwardSaved : CallEnd::kTimedOut,
-                         Reason::kTargetTimeout);
-  step.cancel = true;
-  return step;
+  return Finish(has_saved_reply_ ? CallEnd::kForwardSaved : CallEnd::kTimedOut,
+                Reason::kTargetTimeout);
 }
 
-CallStep MeshCall::OnCallerGone(TimePoint /*now*/) {
-  CloseAttempt();
-  CallStep step;
-  step.cancel = true;
-  return step;
+void MeshCall::OnCallerGone() {
+  CloseAll();
 }
 
 }  // namespace limpet
