Keep requests in the data centre while it answers in time

Ruled out: lack of local slots, half of them were free. A local target now wins if it is expected to answer within half of the time left.

--- a/include/limpet/edge/http_session.h
+++ b/include/limpet/edge/http_session.h
@@ -26,6 +26,8 @@
   std::function<CallerLimits()> limits;
   /// True while the node is leaving: every answer asks the caller to close the connection.
   std::function<bool()> is_closing;
+  /// Requests that were read whole and whose answers are not yet written.
+  std::shared_ptr<int> open_requests = std::make_shared<int>(0);
 };
 
 /// One connection of a caller. Serves one request at a time and notices at once when the caller
@@ -61,6 +63,7 @@
   void OnWritten(bool keep_alive);
   void BeginClose();
   void Close();
+  void EndRequest();
   void SetTimeout(Duration timeout);
   void WaitForTimeout();
   void OnTimeout();
--- a/include/limpet/traffic/target_placement.h
+++ b/include/limpet/traffic/target_placement.h
@@ -18,10 +18,21 @@
   /// Added for each KiB of an expected response from another data centre, because bytes between
   /// data centres are paid for.
   Duration remote_penalty_per_kib = std::chrono::milliseconds(4);
+  /// A target of the own data centre is chosen if it is expected to answer within this share of the
+  /// time left, even if a remote one is faster. The rest covers requests that take longer than usual.
+  double local_share = 0.5;
   /// A node that left a probe or a request without any sign of life is avoided for this long.
   Duration silence_penalty = std::chrono::seconds(1);
 };
 
+/// What is known of a request when its target is chosen.
+struct PlacementRequest {
+  std::string service;
+  size_t expected_response_bytes = 0;
+  /// Time until the response loses its full value.
+  Duration latency_left{0};
+};
+
 struct PlacedTarget {
   std::string node;
   std::string instance;
@@ -47,8 +58,7 @@
 
   /// Nothing if no target of the service outside `excluded` (node names) can take a request.
   std::optional<PlacedTarget> Choose(TimePoint now,
-                                     const std::string& service,
-                                     size_t expected_response_bytes,
+                                     const PlacementRequest& request,
                                      const std::vector<std::string>& excluded);
 
   /// Each `OnSend` is followed by exactly one `OnEnd`.
@@ -73,7 +83,8 @@
   bool IsUsable(const Entry& entry, const std::string& service) const;
   Duration ServiceTime(const Entry& entry, Duration average) const;
   Duration AverageServiceTime(const std::string& service) const;
-  double Score(TimePoint now, const Entry& entry, Duration average, size_t bytes) const;
+  double ExpectedTime(TimePoint now, const Entry& entry, Duration average) const;
+  double RemotePenalty(size_t bytes) const;
 
   PlacementOptions options_;
   std::string data_centre_;
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -357,7 +357,8 @@
     return;
   }
   const Duration elapsed = MonotonicNow() - stop_begun_;
-  const bool idle = inbound_->idle() && outbound_->idle();
+  const bool idle =
+      inbound_->idle() && outbound_->idle() && *caller_sessions_.open_requests == 0;
   const bool out_of_time =
       elapsed >= std::chrono::milliseconds(settings_.grace_period_ms) - kStopMargin;
   if ((idle && elapsed >= kStopNotice) || out_of_time) {
--- a/src/edge/http_session.cc
+++ b/src/edge/http_session.cc
@@ -128,6 +128,7 @@
   keep_alive_ = message.keep_alive();
   request_ = ToHttpRequest(std::move(message));
   state_ = State::kOpen;
+  ++*options_.open_requests;
   // Reading on notices when the caller leaves.
   Read();
   options_.on_request(shared_from_this());
@@ -157,6 +158,7 @@
   request_ = HttpRequest();
   keep_alive_ = false;
   state_ = State::kOpen;
+  ++*options_.open_requests;
   Respond(TextAnswer(status, std::move(text)));
 }
 
@@ -164,6 +166,7 @@
   if (state_ == State::kClosed) {
     return;
   }
+  EndRequest();
   if (!keep_alive) {
     BeginClose();
     return;
@@ -186,10 +189,17 @@
   Read();
 }
 
+void HttpSession::EndRequest() {
+  if (state_ == State::kOpen || state_ == State::kWriting) {
+    --*options_.open_requests;
+  }
+}
+
 void HttpSession::Close() {
   if (state_ == State::kClosed) {
     return;
   }
+  EndRequest();
   state_ = State::kClosed;
   ErrorCode ignored;
   socket_.close(ignored);
--- a/src/traffic/mesh_call.cc
+++ b/src/traffic/mesh_call.cc
@@ -48,7 +48,10 @@
   const auto target =
       tried_.size() >= kMaxTried
           ? std::nullopt
-          : placement_.Choose(now, options_.service, options_.expected_response_bytes, tried_);
+          : placement_.Choose(now,
+                              {options_.service, options_.expected_response_bytes,
+                               std::max(Duration(0), options_.latency_target - now)},
+                              tried_);
   if (!target) {
     return GiveUp(refusals_ > 0 ? Reason::kOverloaded : Reason::kNoEndpoint);
   }
--- a/src/traffic/target_placement.cc
+++ b/src/traffic/target_placement.cc
@@ -15,6 +15,8 @@
 constexpr double kFailureCost = 6.0;
 /// Equal scores are spread, so that callers with the same view do not all choose the same target.
 constexpr double kScoreNoise = 0.1;
+/// Part of a service time that a full target costs more than an empty one.
+constexpr double kOccupancyCost = 0.25;
 /// A silent node is used only if all others are far busier.
 constexpr double kSilenceFactor = 20.0;
 
@@ -68,10 +70,7 @@
   return measured > 0 ? Duration(measured) : average;
 }
 
-double TargetPlacement::Score(TimePoint now,
-                              const Entry& entry,
-                              Duration average,
-                              size_t bytes) const {
+double TargetPlacement::ExpectedTime(TimePoint now, const Entry& entry, Duration average) const {
   const wire::LoadReport& load = entry.status.load;
   // A report holds this node's open calls as well as those of others.
   const int total = std::max(load.in_flight + load.queued, entry.open_calls);
@@ -80,37 +79,60 @@
     service_time = std::max(service_time, kColdFactor * static_cast<double>(average.count()));
   }
   const double excess = std::max(0, total + 1 - entry.status.slots);
-  double score = service_time * (1 + excess / entry.status.slots);
+  double expected = service_time * (1 + excess / entry.status.slots);
   // Among targets with free slots the emptier one absorbs what others send at the same time.
-  score *= 1 + 0.25 * std::min(1.0, static_cast<double>(total) / entry.status.slots);
-  score += service_time * kFailureCost * entry.status.failure_permille / 1000.0;
-  if (entry.data_centre != data_centre_) {
-    score += static_cast<double>(options_.remote_penalty.count()) +
-             static_cast<double>(options_.remote_penalty_per_kib.count()) *
-                 static_cast<double>(bytes) / 1024.0;
-  }
-  return now < entry.silent_until ? score * kSilenceFactor : score;
+  expected *= 1 + kOccupancyCost * std::min(1.0, static_cast<double>(total) / entry.status.slots);
+  expected += service_time * kFailureCost * entry.status.failure_permille / 1000.0;
+  return now < entry.silent_until ? expected * kSilenceFactor : expected;
+}
+
+double TargetPlacement::RemotePenalty(size_t bytes) const {
+  return static_cast<double>(options_.remote_penalty.count()) +
+         static_cast<double>(options_.remote_penalty_per_kib.count()) *
+             static_cast<double>(bytes) / 1024.0;
 }
 
 std::optional<PlacedTarget> TargetPlacement::Choose(TimePoint now,
-                                                    const std::string& service,
-                                                    size_t expected_response_bytes,
+                                                    const PlacementRequest& request,
                                                     const std::vector<std::string>& excluded) {
-  const Duration average = AverageServiceTime(service);
-  std::optional<PlacedTarget> best;
-  double best_score = 0;
+  struct Best {
+    const std::string* node = nullptr;
+    const Entry* entry = nullptr;
+    double time = 0;
+  };
+  const Duration average = AverageServiceTime(request.service);
+  Best local;
+  Best remote;
   for (const auto& [node, entry] : entries_) {
-    if (!IsUsable(entry, service) || std::ranges::find(excluded, node) != excluded.end()) {
+    if (!IsUsable(entry, request.service) ||
+        std::ranges::find(excluded, node) != excluded.end()) {
       continue;
     }
     const double noise = 1 + kScoreNoise * random_.Fraction();
-    const double score = Score(now, entry, average, expected_response_bytes) * noise;
-    if (!best || score < best_score) {
-      best = PlacedTarget{node, entry.status.instance};
-      best_score = score;
+    const double time = ExpectedTime(now, entry, average) * noise;
+    Best& best = entry.data_centre == data_centre_ ? local : remote;
+    if (best.node == nullptr || time < best.time) {
+      best = {&node, &entry, time};
     }
   }
-  return best;
+  const auto limit = options_.local_share * static_cast<double>(request.latency_left.count());
+  const bool local_wins =
+      local.node != nullptr &&
+      (remote.node == nullptr || local.time <= limit ||
+       local.time <= remote.time + RemotePenalty(request.expected_response_bytes));
+  const Best& best = local_wins ? local : remote;
+  if (best.node == nullptr) {
+    return std::nullopt;
+  }
+  return PlacedTarget{*best.node, best.entry->status.instance};
+}
+
+bool TargetPlacement::HasOther(const std::string& service,
+                               const std::vector<std::string>& excluded) const {
+  return std::ranges::any_of(entries_, [&](const auto& entry) {
+    return IsUsable(entry.second, service) &&
+           std::ranges::find(excluded, entry.first) == excluded.end();
+  });
 }
 
 void TargetPlacement::OnSend(const std::string& node) {
@@ -129,14 +151,6 @@
   found->second.status.load.in_flight = std::max(0, found->second.status.load.in_flight - 1);
 }
 
-bool TargetPlacement::HasOther(const std::string& service,
-                               const std::vector<std::string>& excluded) const {
-  return std::ranges::any_of(entries_, [&](const auto& entry) {
-    return IsUsable(entry.second, service) &&
-           std::ranges::find(excluded, entry.first) == excluded.end();
-  });
-}
-
 int TargetPlacement::CountUsable(const std::string& service) const {
   return static_cast<int>(std::ranges::count_if(
       entries_, [&](const auto& entry) { return IsUsable(entry.second, service); }));
