Predict waits with urgent arrivals, let large responses wait locally, bound status pushes

Ruled out: too few slots in use (busy all the time). The gate now divides the predicted wait by the share that urgent requests leave; large responses may wait locally beyond the target; load is pushed at most 100 times a second by one node.

--- a/include/limpet/edge/edge_node.h
+++ b/include/limpet/edge/edge_node.h
@@ -80,6 +80,7 @@
   void OnReadiness(const HttpSessionPtr& session);
   void OnMetrics(const HttpSessionPtr& session);
   bool IsReady() const;
+  void PushStatus(TimePoint now);
   void Tick();
   void CheckStopped();
 
@@ -109,6 +110,8 @@
   TimePoint started_{};
   TimePoint last_push_{};
   bool push_due_ = false;
+  /// What other nodes were told last.
+  wire::TargetStatus pushed_;
   TimePoint last_probe_{};
   bool joined_ = false;
   TimePoint joined_at_{};
--- a/include/limpet/edge/event_log.h
+++ b/include/limpet/edge/event_log.h
@@ -31,8 +31,8 @@
 /// of bounded size while the reader is slow, and lines beyond it, or beyond a rate, are dropped and
 /// counted in an event `log_lines_dropped`.
 void InstallEventLog(const std::string& node, int fd, std::string_view level);
-/// Writes what the reader takes now. Called from the loop's tick, because a line that did not fit
-/// would otherwise wait for the next one.
+/// Writes what the reader takes now. Lines are written only here, by the loop's tick, which costs
+/// one system call for many lines.
 void FlushEventLog();
 /// Lines dropped since the start.
 int64_t DroppedLogLines();
--- a/include/limpet/edge/link_server.h
+++ b/include/limpet/edge/link_server.h
@@ -32,8 +32,7 @@
 
   void Accept(TcpSocket socket);
   void PushStatus(const wire::TargetStatus& status);
-  /// Tells all linked nodes that a version is in effect here.
-  void PushVersion(int64_t version);
+  int CountLinks() const { return static_cast<int>(sessions_.size()); }
 
  private:
   class Session;
--- a/include/limpet/edge/peer_links.h
+++ b/include/limpet/edge/peer_links.h
@@ -72,7 +72,8 @@
   /// Looks for silent links; called every 100 ms or so.
   void Tick();
 
-  std::vector<wire::NodeAddress> KnownNodes() const;
+  /// At most `count` random reachable nodes.
+  std::vector<wire::NodeAddress> SomeNodes(int count);
   int CountReachable() const;
   /// True while an attempt to reach a known node for the first time is under way.
   bool IsConnecting() const;
@@ -107,6 +108,7 @@
   void OnClosed(const std::string& name, ErrorCode error);
   void LoseCalls(Peer& peer, bool idempotent_only);
   void SendCall(Peer& peer, const OpenCall& call);
+  std::vector<Peer*> DrawReady(int count);
   void CheckSilence(const std::string& name, Peer& peer, TimePoint now);
 
   Executor executor_;
--- a/include/limpet/traffic/target_gate.h
+++ b/include/limpet/traffic/target_gate.h
@@ -119,11 +119,20 @@
   };
   struct Running {
     std::string route;
+    int priority = 0;
     TimePoint started{};
   };
+  /// Decaying sum of the time that requests of one priority have spent in slots.
+  struct Use {
+    double slot_us = 0;
+    TimePoint updated{};
+  };
 
   wire::RefusalReason::type CheckTarget(TimePoint now, const GateCall& call) const;
   Duration PredictWait(const QueueKey& position) const;
+  void NoteUse(TimePoint now, int priority, Duration service_time);
+  /// Share of the slots that more urgent requests have taken lately, 0 to 1.
+  double UrgentShare(int priority) const;
   void Start(TimePoint now, const GateCall& call);
   void RecordResult(TimePoint now, const Running& running, TargetResult result);
   bool IsDown(TimePoint now) const;
@@ -140,6 +149,7 @@
   std::unordered_map<std::string, QueueKey> queued_keys_;
   std::unordered_map<std::string, Running> running_;
   uint64_t next_sequence_ = 0;
+  std::map<int, Use> use_by_priority_;
   /// Moving share of failed requests, 0 to 1.
   double failure_share_ = 0;
   int failures_in_row_ = 0;
--- a/include/limpet/traffic/target_placement.h
+++ b/include/limpet/traffic/target_placement.h
@@ -17,7 +17,7 @@
   Duration remote_penalty = std::chrono::milliseconds(3);
   /// Added for each KiB of an expected response from another data centre, because bytes between
   /// data centres are paid for.
-  Duration remote_penalty_per_kib = std::chrono::milliseconds(4);
+  Duration remote_penalty_per_kib = std::chrono::milliseconds(10);
   /// A target of the own data centre is chosen if it is expected to answer within this share of the
   /// time left, even if a remote one is faster. The rest covers requests that take longer than usual.
   double local_share = 0.5;
@@ -36,6 +36,8 @@
 struct PlacedTarget {
   std::string node;
   std::string instance;
+  /// A late response from here is better than bytes from another data centre.
+  bool wait_beyond_target = false;
 };
 
 /// Selects the target of each attempt: the one with the shortest expected completion (join the
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -12,12 +12,16 @@
 namespace {
 
 constexpr Duration kTick = std::chrono::milliseconds(50);
-/// Load changes are pushed to other nodes at most this often; replies carry the load as well.
-constexpr Duration kPushInterval = std::chrono::milliseconds(100);
+/// Load changes are pushed to other nodes, because replies alone leave a node that gets few calls
+/// with an old view. All pushes of a node together stay below this rate, whatever their number.
+constexpr int kPushesPerSecond = 100;
+constexpr Duration kMinPushInterval = std::chrono::milliseconds(100);
 /// Two random peers a second compare configuration versions, which repairs a node that its source
 /// does not reach within about a second.
 constexpr Duration kProbeInterval = std::chrono::seconds(1);
 constexpr int kProbedPeers = 2;
+/// Other nodes that a hello names, for a node that cannot read them from the store.
+constexpr int kIntroducedNodes = 5;
 /// A node that knows no peer after this long serves with what it has.
 constexpr Duration kJoinTimeout = std::chrono::seconds(2);
 /// Requests go on being taken for this long after the request to stop: readiness is asked for once
@@ -105,7 +109,7 @@
     hello.incarnation = incarnation_;
     hello.config_version = config_.version();
     hello.target = inbound_->Status();
-    hello.known_nodes = links_->KnownNodes();
+    hello.known_nodes = links_->SomeNodes(kIntroducedNodes);
     return hello;
   };
   hooks.on_node = [this](const wire::NodeAddress& node) { links_->Add(node); };
@@ -187,7 +191,6 @@
   counters_.Get("config_" + std::string(NameOf(kConfigOfferNames, offer))).Add();
   if (offer == ConfigOffer::kApplied) {
     counters_.Get("config_version").Set(config_.version());
-    link_server_->PushVersion(config_.version());
   }
 }
 
@@ -224,6 +227,9 @@
   placement_.Update(MonotonicNow(), settings_.name, settings_.data_centre, inbound_->Status());
   placement_.SetReachable(settings_.name, true);
   push_due_ = true;
+  if (inbound_->Status().state != pushed_.state) {
+    PushStatus(MonotonicNow());
+  }
 }
 
 void EdgeNode::OnAnnouncement(const HttpSessionPtr& session) {
@@ -313,15 +319,27 @@
   session->Respond(TextAnswer(200, counters_.Render()));
 }
 
+void EdgeNode::PushStatus(TimePoint now) {
+  const wire::TargetStatus status = inbound_->Status();
+  const bool state_changed =
+      status.state != pushed_.state || status.instance != pushed_.instance;
+  const Duration interval =
+      std::max(kMinPushInterval, Duration(std::chrono::seconds(link_server_->CountLinks())) /
+                                     kPushesPerSecond);
+  if (!state_changed && (!push_due_ || now - last_push_ < interval)) {
+    return;
+  }
+  push_due_ = false;
+  last_push_ = now;
+  pushed_ = status;
+  link_server_->PushStatus(status);
+}
+
 void EdgeNode::Tick() {
   const TimePoint now = MonotonicNow();
   inbound_->Tick();
   links_->Tick();
-  if (push_due_ && now - last_push_ >= kPushInterval) {
-    push_due_ = false;
-    last_push_ = now;
-    link_server_->PushStatus(inbound_->Status());
-  }
+  PushStatus(now);
   if (now - last_probe_ >= kProbeInterval) {
     last_probe_ = now;
     links_->ProbeSome(kProbedPeers, config_.version());
@@ -347,9 +365,7 @@
   stop_begun_ = MonotonicNow();
   on_stopped_ = std::move(on_stopped);
   inbound_->StartDraining();
-  last_push_ = stop_begun_;
-  push_due_ = false;
-  link_server_->PushStatus(inbound_->Status());
+  PushStatus(stop_begun_);
 }
 
 void EdgeNode::CheckStopped() {
--- a/src/edge/event_log.cc
+++ b/src/edge/event_log.cc
@@ -19,7 +19,7 @@
 /// Holds about two seconds of lines at the largest rate.
 constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
 /// A node serves about 100 requests a second; a line for each failed one fits even if all fail.
-constexpr int kMaxLinesPerSecond = 400;
+constexpr int kMaxLinesPerSecond = 200;
 
 class NonBlockingSink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
  public:
@@ -42,7 +42,6 @@
     spdlog::memory_buf_t formatted;
     formatter_->format(message, formatted);
     buffer_.append(formatted.data(), formatted.size());
-    flush_();
   }
 
   void flush_() override {
--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -137,16 +137,4 @@
   }
 }
 
-void LinkServer::PushVersion(int64_t version) {
-  wire::LinkMessage message;
-  message.__isset.probe = true;
-  message.probe.answer = true;
-  message.probe.config_version = version;
-  for (const auto& [key, session] : sessions_) {
-    if (session->greeted()) {
-      session->Send(message);
-    }
-  }
-}
-
 }  // namespace limpet::edge
--- a/src/edge/outbound_proxy.cc
+++ b/src/edge/outbound_proxy.cc
@@ -127,6 +127,7 @@
     call.idempotent = call_.options().idempotent;
     call.priority = priority_;
     call.deadline_ms = left_ms(call_.options().deadline - kDeadlineMargin);
+    call.accepts_late = target.wait_beyond_target;
     call.latency_target_ms = left_ms(call_.options().latency_target);
     return call;
   }
--- a/src/edge/peer_links.cc
+++ b/src/edge/peer_links.cc
@@ -274,20 +274,28 @@
   found->second.link->Send(message);
 }
 
-void PeerLinks::ProbeSome(int count, int64_t config_version) {
+std::vector<PeerLinks::Peer*> PeerLinks::DrawReady(int count) {
   std::vector<Peer*> ready;
   for (auto& [name, peer] : peers_) {
     if (peer.ready) {
       ready.push_back(&peer);
     }
   }
-  for (int i = 0; i < count && !ready.empty(); ++i) {
+  std::vector<Peer*> drawn;
+  while (static_cast<int>(drawn.size()) < count && !ready.empty()) {
     const std::size_t index = random_.Below(ready.size());
+    drawn.push_back(ready[index]);
+    ready.erase(ready.begin() + static_cast<std::ptrdiff_t>(index));
+  }
+  return drawn;
+}
+
+void PeerLinks::ProbeSome(int count, int64_t config_version) {
+  for (Peer* peer : DrawReady(count)) {
     wire::LinkMessage message;
     message.__isset.probe = true;
     message.probe.config_version = config_version;
-    ready[index]->link->Send(message);
-    ready.erase(ready.begin() + static_cast<std::ptrdiff_t>(index));
+    peer->link->Send(message);
   }
 }
 
@@ -331,12 +339,10 @@
   }
 }
 
-std::vector<wire::NodeAddress> PeerLinks::KnownNodes() const {
-  std::vector<wire::NodeAddress> nodes = {options_.self};
-  for (const auto& [name, peer] : peers_) {
-    if (peer.ready) {
-      nodes.push_back(peer.address);
-    }
+std::vector<wire::NodeAddress> PeerLinks::SomeNodes(int count) {
+  std::vector<wire::NodeAddress> nodes;
+  for (const Peer* peer : DrawReady(count)) {
+    nodes.push_back(peer->address);
   }
   return nodes;
 }
--- a/src/traffic/target_gate.cc
+++ b/src/traffic/target_gate.cc
@@ -1,6 +1,7 @@
 #include "limpet/traffic/target_gate.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace limpet {
 
@@ -13,6 +14,16 @@
 /// Assumed before the first sample. Close to a typical request, so that a target that has just
 /// appeared is neither avoided nor preferred.
 constexpr Duration kAssumedServiceTime = std::chrono::milliseconds(100);
+/// Requests vary around their average; with this margin most that are admitted end in time.
+constexpr double kServiceMargin = 1.25;
+/// Over this time the use of slots by priority is averaged.
+constexpr Duration kUseWindow = std::chrono::seconds(2);
+/// More urgent requests never count for more than this, or the prediction would run away.
+constexpr double kMaxUrgentShare = 0.8;
+
+Duration Times(Duration duration, double factor) {
+  return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
+}
 
 }  // namespace
 
@@ -93,7 +104,27 @@
   if (average == Duration(0)) {
     average = kAssumedServiceTime;
   }
-  return average * excess / std::max(1, target_->slots);
+  const Duration wait = average * excess / std::max(1, target_->slots);
+  // More urgent requests that arrive meanwhile go first.
+  return Times(wait, 1 / (1 - UrgentShare(position.priority)));
+}
+
+void TargetGate::NoteUse(TimePoint now, int priority, Duration service_time) {
+  Use& use = use_by_priority_[priority];
+  const double windows = std::chrono::duration<double>(now - use.updated) /
+                         std::chrono::duration<double>(kUseWindow);
+  use.slot_us = use.slot_us * std::exp(-windows) + static_cast<double>(service_time.count());
+  use.updated = now;
+}
+
+double TargetGate::UrgentShare(int priority) const {
+  double urgent_us = 0;
+  for (const auto& [other, use] : use_by_priority_) {
+    urgent_us += other < priority ? use.slot_us : 0;
+  }
+  const double capacity_us =
+      static_cast<double>(kUseWindow.count()) * std::max(1, target_->slots);
+  return std::min(kMaxUrgentShare, urgent_us / capacity_us);
 }
 
 GateDecision TargetGate::Arrive(TimePoint now, const GateCall& call) {
@@ -117,7 +148,7 @@
     return {.verdict = GateVerdict::kStart};
   }
   const TimePoint limit = call.accepts_late ? call.deadline : call.latency_target;
-  const bool too_late = now + wait + service_times_.Of(call.route) > limit;
+  const bool too_late = now + wait + Times(service_times_.Of(call.route), kServiceMargin) > limit;
   if (call.hedge || too_late || queue_.size() >= options_.queue_capacity) {
     return {.reason = Reason::kOverloaded, .retry_after = wait};
   }
@@ -127,7 +158,7 @@
 }
 
 void TargetGate::Start(TimePoint now, const GateCall& call) {
-  running_.emplace(call.key, Running{call.route, now});
+  running_.emplace(call.key, Running{call.route, call.priority, now});
   if (!call.idempotent) {
     ledger_.Record(call.deadline + options_.ledger_margin, call.request_id, LedgerState::kTaken);
   }
@@ -140,6 +171,7 @@
   const bool answered = result == TargetResult::kAnswered || result == TargetResult::kFailed;
   if (answered || result == TargetResult::kTimedOut) {
     service_times_.Record(now, running.route, now - running.started);
+    NoteUse(now, running.priority, now - running.started);
   }
   const bool good = result == TargetResult::kAnswered;
   failure_share_ += kFailureWeight * ((good ? 0.0 : 1.0) - failure_share_);
--- a/src/traffic/target_placement.cc
+++ b/src/traffic/target_placement.cc
@@ -124,7 +124,9 @@
   if (best.node == nullptr) {
     return std::nullopt;
   }
-  return PlacedTarget{*best.node, best.entry->status.instance};
+  const double penalty = RemotePenalty(request.expected_response_bytes);
+  const bool wait = local_wins && penalty > static_cast<double>(request.latency_left.count());
+  return PlacedTarget{*best.node, best.entry->status.instance, wait};
 }
 
 bool TargetPlacement::HasOther(const std::string& service,
