--- a/idl/limpet.thrift
+++ b/idl/limpet.thrift
@@ -358,6 +358,8 @@
   2: string data_centre
   3: string host
   4: i32 port
+  // Bandwidth of the VM's network link, by which readers of the store are chosen.
+  5: i32 link_mbps
 }
 
 // First message in each direction of a link.
@@ -409,9 +411,43 @@
   1: i64 call_id
 }
 
-// A whole configuration, encoded by the source's codec.
+// A route of the mesh's configuration; times are in microseconds.
+struct MeshRouteRecord {
+  1: string name
+  2: string host
+  3: string path_prefix
+  4: i32 kind
+  5: i64 timeout_us
+  6: i64 target_latency_us
+  7: i32 priority
+  8: i32 max_attempts
+  9: list<string> services
+  10: list<i32> weights
+}
+
+struct MeshServiceRecord {
+  1: string name
+  2: string health_path
+  3: i32 max_connections
+}
+
+struct CallerLimitsRecord {
+  1: i64 max_header_bytes
+  2: i64 max_body_bytes
+  3: i64 header_timeout_us
+  4: i64 idle_timeout_us
+}
+
+// Changes from one version of the mesh's configuration to a later one. With base 0 it holds the
+// whole configuration.
 struct LinkConfig {
-  1: i64 version
+  1: i64 base
+  2: i64 version
+  3: list<MeshRouteRecord> set_routes
+  4: list<string> removed_routes
+  5: list<MeshServiceRecord> set_services
+  6: list<string> removed_services
+  7: CallerLimitsRecord limits
 }
 
 struct LinkConfigRequest {
@@ -422,6 +458,8 @@
   1: i64 nonce
   2: bool answer
   3: i64 config_version
+  // The sender tries to read the store and the store does not answer.
+  4: bool store_fails
 }
 
 struct LinkMessage {
--- a/include/limpet/edge/coordination.h
+++ b/include/limpet/edge/coordination.h
@@ -2,8 +2,6 @@
 #define LIMPET_EDGE_COORDINATION_H_
 
 #include <functional>
-#include <string>
-#include <string_view>
 #include <vector>
 
 #include "limpet/routing/mesh_config.h"
@@ -15,20 +13,20 @@
 /// nodes. An adapter implements it on a store. All callbacks come from the node's loop.
 class Coordination {
  public:
-  using ConfigCallback = std::function<void(std::string encoded)>;
+  using ConfigCallback = std::function<void(MeshConfig)>;
   using NodesCallback = std::function<void(std::vector<wire::NodeAddress>)>;
 
   virtual ~Coordination() = default;
 
-  /// Delivers the configuration in effect and every later one, as the source encoded them. Older
-  /// or repeated ones may come as well. Goes on through outages.
+  /// Delivers the configuration in effect and later ones while watching; versions that are replaced
+  /// before they are read may be left out, older or repeated ones may come. Goes on through outages.
   virtual void WatchConfig(ConfigCallback on_config) = 0;
   /// Stops or resumes watching; another node may read for this one.
   virtual void SetWatching(bool watching) = 0;
   /// Makes this node known and then delivers all known nodes, once. Goes on through outages.
   virtual void JoinNodes(const wire::NodeAddress& self, NodesCallback on_nodes) = 0;
-  /// Decodes what `WatchConfig` delivered. Throws `DecodeError`.
-  virtual MeshConfig DecodeConfig(std::string_view encoded) const = 0;
+  /// True while this node watches and the store does not answer.
+  virtual bool Fails() const = 0;
 };
 
 }  // namespace limpet::edge
--- a/include/limpet/edge/edge_node.h
+++ b/include/limpet/edge/edge_node.h
@@ -8,14 +8,15 @@
 #include <vector>
 
 #include "limpet/core/counters.h"
-#include "limpet/edge/config_holder.h"
 #include "limpet/edge/coordination.h"
 #include "limpet/edge/http_dialect.h"
 #include "limpet/edge/link_server.h"
 #include "limpet/edge/listener.h"
 #include "limpet/edge/outbound_proxy.h"
 #include "limpet/edge/peer_links.h"
+#include "limpet/distribution/store_readers.h"
 #include "limpet/registry/target_registry.h"
+#include "limpet/routing/config_holder.h"
 #include "limpet/settings/node_settings.h"
 
 namespace limpet::edge {
@@ -67,12 +68,15 @@
   void OnPeerStatus(const wire::NodeAddress& node, const wire::TargetStatus& status) override;
   void OnPeerReachable(const std::string& node, bool reachable) override;
   void OnPeerSilent(const std::string& node) override;
-  void OnPeerVersion(const std::string& node, int64_t version) override;
-  void OnPeerConfig(std::string encoded) override;
+  void OnPeerVersion(const wire::NodeAddress& node, int64_t version, bool store_fails) override;
+  void OnPeerConfig(const std::string& node, const wire::LinkConfig& change) override;
   void OnPeerAddresses(const std::vector<wire::NodeAddress>& nodes) override;
 
   LinkServerHooks MakeLinkHooks();
-  void OfferConfig(std::string encoded, std::string_view source);
+  void OnStoreConfig(MeshConfig config);
+  void NoteOffer(ConfigOffer offer, std::string_view source);
+  void RequestNewer(const std::string& node, int64_t version);
+  void ProbeReaders(TimePoint now);
   void OnStatusChanged();
   void OnAnnouncement(const HttpSessionPtr& session);
   void TakeAnnouncement(const TargetAnnouncement& announcement);
@@ -93,6 +97,7 @@
   Coordination& coordination_;
   Counters counters_;
   ConfigHolder config_;
+  StoreReaders readers_;
   TargetRegistry registry_;
   TargetGate gate_;
   TargetPlacement placement_;
@@ -113,6 +118,8 @@
   /// What other nodes were told last.
   wire::TargetStatus pushed_;
   TimePoint last_probe_{};
+  TimePoint last_reader_probe_{};
+  TimePoint config_requested_{};
   bool joined_ = false;
   TimePoint joined_at_{};
   bool stopping_ = false;
--- a/include/limpet/edge/link_server.h
+++ b/include/limpet/edge/link_server.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "limpet/edge/inbound_proxy.h"
@@ -19,8 +20,9 @@
   std::function<void(const wire::NodeAddress&)> on_node;
   std::function<void(const std::string& node, int64_t version)> on_peer_version;
   std::function<int64_t()> config_version;
-  /// The configuration in effect as its source encoded it; empty if there is none.
-  std::function<std::string()> encoded_config;
+  std::function<bool()> store_fails;
+  /// The whole configuration in effect; nothing if there is none.
+  std::function<std::optional<wire::LinkConfig>()> whole_config;
 };
 
 /// The links that other nodes opened to this one: takes their calls to the target beside this node
@@ -32,6 +34,8 @@
 
   void Accept(TcpSocket socket);
   void PushStatus(const wire::TargetStatus& status);
+  /// Sends a change of the configuration to the linked nodes of one data centre.
+  void PushConfig(const wire::LinkConfig& change, const std::string& data_centre);
   int CountLinks() const { return static_cast<int>(sessions_.size()); }
 
  private:
--- a/include/limpet/edge/peer_links.h
+++ b/include/limpet/edge/peer_links.h
@@ -29,8 +29,9 @@
   virtual void OnPeerReachable(const std::string& node, bool reachable) = 0;
   /// The node shows no sign of life although calls wait for it.
   virtual void OnPeerSilent(const std::string& node) = 0;
-  virtual void OnPeerVersion(const std::string& node, int64_t version) = 0;
-  virtual void OnPeerConfig(std::string encoded) = 0;
+  /// The node answered a probe or has just been reached.
+  virtual void OnPeerVersion(const wire::NodeAddress& node, int64_t version, bool store_fails) = 0;
+  virtual void OnPeerConfig(const std::string& node, const wire::LinkConfig& change) = 0;
   virtual void OnPeerAddresses(const std::vector<wire::NodeAddress>& nodes) = 0;
 };
 
@@ -67,7 +68,8 @@
                FailureCallback on_failure);
   void Cancel(const std::string& node, int64_t call_id);
   void RequestConfig(const std::string& node, int64_t have);
-  /// Asks `count` random peers for their configuration version.
+  /// Asks a node for a sign of life and its configuration version.
+  void Probe(const std::string& node, int64_t config_version);
   void ProbeSome(int count, int64_t config_version);
   /// Looks for silent links; called every 100 ms or so.
   void Tick();
--- a/include/limpet/routing/mesh_config.h
+++ b/include/limpet/routing/mesh_config.h
@@ -50,6 +50,7 @@
   std::vector<TrafficPart> parts;
 
   bool IsIdempotent() const { return kind != RequestKind::kNonIdempotent; }
+  bool operator==(const MeshRoute&) const = default;
 };
 
 struct MeshService {
@@ -57,6 +58,8 @@
   std::string health_path;
   /// Connections that a target accepts from all callers together.
   int max_connections = 0;
+
+  bool operator==(const MeshService&) const = default;
 };
 
 /// What a caller may send, and how long it may take.
@@ -83,7 +86,7 @@
   using Error::Error;
 };
 
-/// Throws `InvalidMeshConfig` unless every route has a host, a prefix between slashes, positive
+/// Throws `InvalidMeshConfig` unless names are unique and every route has a host, a prefix between slashes, positive
 /// times and weights and only services that the configuration holds, and no two routes have the
 /// same host and prefix.
 void ValidateMeshConfig(const MeshConfig& config);
--- a/include/limpet/settings/node_settings.h
+++ b/include/limpet/settings/node_settings.h
@@ -91,6 +91,8 @@
   PeerAddress target;
   /// Where the store is that keeps the configuration and the addresses of nodes.
   PeerAddress store;
+  /// Bandwidth of this VM's network link; the widest links read the store for others.
+  double link_mbps = 1000;
   /// TCP port of links from other nodes.
   int link_port = 7401;
   /// TCP port of /metrics.
--- /dev/null
+++ b/src/distribution/store_readers.cc
@@ -0,0 +1,67 @@
+#include "limpet/distribution/store_readers.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace limpet {
+
+StoreReaders::StoreReaders(StoreReadersOptions options, std::string self, int self_link_mbps)
+    : options_(options), self_(std::move(self)), self_link_mbps_(self_link_mbps) {}
+
+void StoreReaders::OnHeard(TimePoint now,
+                           const std::string& node,
+                           int link_mbps,
+                           bool store_fails) {
+  candidates_[node] = {link_mbps, now, store_fails};
+}
+
+void StoreReaders::Remove(const std::string& node) {
+  candidates_.erase(node);
+}
+
+StoreReaders::Rank StoreReaders::RankOf(const std::string& name, int link_mbps) {
+  return {-link_mbps, XXH64(name.data(), name.size(), 0), name};
+}
+
+std::vector<std::string> StoreReaders::Watched() const {
+  std::vector<Rank> ranks;
+  for (const auto& [name, candidate] : candidates_) {
+    ranks.push_back(RankOf(name, candidate.link_mbps));
+  }
+  std::ranges::sort(ranks);
+  ranks.resize(std::min(ranks.size(), options_.readers + options_.standbys));
+  std::vector<std::string> watched;
+  for (const Rank& entry : ranks) {
+    watched.push_back(std::get<2>(entry));
+  }
+  return watched;
+}
+
+std::vector<std::string> StoreReaders::Readers(TimePoint now) const {
+  std::vector<Rank> ranks = {RankOf(self_, self_link_mbps_)};
+  for (const auto& [name, candidate] : candidates_) {
+    if (!candidate.store_fails && now - candidate.heard <= options_.silence) {
+      ranks.push_back(RankOf(name, candidate.link_mbps));
+    }
+  }
+  std::ranges::sort(ranks);
+  ranks.resize(std::min(ranks.size(), options_.readers));
+  std::vector<std::string> readers;
+  for (const Rank& entry : ranks) {
+    readers.push_back(std::get<2>(entry));
+  }
+  return readers;
+}
+
+bool StoreReaders::ShouldRead(TimePoint now, bool has_config) {
+  const auto readers = Readers(now);
+  if (!has_config || std::ranges::find(readers, self_) != readers.end()) {
+    read_until_ = now + options_.hold;
+  }
+  return now < read_until_;
+}
+
+}  // namespace limpet
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -16,10 +16,14 @@
 /// with an old view. All pushes of a node together stay below this rate, whatever their number.
 constexpr int kPushesPerSecond = 100;
 constexpr Duration kMinPushInterval = std::chrono::milliseconds(100);
-/// Two random peers a second compare configuration versions, which repairs a node that its source
-/// does not reach within about a second.
-constexpr Duration kProbeInterval = std::chrono::seconds(1);
-constexpr int kProbedPeers = 2;
+/// A random peer is asked for its configuration version this often, which repairs a node whose
+/// readers have lost the store.
+constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
+constexpr int kProbedPeers = 1;
+/// Twice within the silence after which a reader no longer counts.
+constexpr Duration kReaderProbeInterval = std::chrono::milliseconds(400);
+/// A whole configuration is asked for at most this often.
+constexpr Duration kConfigRequestInterval = std::chrono::milliseconds(200);
 /// Other nodes that a hello names, for a node that cannot read them from the store.
 constexpr int kIntroducedNodes = 5;
 /// A node that knows no peer after this long serves with what it has.
@@ -52,6 +56,7 @@
   address.data_centre = settings.data_centre;
   address.host = settings.host;
   address.port = settings.link_port;
+  address.link_mbps = static_cast<int32_t>(settings.link_mbps);
   return address;
 }
 
@@ -80,7 +85,7 @@
       dialect_(std::move(dialect)),
       codec_(codec),
       coordination_(coordination),
-      config_([this](std::string_view encoded) { return coordination_.DecodeConfig(encoded); }),
+      readers_({}, settings_.name, static_cast<int>(settings_.link_mbps)),
       registry_(AddressText(settings_.target)),
       gate_(TargetGateOptions{}),
       placement_(PlacementOptions{}, settings_.data_centre, Random(DrawSeed())),
@@ -114,10 +119,11 @@
   };
   hooks.on_node = [this](const wire::NodeAddress& node) { links_->Add(node); };
   hooks.on_peer_version = [this](const std::string& node, int64_t version) {
-    OnPeerVersion(node, version);
+    RequestNewer(node, version);
   };
   hooks.config_version = [this] { return config_.version(); };
-  hooks.encoded_config = [this] { return config_.encoded(); };
+  hooks.store_fails = [this] { return coordination_.Fails(); };
+  hooks.whole_config = [this] { return config_.Whole(); };
   return hooks;
 }
 
@@ -150,8 +156,7 @@
       executor_, PeerAddress{settings_.host, settings_.link_port},
       [this](TcpSocket socket) { link_server_->Accept(std::move(socket)); }));
   serve(settings_.outbound, caller_sessions_);
-  coordination_.WatchConfig(
-      [this](std::string encoded) { OfferConfig(std::move(encoded), "store"); });
+  coordination_.WatchConfig([this](MeshConfig config) { OnStoreConfig(std::move(config)); });
   coordination_.JoinNodes(AddressOf(settings_),
                           [this](const std::vector<wire::NodeAddress>& nodes) {
                             joined_ = true;
@@ -178,8 +183,15 @@
   LogEvent("reloaded").Add("service", settings_.service);
 }
 
-void EdgeNode::OfferConfig(std::string encoded, std::string_view source) {
-  const ConfigOffer offer = config_.Offer(std::move(encoded));
+void EdgeNode::OnStoreConfig(MeshConfig config) {
+  const ConfigOffer offer = config_.Offer(std::move(config));
+  NoteOffer(offer, "store");
+  if (offer == ConfigOffer::kApplied) {
+    link_server_->PushConfig(*config_.LastChange(), settings_.data_centre);
+  }
+}
+
+void EdgeNode::NoteOffer(ConfigOffer offer, std::string_view source) {
   if (offer == ConfigOffer::kNotNewer) {
     return;
   }
@@ -189,9 +201,7 @@
       .Add("version", config_.version())
       .Add("problem", config_.problem());
   counters_.Get("config_" + std::string(NameOf(kConfigOfferNames, offer))).Add();
-  if (offer == ConfigOffer::kApplied) {
-    counters_.Get("config_version").Set(config_.version());
-  }
+  counters_.Get("config_version").Set(config_.version());
 }
 
 void EdgeNode::OnPeerStatus(const wire::NodeAddress& node, const wire::TargetStatus& status) {
@@ -200,6 +210,9 @@
 
 void EdgeNode::OnPeerReachable(const std::string& node, bool reachable) {
   placement_.SetReachable(node, reachable);
+  if (!reachable) {
+    readers_.Remove(node);
+  }
   budget_.set_nodes(links_->CountReachable() + 1);
 }
 
@@ -207,14 +220,37 @@
   placement_.OnSilence(MonotonicNow(), node);
 }
 
-void EdgeNode::OnPeerVersion(const std::string& node, int64_t version) {
-  if (version > config_.version()) {
+void EdgeNode::OnPeerVersion(const wire::NodeAddress& node, int64_t version, bool store_fails) {
+  if (node.data_centre == settings_.data_centre) {
+    readers_.OnHeard(MonotonicNow(), node.name, node.link_mbps, store_fails);
+  }
+  RequestNewer(node.name, version);
+}
+
+void EdgeNode::RequestNewer(const std::string& node, int64_t version) {
+  const TimePoint now = MonotonicNow();
+  if (version > config_.version() && now - config_requested_ >= kConfigRequestInterval) {
+    config_requested_ = now;
     links_->RequestConfig(node, config_.version());
   }
 }
 
-void EdgeNode::OnPeerConfig(std::string encoded) {
-  OfferConfig(std::move(encoded), "peer");
+void EdgeNode::OnPeerConfig(const std::string& node, const wire::LinkConfig& change) {
+  const ConfigOffer offer = config_.Offer(change);
+  NoteOffer(offer, node);
+  if (offer == ConfigOffer::kWrongBase) {
+    RequestNewer(node, change.version);
+  }
+}
+
+void EdgeNode::ProbeReaders(TimePoint now) {
+  if (now - last_reader_probe_ < kReaderProbeInterval) {
+    return;
+  }
+  last_reader_probe_ = now;
+  for (const std::string& node : readers_.Watched()) {
+    links_->Probe(node, config_.version());
+  }
 }
 
 void EdgeNode::OnPeerAddresses(const std::vector<wire::NodeAddress>& nodes) {
@@ -344,6 +380,8 @@
     last_probe_ = now;
     links_->ProbeSome(kProbedPeers, config_.version());
   }
+  ProbeReaders(now);
+  coordination_.SetWatching(readers_.ShouldRead(now, config_.version() > 0));
   FlushEventLog();
   if (stopping_) {
     CheckStopped();
--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -26,6 +26,7 @@
   void Send(const wire::LinkMessage& message, std::string body = {}) {
     link_->Send(message, std::move(body));
   }
+  const std::string& data_centre() const { return data_centre_; }
   bool greeted() const { return !key_prefix_.empty(); }
   void Close() { link_->Close(); }
 
@@ -75,6 +76,7 @@
 
   void OnHello(const wire::LinkHello& hello) {
     name_ = hello.node.name;
+    data_centre_ = hello.node.data_centre;
     key_prefix_ = name_ + "/" + std::to_string(hello.incarnation) + "/";
     wire::LinkMessage message;
     message.__isset.hello = true;
@@ -88,19 +90,19 @@
     message.__isset.probe = true;
     message.probe.answer = true;
     message.probe.config_version = server_.hooks_.config_version();
+    message.probe.store_fails = server_.hooks_.store_fails();
     link_->Send(message);
     server_.hooks_.on_peer_version(name_, probe.config_version);
   }
 
   void OnConfigRequest(const wire::LinkConfigRequest& request) {
-    const int64_t version = server_.hooks_.config_version();
-    if (version <= request.have) {
+    if (server_.hooks_.config_version() <= request.have) {
       return;
     }
     wire::LinkMessage message;
     message.__isset.config = true;
-    message.config.version = version;
-    link_->Send(message, server_.hooks_.encoded_config());
+    message.config = *server_.hooks_.whole_config();
+    link_->Send(message);
   }
 
   std::string KeyOf(int64_t call_id) const { return key_prefix_ + std::to_string(call_id); }
@@ -108,6 +110,7 @@
   LinkServer& server_;
   LinkPtr link_;
   std::string name_;
+  std::string data_centre_;
   std::string key_prefix_;
 };
 
@@ -137,4 +140,15 @@
   }
 }
 
+void LinkServer::PushConfig(const wire::LinkConfig& change, const std::string& data_centre) {
+  wire::LinkMessage message;
+  message.__isset.config = true;
+  message.config = change;
+  for (const auto& [key, session] : sessions_) {
+    if (session->greeted() && session->data_centre() == data_centre) {
+      session->Send(message);
+    }
+  }
+}
+
 }  // namespace limpet::edge
--- a/src/edge/peer_links.cc
+++ b/src/edge/peer_links.cc
@@ -22,10 +22,10 @@
 /// A call that must not run twice waits this long for its node to be reached again.
 constexpr Duration kResume = std::chrono::milliseconds(1200);
 /// A node answers a probe from its loop at once, so silence beyond this shows a cut or a pause.
-constexpr Duration kProbeAfter = std::chrono::milliseconds(200);
-constexpr Duration kSilentAfter = std::chrono::milliseconds(300);
+constexpr Duration kProbeAfter = std::chrono::milliseconds(250);
+constexpr Duration kSilentAfter = std::chrono::milliseconds(400);
 /// A link that stays silent this long is opened anew.
-constexpr Duration kReopenAfter = std::chrono::milliseconds(900);
+constexpr Duration kReopenAfter = std::chrono::milliseconds(1200);
 
 }  // namespace
 
@@ -148,14 +148,16 @@
     OnReply(peer, std::move(message.reply), std::move(body));
   }
   if (message.__isset.probe) {
-    observer_.OnPeerVersion(name, message.probe.config_version);
+    observer_.OnPeerVersion(peer.address, message.probe.config_version,
+                            message.probe.store_fails);
   }
   if (message.__isset.config) {
-    observer_.OnPeerConfig(std::move(body));
+    observer_.OnPeerConfig(name, message.config);
   }
 }
 
 void PeerLinks::OnHello(Peer& peer, const wire::LinkHello& hello) {
+  peer.address.link_mbps = hello.node.link_mbps;
   if (hello.node.name != peer.address.name) {
     // The address was reused by another node.
     const std::string name = peer.address.name;
@@ -178,7 +180,7 @@
   }
   observer_.OnPeerStatus(peer.address, hello.target);
   observer_.OnPeerReachable(peer.address.name, true);
-  observer_.OnPeerVersion(peer.address.name, hello.config_version);
+  observer_.OnPeerVersion(peer.address, hello.config_version, false);
   observer_.OnPeerAddresses(hello.known_nodes);
 }
 
@@ -290,12 +292,20 @@
   return drawn;
 }
 
+void PeerLinks::Probe(const std::string& node, int64_t config_version) {
+  const auto found = peers_.find(node);
+  if (found == peers_.end() || !found->second.ready) {
+    return;
+  }
+  wire::LinkMessage message;
+  message.__isset.probe = true;
+  message.probe.config_version = config_version;
+  found->second.link->Send(message);
+}
+
 void PeerLinks::ProbeSome(int count, int64_t config_version) {
-  for (Peer* peer : DrawReady(count)) {
-    wire::LinkMessage message;
-    message.__isset.probe = true;
-    message.probe.config_version = config_version;
-    peer->link->Send(message);
+  for (const Peer* peer : DrawReady(count)) {
+    Probe(peer->address.name, config_version);
   }
 }
 
--- a/src/gen/limpet_types.cpp
+++ b/src/gen/limpet_types.cpp
@@ -7524,6 +7524,10 @@
 void NodeAddress::__set_port(const int32_t val) {
   this->port = val;
 }
+
+void NodeAddress::__set_link_mbps(const int32_t val) {
+  this->link_mbps = val;
+}
 std::ostream& operator<<(std::ostream& out, const NodeAddress& obj)
 {
   obj.printTo(out);
@@ -7584,6 +7588,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->link_mbps);
+          this->__isset.link_mbps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7617,6 +7629,10 @@
   xfer += oprot->writeI32(this->port);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("link_mbps", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->link_mbps);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7628,6 +7644,7 @@
   swap(a.data_centre, b.data_centre);
   swap(a.host, b.host);
   swap(a.port, b.port);
+  swap(a.link_mbps, b.link_mbps);
   swap(a.__isset, b.__isset);
 }
 
@@ -7636,6 +7653,7 @@
   data_centre = other335.data_centre;
   host = other335.host;
   port = other335.port;
+  link_mbps = other335.link_mbps;
   __isset = other335.__isset;
 }
 NodeAddress::NodeAddress(NodeAddress&& other336) noexcept {
@@ -7643,6 +7661,7 @@
   data_centre = std::move(other336.data_centre);
   host = std::move(other336.host);
   port = other336.port;
+  link_mbps = other336.link_mbps;
   __isset = other336.__isset;
 }
 NodeAddress& NodeAddress::operator=(const NodeAddress& other337) {
@@ -7650,6 +7669,7 @@
   data_centre = other337.data_centre;
   host = other337.host;
   port = other337.port;
+  link_mbps = other337.link_mbps;
   __isset = other337.__isset;
   return *this;
 }
@@ -7658,6 +7678,7 @@
   data_centre = std::move(other338.data_centre);
   host = std::move(other338.host);
   port = other338.port;
+  link_mbps = other338.link_mbps;
   __isset = other338.__isset;
   return *this;
 }
@@ -7668,6 +7689,7 @@
   out << ", " << "data_centre=" << to_string(data_centre);
   out << ", " << "host=" << to_string(host);
   out << ", " << "port=" << to_string(port);
+  out << ", " << "link_mbps=" << to_string(link_mbps);
   out << ")";
 }
 
@@ -8668,21 +8690,57 @@
 }
 
 
-LinkConfig::~LinkConfig() noexcept {
+MeshRouteRecord::~MeshRouteRecord() noexcept {
 }
 
 
-void LinkConfig::__set_version(const int64_t val) {
-  this->version = val;
+void MeshRouteRecord::__set_name(const std::string& val) {
+  this->name = val;
 }
-std::ostream& operator<<(std::ostream& out, const LinkConfig& obj)
+
+void MeshRouteRecord::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void MeshRouteRecord::__set_path_prefix(const std::string& val) {
+  this->path_prefix = val;
+}
+
+void MeshRouteRecord::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void MeshRouteRecord::__set_timeout_us(const int64_t val) {
+  this->timeout_us = val;
+}
+
+void MeshRouteRecord::__set_target_latency_us(const int64_t val) {
+  this->target_latency_us = val;
+}
+
+void MeshRouteRecord::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void MeshRouteRecord::__set_max_attempts(const int32_t val) {
+  this->max_attempts = val;
+}
+
+void MeshRouteRecord::__set_services(const std::vector<std::string> & val) {
+  this->services = val;
+}
+
+void MeshRouteRecord::__set_weights(const std::vector<int32_t> & val) {
+  this->weights = val;
+}
+std::ostream& operator<<(std::ostream& out, const MeshRouteRecord& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LinkConfig::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t MeshRouteRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8704,9 +8762,105 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->path_prefix);
+          this->__isset.path_prefix = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+          xfer += iprot->readI64(this->timeout_us);
+          this->__isset.timeout_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->target_latency_us);
+          this->__isset.target_latency_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->max_attempts);
+          this->__isset.max_attempts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size375;
+            ::apache::thrift::protocol::TType _etype378;
+            xfer += iprot->readListBegin(_etype378, _size375);
+            this->services.resize(_size375);
+            uint32_t _i379;
+            for (_i379 = 0; _i379 < _size375; ++_i379)
+            {
+              xfer += iprot->readString(this->services[_i379]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->weights.clear();
+            uint32_t _size380;
+            ::apache::thrift::protocol::TType _etype383;
+            xfer += iprot->readListBegin(_etype383, _size380);
+            this->weights.resize(_size380);
+            uint32_t _i384;
+            for (_i384 = 0; _i384 < _size380; ++_i384)
+            {
+              xfer += iprot->readI32(this->weights[_i384]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.weights = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8723,13 +8877,65 @@
   return xfer;
 }
 
-uint32_t LinkConfig::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t MeshRouteRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LinkConfig");
+  xfer += oprot->writeStructBegin("MeshRouteRecord");
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("path_prefix", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->path_prefix);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("timeout_us", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->timeout_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target_latency_us", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->target_latency_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("max_attempts", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->max_attempts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->services.size()));
+    std::vector<std::string> ::const_iterator _iter385;
+    for (_iter385 = this->services.begin(); _iter385 != this->services.end(); ++_iter385)
+    {
+      xfer += oprot->writeString((*_iter385));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("weights", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->weights.size()));
+    std::vector<int32_t> ::const_iterator _iter386;
+    for (_iter386 = this->weights.begin(); _iter386 != this->weights.end(); ++_iter386)
+    {
+      xfer += oprot->writeI32((*_iter386));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8737,53 +8943,115 @@
   return xfer;
 }
 
-void swap(LinkConfig &a, LinkConfig &b) {
+void swap(MeshRouteRecord &a, MeshRouteRecord &b) {
   using ::std::swap;
-  swap(a.version, b.version);
+  swap(a.name, b.name);
+  swap(a.host, b.host);
+  swap(a.path_prefix, b.path_prefix);
+  swap(a.kind, b.kind);
+  swap(a.timeout_us, b.timeout_us);
+  swap(a.target_latency_us, b.target_latency_us);
+  swap(a.priority, b.priority);
+  swap(a.max_attempts, b.max_attempts);
+  swap(a.services, b.services);
+  swap(a.weights, b.weights);
   swap(a.__isset, b.__isset);
 }
 
-LinkConfig::LinkConfig(const LinkConfig& other375) noexcept {
-  version = other375.version;
-  __isset = other375.__isset;
+MeshRouteRecord::MeshRouteRecord(const MeshRouteRecord& other387) {
+  name = other387.name;
+  host = other387.host;
+  path_prefix = other387.path_prefix;
+  kind = other387.kind;
+  timeout_us = other387.timeout_us;
+  target_latency_us = other387.target_latency_us;
+  priority = other387.priority;
+  max_attempts = other387.max_attempts;
+  services = other387.services;
+  weights = other387.weights;
+  __isset = other387.__isset;
 }
-LinkConfig::LinkConfig(LinkConfig&& other376) noexcept {
-  version = other376.version;
-  __isset = other376.__isset;
+MeshRouteRecord::MeshRouteRecord(MeshRouteRecord&& other388) noexcept {
+  name = std::move(other388.name);
+  host = std::move(other388.host);
+  path_prefix = std::move(other388.path_prefix);
+  kind = other388.kind;
+  timeout_us = other388.timeout_us;
+  target_latency_us = other388.target_latency_us;
+  priority = other388.priority;
+  max_attempts = other388.max_attempts;
+  services = std::move(other388.services);
+  weights = std::move(other388.weights);
+  __isset = other388.__isset;
 }
-LinkConfig& LinkConfig::operator=(const LinkConfig& other377) noexcept {
-  version = other377.version;
-  __isset = other377.__isset;
+MeshRouteRecord& MeshRouteRecord::operator=(const MeshRouteRecord& other389) {
+  name = other389.name;
+  host = other389.host;
+  path_prefix = other389.path_prefix;
+  kind = other389.kind;
+  timeout_us = other389.timeout_us;
+  target_latency_us = other389.target_latency_us;
+  priority = other389.priority;
+  max_attempts = other389.max_attempts;
+  services = other389.services;
+  weights = other389.weights;
+  __isset = other389.__isset;
   return *this;
 }
-LinkConfig& LinkConfig::operator=(LinkConfig&& other378) noexcept {
-  version = other378.version;
-  __isset = other378.__isset;
+MeshRouteRecord& MeshRouteRecord::operator=(MeshRouteRecord&& other390) noexcept {
+  name = std::move(other390.name);
+  host = std::move(other390.host);
+  path_prefix = std::move(other390.path_prefix);
+  kind = other390.kind;
+  timeout_us = other390.timeout_us;
+  target_latency_us = other390.target_latency_us;
+  priority = other390.priority;
+  max_attempts = other390.max_attempts;
+  services = std::move(other390.services);
+  weights = std::move(other390.weights);
+  __isset = other390.__isset;
   return *this;
 }
-void LinkConfig::printTo(std::ostream& out) const {
+void MeshRouteRecord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LinkConfig(";
-  out << "version=" << to_string(version);
+  out << "MeshRouteRecord(";
+  out << "name=" << to_string(name);
+  out << ", " << "host=" << to_string(host);
+  out << ", " << "path_prefix=" << to_string(path_prefix);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "timeout_us=" << to_string(timeout_us);
+  out << ", " << "target_latency_us=" << to_string(target_latency_us);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "max_attempts=" << to_string(max_attempts);
+  out << ", " << "services=" << to_string(services);
+  out << ", " << "weights=" << to_string(weights);
   out << ")";
 }
 
 
-LinkConfigRequest::~LinkConfigRequest() noexcept {
+MeshServiceRecord::~MeshServiceRecord() noexcept {
 }
 
 
-void LinkConfigRequest::__set_have(const int64_t val) {
-  this->have = val;
+void MeshServiceRecord::__set_name(const std::string& val) {
+  this->name = val;
 }
-std::ostream& operator<<(std::ostream& out, const LinkConfigRequest& obj)
+
+void MeshServiceRecord::__set_health_path(const std::string& val) {
+  this->health_path = val;
+}
+
+void MeshServiceRecord::__set_max_connections(const int32_t val) {
+  this->max_connections = val;
+}
+std::ostream& operator<<(std::ostream& out, const MeshServiceRecord& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LinkConfigRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t MeshServiceRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8805,9 +9073,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->have);
-          this->__isset.have = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->health_path);
+          this->__isset.health_path = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->max_connections);
+          this->__isset.max_connections = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8824,13 +9108,21 @@
   return xfer;
 }
 
-uint32_t LinkConfigRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t MeshServiceRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LinkConfigRequest");
+  xfer += oprot->writeStructBegin("MeshServiceRecord");
 
-  xfer += oprot->writeFieldBegin("have", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->have);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("health_path", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->health_path);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("max_connections", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->max_connections);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8838,61 +9130,77 @@
   return xfer;
 }
 
-void swap(LinkConfigRequest &a, LinkConfigRequest &b) {
+void swap(MeshServiceRecord &a, MeshServiceRecord &b) {
   using ::std::swap;
-  swap(a.have, b.have);
+  swap(a.name, b.name);
+  swap(a.health_path, b.health_path);
+  swap(a.max_connections, b.max_connections);
   swap(a.__isset, b.__isset);
 }
 
-LinkConfigRequest::LinkConfigRequest(const LinkConfigRequest& other379) noexcept {
-  have = other379.have;
-  __isset = other379.__isset;
+MeshServiceRecord::MeshServiceRecord(const MeshServiceRecord& other391) {
+  name = other391.name;
+  health_path = other391.health_path;
+  max_connections = other391.max_connections;
+  __isset = other391.__isset;
 }
-LinkConfigRequest::LinkConfigRequest(LinkConfigRequest&& other380) noexcept {
-  have = other380.have;
-  __isset = other380.__isset;
+MeshServiceRecord::MeshServiceRecord(MeshServiceRecord&& other392) noexcept {
+  name = std::move(other392.name);
+  health_path = std::move(other392.health_path);
+  max_connections = other392.max_connections;
+  __isset = other392.__isset;
 }
-LinkConfigRequest& LinkConfigRequest::operator=(const LinkConfigRequest& other381) noexcept {
-  have = other381.have;
-  __isset = other381.__isset;
+MeshServiceRecord& MeshServiceRecord::operator=(const MeshServiceRecord& other393) {
+  name = other393.name;
+  health_path = other393.health_path;
+  max_connections = other393.max_connections;
+  __isset = other393.__isset;
   return *this;
 }
-LinkConfigRequest& LinkConfigRequest::operator=(LinkConfigRequest&& other382) noexcept {
-  have = other382.have;
-  __isset = other382.__isset;
+MeshServiceRecord& MeshServiceRecord::operator=(MeshServiceRecord&& other394) noexcept {
+  name = std::move(other394.name);
+  health_path = std::move(other394.health_path);
+  max_connections = other394.max_connections;
+  __isset = other394.__isset;
   return *this;
 }
-void LinkConfigRequest::printTo(std::ostream& out) const {
+void MeshServiceRecord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LinkConfigRequest(";
-  out << "have=" << to_string(have);
+  out << "MeshServiceRecord(";
+  out << "name=" << to_string(name);
+  out << ", " << "health_path=" << to_string(health_path);
+  out << ", " << "max_connections=" << to_string(max_connections);
   out << ")";
 }
 
 
-LinkProbe::~LinkProbe() noexcept {
+CallerLimitsRecord::~CallerLimitsRecord() noexcept {
 }
 
 
-void LinkProbe::__set_nonce(const int64_t val) {
-  this->nonce = val;
+void CallerLimitsRecord::__set_max_header_bytes(const int64_t val) {
+  this->max_header_bytes = val;
 }
 
-void LinkProbe::__set_answer(const bool val) {
-  this->answer = val;
+void CallerLimitsRecord::__set_max_body_bytes(const int64_t val) {
+  this->max_body_bytes = val;
 }
 
-void LinkProbe::__set_config_version(const int64_t val) {
-  this->config_version = val;
+void CallerLimitsRecord::__set_header_timeout_us(const int64_t val) {
+  this->header_timeout_us = val;
 }
-std::ostream& operator<<(std::ostream& out, const LinkProbe& obj)
+
+void CallerLimitsRecord::__set_idle_timeout_us(const int64_t val) {
+  this->idle_timeout_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallerLimitsRecord& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LinkProbe::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t CallerLimitsRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8915,24 +9223,32 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->nonce);
-          this->__isset.nonce = true;
+          xfer += iprot->readI64(this->max_header_bytes);
+          this->__isset.max_header_bytes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->answer);
-          this->__isset.answer = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->max_body_bytes);
+          this->__isset.max_body_bytes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->config_version);
-          this->__isset.config_version = true;
+          xfer += iprot->readI64(this->header_timeout_us);
+          this->__isset.header_timeout_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->idle_timeout_us);
+          this->__isset.idle_timeout_us = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8949,21 +9265,606 @@
   return xfer;
 }
 
-uint32_t LinkProbe::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t CallerLimitsRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LinkProbe");
+  xfer += oprot->writeStructBegin("CallerLimitsRecord");
 
-  xfer += oprot->writeFieldBegin("nonce", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->nonce);
+  xfer += oprot->writeFieldBegin("max_header_bytes", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->max_header_bytes);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->answer);
+  xfer += oprot->writeFieldBegin("max_body_bytes", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->max_body_bytes);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->config_version);
+  xfer += oprot->writeFieldBegin("header_timeout_us", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->header_timeout_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idle_timeout_us", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->idle_timeout_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallerLimitsRecord &a, CallerLimitsRecord &b) {
+  using ::std::swap;
+  swap(a.max_header_bytes, b.max_header_bytes);
+  swap(a.max_body_bytes, b.max_body_bytes);
+  swap(a.header_timeout_us, b.header_timeout_us);
+  swap(a.idle_timeout_us, b.idle_timeout_us);
+  swap(a.__isset, b.__isset);
+}
+
+CallerLimitsRecord::CallerLimitsRecord(const CallerLimitsRecord& other395) noexcept {
+  max_header_bytes = other395.max_header_bytes;
+  max_body_bytes = other395.max_body_bytes;
+  header_timeout_us = other395.header_timeout_us;
+  idle_timeout_us = other395.idle_timeout_us;
+  __isset = other395.__isset;
+}
+CallerLimitsRecord::CallerLimitsRecord(CallerLimitsRecord&& other396) noexcept {
+  max_header_bytes = other396.max_header_bytes;
+  max_body_bytes = other396.max_body_bytes;
+  header_timeout_us = other396.header_timeout_us;
+  idle_timeout_us = other396.idle_timeout_us;
+  __isset = other396.__isset;
+}
+CallerLimitsRecord& CallerLimitsRecord::operator=(const CallerLimitsRecord& other397) noexcept {
+  max_header_bytes = other397.max_header_bytes;
+  max_body_bytes = other397.max_body_bytes;
+  header_timeout_us = other397.header_timeout_us;
+  idle_timeout_us = other397.idle_timeout_us;
+  __isset = other397.__isset;
+  return *this;
+}
+CallerLimitsRecord& CallerLimitsRecord::operator=(CallerLimitsRecord&& other398) noexcept {
+  max_header_bytes = other398.max_header_bytes;
+  max_body_bytes = other398.max_body_bytes;
+  header_timeout_us = other398.header_timeout_us;
+  idle_timeout_us = other398.idle_timeout_us;
+  __isset = other398.__isset;
+  return *this;
+}
+void CallerLimitsRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallerLimitsRecord(";
+  out << "max_header_bytes=" << to_string(max_header_bytes);
+  out << ", " << "max_body_bytes=" << to_string(max_body_bytes);
+  out << ", " << "header_timeout_us=" << to_string(header_timeout_us);
+  out << ", " << "idle_timeout_us=" << to_string(idle_timeout_us);
+  out << ")";
+}
+
+
+LinkConfig::~LinkConfig() noexcept {
+}
+
+
+void LinkConfig::__set_base(const int64_t val) {
+  this->base = val;
+}
+
+void LinkConfig::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void LinkConfig::__set_set_routes(const std::vector<MeshRouteRecord> & val) {
+  this->set_routes = val;
+}
+
+void LinkConfig::__set_removed_routes(const std::vector<std::string> & val) {
+  this->removed_routes = val;
+}
+
+void LinkConfig::__set_set_services(const std::vector<MeshServiceRecord> & val) {
+  this->set_services = val;
+}
+
+void LinkConfig::__set_removed_services(const std::vector<std::string> & val) {
+  this->removed_services = val;
+}
+
+void LinkConfig::__set_limits(const CallerLimitsRecord& val) {
+  this->limits = val;
+}
+std::ostream& operator<<(std::ostream& out, const LinkConfig& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkConfig::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          this->__isset.base = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->set_routes.clear();
+            uint32_t _size399;
+            ::apache::thrift::protocol::TType _etype402;
+            xfer += iprot->readListBegin(_etype402, _size399);
+            this->set_routes.resize(_size399);
+            uint32_t _i403;
+            for (_i403 = 0; _i403 < _size399; ++_i403)
+            {
+              xfer += this->set_routes[_i403].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.set_routes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed_routes.clear();
+            uint32_t _size404;
+            ::apache::thrift::protocol::TType _etype407;
+            xfer += iprot->readListBegin(_etype407, _size404);
+            this->removed_routes.resize(_size404);
+            uint32_t _i408;
+            for (_i408 = 0; _i408 < _size404; ++_i408)
+            {
+              xfer += iprot->readString(this->removed_routes[_i408]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removed_routes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->set_services.clear();
+            uint32_t _size409;
+            ::apache::thrift::protocol::TType _etype412;
+            xfer += iprot->readListBegin(_etype412, _size409);
+            this->set_services.resize(_size409);
+            uint32_t _i413;
+            for (_i413 = 0; _i413 < _size409; ++_i413)
+            {
+              xfer += this->set_services[_i413].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.set_services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed_services.clear();
+            uint32_t _size414;
+            ::apache::thrift::protocol::TType _etype417;
+            xfer += iprot->readListBegin(_etype417, _size414);
+            this->removed_services.resize(_size414);
+            uint32_t _i418;
+            for (_i418 = 0; _i418 < _size414; ++_i418)
+            {
+              xfer += iprot->readString(this->removed_services[_i418]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removed_services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->limits.read(iprot);
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkConfig::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkConfig");
+
+  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->base);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("set_routes", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->set_routes.size()));
+    std::vector<MeshRouteRecord> ::const_iterator _iter419;
+    for (_iter419 = this->set_routes.begin(); _iter419 != this->set_routes.end(); ++_iter419)
+    {
+      xfer += (*_iter419).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed_routes", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed_routes.size()));
+    std::vector<std::string> ::const_iterator _iter420;
+    for (_iter420 = this->removed_routes.begin(); _iter420 != this->removed_routes.end(); ++_iter420)
+    {
+      xfer += oprot->writeString((*_iter420));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("set_services", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->set_services.size()));
+    std::vector<MeshServiceRecord> ::const_iterator _iter421;
+    for (_iter421 = this->set_services.begin(); _iter421 != this->set_services.end(); ++_iter421)
+    {
+      xfer += (*_iter421).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed_services", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed_services.size()));
+    std::vector<std::string> ::const_iterator _iter422;
+    for (_iter422 = this->removed_services.begin(); _iter422 != this->removed_services.end(); ++_iter422)
+    {
+      xfer += oprot->writeString((*_iter422));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_STRUCT, 7);
+  xfer += this->limits.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkConfig &a, LinkConfig &b) {
+  using ::std::swap;
+  swap(a.base, b.base);
+  swap(a.version, b.version);
+  swap(a.set_routes, b.set_routes);
+  swap(a.removed_routes, b.removed_routes);
+  swap(a.set_services, b.set_services);
+  swap(a.removed_services, b.removed_services);
+  swap(a.limits, b.limits);
+  swap(a.__isset, b.__isset);
+}
+
+LinkConfig::LinkConfig(const LinkConfig& other423) {
+  base = other423.base;
+  version = other423.version;
+  set_routes = other423.set_routes;
+  removed_routes = other423.removed_routes;
+  set_services = other423.set_services;
+  removed_services = other423.removed_services;
+  limits = other423.limits;
+  __isset = other423.__isset;
+}
+LinkConfig::LinkConfig(LinkConfig&& other424) noexcept {
+  base = other424.base;
+  version = other424.version;
+  set_routes = std::move(other424.set_routes);
+  removed_routes = std::move(other424.removed_routes);
+  set_services = std::move(other424.set_services);
+  removed_services = std::move(other424.removed_services);
+  limits = std::move(other424.limits);
+  __isset = other424.__isset;
+}
+LinkConfig& LinkConfig::operator=(const LinkConfig& other425) {
+  base = other425.base;
+  version = other425.version;
+  set_routes = other425.set_routes;
+  removed_routes = other425.removed_routes;
+  set_services = other425.set_services;
+  removed_services = other425.removed_services;
+  limits = other425.limits;
+  __isset = other425.__isset;
+  return *this;
+}
+LinkConfig& LinkConfig::operator=(LinkConfig&& other426) noexcept {
+  base = other426.base;
+  version = other426.version;
+  set_routes = std::move(other426.set_routes);
+  removed_routes = std::move(other426.removed_routes);
+  set_services = std::move(other426.set_services);
+  removed_services = std::move(other426.removed_services);
+  limits = std::move(other426.limits);
+  __isset = other426.__isset;
+  return *this;
+}
+void LinkConfig::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkConfig(";
+  out << "base=" << to_string(base);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "set_routes=" << to_string(set_routes);
+  out << ", " << "removed_routes=" << to_string(removed_routes);
+  out << ", " << "set_services=" << to_string(set_services);
+  out << ", " << "removed_services=" << to_string(removed_services);
+  out << ", " << "limits=" << to_string(limits);
+  out << ")";
+}
+
+
+LinkConfigRequest::~LinkConfigRequest() noexcept {
+}
+
+
+void LinkConfigRequest::__set_have(const int64_t val) {
+  this->have = val;
+}
+std::ostream& operator<<(std::ostream& out, const LinkConfigRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkConfigRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->have);
+          this->__isset.have = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkConfigRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkConfigRequest");
+
+  xfer += oprot->writeFieldBegin("have", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->have);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkConfigRequest &a, LinkConfigRequest &b) {
+  using ::std::swap;
+  swap(a.have, b.have);
+  swap(a.__isset, b.__isset);
+}
+
+LinkConfigRequest::LinkConfigRequest(const LinkConfigRequest& other427) noexcept {
+  have = other427.have;
+  __isset = other427.__isset;
+}
+LinkConfigRequest::LinkConfigRequest(LinkConfigRequest&& other428) noexcept {
+  have = other428.have;
+  __isset = other428.__isset;
+}
+LinkConfigRequest& LinkConfigRequest::operator=(const LinkConfigRequest& other429) noexcept {
+  have = other429.have;
+  __isset = other429.__isset;
+  return *this;
+}
+LinkConfigRequest& LinkConfigRequest::operator=(LinkConfigRequest&& other430) noexcept {
+  have = other430.have;
+  __isset = other430.__isset;
+  return *this;
+}
+void LinkConfigRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkConfigRequest(";
+  out << "have=" << to_string(have);
+  out << ")";
+}
+
+
+LinkProbe::~LinkProbe() noexcept {
+}
+
+
+void LinkProbe::__set_nonce(const int64_t val) {
+  this->nonce = val;
+}
+
+void LinkProbe::__set_answer(const bool val) {
+  this->answer = val;
+}
+
+void LinkProbe::__set_config_version(const int64_t val) {
+  this->config_version = val;
+}
+
+void LinkProbe::__set_store_fails(const bool val) {
+  this->store_fails = val;
+}
+std::ostream& operator<<(std::ostream& out, const LinkProbe& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkProbe::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nonce);
+          this->__isset.nonce = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answer);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config_version);
+          this->__isset.config_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->store_fails);
+          this->__isset.store_fails = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkProbe::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkProbe");
+
+  xfer += oprot->writeFieldBegin("nonce", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->nonce);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->answer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->config_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("store_fails", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->store_fails);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8976,33 +9877,38 @@
   swap(a.nonce, b.nonce);
   swap(a.answer, b.answer);
   swap(a.config_version, b.config_version);
+  swap(a.store_fails, b.store_fails);
   swap(a.__isset, b.__isset);
 }
 
-LinkProbe::LinkProbe(const LinkProbe& other383) noexcept {
-  nonce = other383.nonce;
-  answer = other383.answer;
-  config_version = other383.config_version;
-  __isset = other383.__isset;
-}
-LinkProbe::LinkProbe(LinkProbe&& other384) noexcept {
-  nonce = other384.nonce;
-  answer = other384.answer;
-  config_version = other384.config_version;
-  __isset = other384.__isset;
-}
-LinkProbe& LinkProbe::operator=(const LinkProbe& other385) noexcept {
-  nonce = other385.nonce;
-  answer = other385.answer;
-  config_version = other385.config_version;
-  __isset = other385.__isset;
+LinkProbe::LinkProbe(const LinkProbe& other431) noexcept {
+  nonce = other431.nonce;
+  answer = other431.answer;
+  config_version = other431.config_version;
+  store_fails = other431.store_fails;
+  __isset = other431.__isset;
+}
+LinkProbe::LinkProbe(LinkProbe&& other432) noexcept {
+  nonce = other432.nonce;
+  answer = other432.answer;
+  config_version = other432.config_version;
+  store_fails = other432.store_fails;
+  __isset = other432.__isset;
+}
+LinkProbe& LinkProbe::operator=(const LinkProbe& other433) noexcept {
+  nonce = other433.nonce;
+  answer = other433.answer;
+  config_version = other433.config_version;
+  store_fails = other433.store_fails;
+  __isset = other433.__isset;
   return *this;
 }
-LinkProbe& LinkProbe::operator=(LinkProbe&& other386) noexcept {
-  nonce = other386.nonce;
-  answer = other386.answer;
-  config_version = other386.config_version;
-  __isset = other386.__isset;
+LinkProbe& LinkProbe::operator=(LinkProbe&& other434) noexcept {
+  nonce = other434.nonce;
+  answer = other434.answer;
+  config_version = other434.config_version;
+  store_fails = other434.store_fails;
+  __isset = other434.__isset;
   return *this;
 }
 void LinkProbe::printTo(std::ostream& out) const {
@@ -9011,6 +9917,7 @@
   out << "nonce=" << to_string(nonce);
   out << ", " << "answer=" << to_string(answer);
   out << ", " << "config_version=" << to_string(config_version);
+  out << ", " << "store_fails=" << to_string(store_fails);
   out << ")";
 }
 
@@ -9225,50 +10132,50 @@
   swap(a.__isset, b.__isset);
 }
 
-LinkMessage::LinkMessage(const LinkMessage& other387) {
-  hello = other387.hello;
-  status = other387.status;
-  call = other387.call;
-  reply = other387.reply;
-  cancel = other387.cancel;
-  config = other387.config;
-  config_request = other387.config_request;
-  probe = other387.probe;
-  __isset = other387.__isset;
-}
-LinkMessage::LinkMessage(LinkMessage&& other388) noexcept {
-  hello = std::move(other388.hello);
-  status = std::move(other388.status);
-  call = std::move(other388.call);
-  reply = std::move(other388.reply);
-  cancel = std::move(other388.cancel);
-  config = std::move(other388.config);
-  config_request = std::move(other388.config_request);
-  probe = std::move(other388.probe);
-  __isset = other388.__isset;
-}
-LinkMessage& LinkMessage::operator=(const LinkMessage& other389) {
-  hello = other389.hello;
-  status = other389.status;
-  call = other389.call;
-  reply = other389.reply;
-  cancel = other389.cancel;
-  config = other389.config;
-  config_request = other389.config_request;
-  probe = other389.probe;
-  __isset = other389.__isset;
+LinkMessage::LinkMessage(const LinkMessage& other435) {
+  hello = other435.hello;
+  status = other435.status;
+  call = other435.call;
+  reply = other435.reply;
+  cancel = other435.cancel;
+  config = other435.config;
+  config_request = other435.config_request;
+  probe = other435.probe;
+  __isset = other435.__isset;
+}
+LinkMessage::LinkMessage(LinkMessage&& other436) noexcept {
+  hello = std::move(other436.hello);
+  status = std::move(other436.status);
+  call = std::move(other436.call);
+  reply = std::move(other436.reply);
+  cancel = std::move(other436.cancel);
+  config = std::move(other436.config);
+  config_request = std::move(other436.config_request);
+  probe = std::move(other436.probe);
+  __isset = other436.__isset;
+}
+LinkMessage& LinkMessage::operator=(const LinkMessage& other437) {
+  hello = other437.hello;
+  status = other437.status;
+  call = other437.call;
+  reply = other437.reply;
+  cancel = other437.cancel;
+  config = other437.config;
+  config_request = other437.config_request;
+  probe = other437.probe;
+  __isset = other437.__isset;
   return *this;
 }
-LinkMessage& LinkMessage::operator=(LinkMessage&& other390) noexcept {
-  hello = std::move(other390.hello);
-  status = std::move(other390.status);
-  call = std::move(other390.call);
-  reply = std::move(other390.reply);
-  cancel = std::move(other390.cancel);
-  config = std::move(other390.config);
-  config_request = std::move(other390.config_request);
-  probe = std::move(other390.probe);
-  __isset = other390.__isset;
+LinkMessage& LinkMessage::operator=(LinkMessage&& other438) noexcept {
+  hello = std::move(other438.hello);
+  status = std::move(other438.status);
+  call = std::move(other438.call);
+  reply = std::move(other438.reply);
+  cancel = std::move(other438.cancel);
+  config = std::move(other438.config);
+  config_request = std::move(other438.config_request);
+  probe = std::move(other438.probe);
+  __isset = other438.__isset;
   return *this;
 }
 void LinkMessage::printTo(std::ostream& out) const {
--- a/src/gen/limpet_types.h
+++ b/src/gen/limpet_types.h
@@ -180,6 +180,12 @@
 
 class LinkCancel;
 
+class MeshRouteRecord;
+
+class MeshServiceRecord;
+
+class CallerLimitsRecord;
+
 class LinkConfig;
 
 class LinkConfigRequest;
@@ -2827,11 +2833,12 @@
 std::ostream& operator<<(std::ostream& out, const TargetStatus& obj);
 
 typedef struct _NodeAddress__isset {
-  _NodeAddress__isset() : name(false), data_centre(false), host(false), port(false) {}
+  _NodeAddress__isset() : name(false), data_centre(false), host(false), port(false), link_mbps(false) {}
   bool name :1;
   bool data_centre :1;
   bool host :1;
   bool port :1;
+  bool link_mbps :1;
 } _NodeAddress__isset;
 
 class NodeAddress : public virtual ::apache::thrift::TBase {
@@ -2845,7 +2852,8 @@
               : name(),
                 data_centre(),
                 host(),
-                port(0) {
+                port(0),
+                link_mbps(0) {
   }
 
   virtual ~NodeAddress() noexcept;
@@ -2853,6 +2861,7 @@
   std::string data_centre;
   std::string host;
   int32_t port;
+  int32_t link_mbps;
 
   _NodeAddress__isset __isset;
 
@@ -2864,6 +2873,8 @@
 
   void __set_port(const int32_t val);
 
+  void __set_link_mbps(const int32_t val);
+
   bool operator == (const NodeAddress & rhs) const
   {
     if (!(name == rhs.name))
@@ -2874,6 +2885,8 @@
       return false;
     if (!(port == rhs.port))
       return false;
+    if (!(link_mbps == rhs.link_mbps))
+      return false;
     return true;
   }
   bool operator != (const NodeAddress &rhs) const {
@@ -3242,33 +3255,301 @@
 
 std::ostream& operator<<(std::ostream& out, const LinkCancel& obj);
 
+typedef struct _MeshRouteRecord__isset {
+  _MeshRouteRecord__isset() : name(false), host(false), path_prefix(false), kind(false), timeout_us(false), target_latency_us(false), priority(false), max_attempts(false), services(false), weights(false) {}
+  bool name :1;
+  bool host :1;
+  bool path_prefix :1;
+  bool kind :1;
+  bool timeout_us :1;
+  bool target_latency_us :1;
+  bool priority :1;
+  bool max_attempts :1;
+  bool services :1;
+  bool weights :1;
+} _MeshRouteRecord__isset;
+
+class MeshRouteRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  MeshRouteRecord(const MeshRouteRecord&);
+  MeshRouteRecord(MeshRouteRecord&&) noexcept;
+  MeshRouteRecord& operator=(const MeshRouteRecord&);
+  MeshRouteRecord& operator=(MeshRouteRecord&&) noexcept;
+  MeshRouteRecord() noexcept
+                  : name(),
+                    host(),
+                    path_prefix(),
+                    kind(0),
+                    timeout_us(0),
+                    target_latency_us(0),
+                    priority(0),
+                    max_attempts(0) {
+  }
+
+  virtual ~MeshRouteRecord() noexcept;
+  std::string name;
+  std::string host;
+  std::string path_prefix;
+  int32_t kind;
+  int64_t timeout_us;
+  int64_t target_latency_us;
+  int32_t priority;
+  int32_t max_attempts;
+  std::vector<std::string>  services;
+  std::vector<int32_t>  weights;
+
+  _MeshRouteRecord__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_host(const std::string& val);
+
+  void __set_path_prefix(const std::string& val);
+
+  void __set_kind(const int32_t val);
+
+  void __set_timeout_us(const int64_t val);
+
+  void __set_target_latency_us(const int64_t val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_max_attempts(const int32_t val);
+
+  void __set_services(const std::vector<std::string> & val);
+
+  void __set_weights(const std::vector<int32_t> & val);
+
+  bool operator == (const MeshRouteRecord & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(host == rhs.host))
+      return false;
+    if (!(path_prefix == rhs.path_prefix))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(timeout_us == rhs.timeout_us))
+      return false;
+    if (!(target_latency_us == rhs.target_latency_us))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(max_attempts == rhs.max_attempts))
+      return false;
+    if (!(services == rhs.services))
+      return false;
+    if (!(weights == rhs.weights))
+      return false;
+    return true;
+  }
+  bool operator != (const MeshRouteRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const MeshRouteRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(MeshRouteRecord &a, MeshRouteRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const MeshRouteRecord& obj);
+
+typedef struct _MeshServiceRecord__isset {
+  _MeshServiceRecord__isset() : name(false), health_path(false), max_connections(false) {}
+  bool name :1;
+  bool health_path :1;
+  bool max_connections :1;
+} _MeshServiceRecord__isset;
+
+class MeshServiceRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  MeshServiceRecord(const MeshServiceRecord&);
+  MeshServiceRecord(MeshServiceRecord&&) noexcept;
+  MeshServiceRecord& operator=(const MeshServiceRecord&);
+  MeshServiceRecord& operator=(MeshServiceRecord&&) noexcept;
+  MeshServiceRecord() noexcept
+                    : name(),
+                      health_path(),
+                      max_connections(0) {
+  }
+
+  virtual ~MeshServiceRecord() noexcept;
+  std::string name;
+  std::string health_path;
+  int32_t max_connections;
+
+  _MeshServiceRecord__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_health_path(const std::string& val);
+
+  void __set_max_connections(const int32_t val);
+
+  bool operator == (const MeshServiceRecord & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(health_path == rhs.health_path))
+      return false;
+    if (!(max_connections == rhs.max_connections))
+      return false;
+    return true;
+  }
+  bool operator != (const MeshServiceRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const MeshServiceRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(MeshServiceRecord &a, MeshServiceRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const MeshServiceRecord& obj);
+
+typedef struct _CallerLimitsRecord__isset {
+  _CallerLimitsRecord__isset() : max_header_bytes(false), max_body_bytes(false), header_timeout_us(false), idle_timeout_us(false) {}
+  bool max_header_bytes :1;
+  bool max_body_bytes :1;
+  bool header_timeout_us :1;
+  bool idle_timeout_us :1;
+} _CallerLimitsRecord__isset;
+
+class CallerLimitsRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  CallerLimitsRecord(const CallerLimitsRecord&) noexcept;
+  CallerLimitsRecord(CallerLimitsRecord&&) noexcept;
+  CallerLimitsRecord& operator=(const CallerLimitsRecord&) noexcept;
+  CallerLimitsRecord& operator=(CallerLimitsRecord&&) noexcept;
+  CallerLimitsRecord() noexcept
+                     : max_header_bytes(0),
+                       max_body_bytes(0),
+                       header_timeout_us(0),
+                       idle_timeout_us(0) {
+  }
+
+  virtual ~CallerLimitsRecord() noexcept;
+  int64_t max_header_bytes;
+  int64_t max_body_bytes;
+  int64_t header_timeout_us;
+  int64_t idle_timeout_us;
+
+  _CallerLimitsRecord__isset __isset;
+
+  void __set_max_header_bytes(const int64_t val);
+
+  void __set_max_body_bytes(const int64_t val);
+
+  void __set_header_timeout_us(const int64_t val);
+
+  void __set_idle_timeout_us(const int64_t val);
+
+  bool operator == (const CallerLimitsRecord & rhs) const
+  {
+    if (!(max_header_bytes == rhs.max_header_bytes))
+      return false;
+    if (!(max_body_bytes == rhs.max_body_bytes))
+      return false;
+    if (!(header_timeout_us == rhs.header_timeout_us))
+      return false;
+    if (!(idle_timeout_us == rhs.idle_timeout_us))
+      return false;
+    return true;
+  }
+  bool operator != (const CallerLimitsRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CallerLimitsRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CallerLimitsRecord &a, CallerLimitsRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const CallerLimitsRecord& obj);
+
 typedef struct _LinkConfig__isset {
-  _LinkConfig__isset() : version(false) {}
+  _LinkConfig__isset() : base(false), version(false), set_routes(false), removed_routes(false), set_services(false), removed_services(false), limits(false) {}
+  bool base :1;
   bool version :1;
+  bool set_routes :1;
+  bool removed_routes :1;
+  bool set_services :1;
+  bool removed_services :1;
+  bool limits :1;
 } _LinkConfig__isset;
 
 class LinkConfig : public virtual ::apache::thrift::TBase {
  public:
 
-  LinkConfig(const LinkConfig&) noexcept;
+  LinkConfig(const LinkConfig&);
   LinkConfig(LinkConfig&&) noexcept;
-  LinkConfig& operator=(const LinkConfig&) noexcept;
+  LinkConfig& operator=(const LinkConfig&);
   LinkConfig& operator=(LinkConfig&&) noexcept;
   LinkConfig() noexcept
-             : version(0) {
+             : base(0),
+               version(0) {
   }
 
   virtual ~LinkConfig() noexcept;
+  int64_t base;
   int64_t version;
+  std::vector<MeshRouteRecord>  set_routes;
+  std::vector<std::string>  removed_routes;
+  std::vector<MeshServiceRecord>  set_services;
+  std::vector<std::string>  removed_services;
+  CallerLimitsRecord limits;
 
   _LinkConfig__isset __isset;
 
+  void __set_base(const int64_t val);
+
   void __set_version(const int64_t val);
 
+  void __set_set_routes(const std::vector<MeshRouteRecord> & val);
+
+  void __set_removed_routes(const std::vector<std::string> & val);
+
+  void __set_set_services(const std::vector<MeshServiceRecord> & val);
+
+  void __set_removed_services(const std::vector<std::string> & val);
+
+  void __set_limits(const CallerLimitsRecord& val);
+
   bool operator == (const LinkConfig & rhs) const
   {
+    if (!(base == rhs.base))
+      return false;
     if (!(version == rhs.version))
       return false;
+    if (!(set_routes == rhs.set_routes))
+      return false;
+    if (!(removed_routes == rhs.removed_routes))
+      return false;
+    if (!(set_services == rhs.set_services))
+      return false;
+    if (!(removed_services == rhs.removed_services))
+      return false;
+    if (!(limits == rhs.limits))
+      return false;
     return true;
   }
   bool operator != (const LinkConfig &rhs) const {
@@ -3333,10 +3614,11 @@
 std::ostream& operator<<(std::ostream& out, const LinkConfigRequest& obj);
 
 typedef struct _LinkProbe__isset {
-  _LinkProbe__isset() : nonce(false), answer(false), config_version(false) {}
+  _LinkProbe__isset() : nonce(false), answer(false), config_version(false), store_fails(false) {}
   bool nonce :1;
   bool answer :1;
   bool config_version :1;
+  bool store_fails :1;
 } _LinkProbe__isset;
 
 class LinkProbe : public virtual ::apache::thrift::TBase {
@@ -3349,13 +3631,15 @@
   LinkProbe() noexcept
             : nonce(0),
               answer(0),
-              config_version(0) {
+              config_version(0),
+              store_fails(0) {
   }
 
   virtual ~LinkProbe() noexcept;
   int64_t nonce;
   bool answer;
   int64_t config_version;
+  bool store_fails;
 
   _LinkProbe__isset __isset;
 
@@ -3365,6 +3649,8 @@
 
   void __set_config_version(const int64_t val);
 
+  void __set_store_fails(const bool val);
+
   bool operator == (const LinkProbe & rhs) const
   {
     if (!(nonce == rhs.nonce))
@@ -3373,6 +3659,8 @@
       return false;
     if (!(config_version == rhs.config_version))
       return false;
+    if (!(store_fails == rhs.store_fails))
+      return false;
     return true;
   }
   bool operator != (const LinkProbe &rhs) const {
--- a/src/routing/mesh_config.cc
+++ b/src/routing/mesh_config.cc
@@ -39,7 +39,9 @@
     }
   }
   std::set<std::pair<std::string, std::string>> places;
+  std::set<std::string> names;
   for (const MeshRoute& route : config.routes) {
+    Require(names.insert(route.name).second, route, "the name is given twice");
     CheckRoute(route, services);
     Require(places.emplace(route.host, route.path_prefix).second, route,
             "another route has the same host and prefix");
--- /dev/null
+++ b/src/routing/mesh_delta.cc
@@ -0,0 +1,130 @@
+#include "limpet/routing/mesh_delta.h"
+
+#include <algorithm>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "limpet/core/error.h"
+
+namespace limpet {
+namespace {
+
+wire::MeshRouteRecord ToRecord(const MeshRoute& route) {
+  wire::MeshRouteRecord record;
+  record.name = route.name;
+  record.host = route.host;
+  record.path_prefix = route.path_prefix;
+  record.kind = static_cast<int32_t>(route.kind);
+  record.timeout_us = route.timeout.count();
+  record.target_latency_us = route.target_latency.count();
+  record.priority = route.priority;
+  record.max_attempts = route.max_attempts;
+  for (const TrafficPart& part : route.parts) {
+    record.services.push_back(part.service);
+    record.weights.push_back(part.weight);
+  }
+  return record;
+}
+
+MeshRoute FromRecord(const wire::MeshRouteRecord& record) {
+  const bool known_kind = record.kind >= 0 && record.kind < static_cast<int>(kRequestKindNames.size());
+  if (!known_kind || record.services.size() != record.weights.size()) {
+    throw DecodeError("route " + record.name + " of another node is malformed");
+  }
+  MeshRoute route;
+  route.name = record.name;
+  route.host = record.host;
+  route.path_prefix = record.path_prefix;
+  route.kind = static_cast<RequestKind>(record.kind);
+  route.timeout = Duration(record.timeout_us);
+  route.target_latency = Duration(record.target_latency_us);
+  route.priority = record.priority;
+  route.max_attempts = record.max_attempts;
+  for (std::size_t i = 0; i < record.services.size(); ++i) {
+    route.parts.push_back({record.services[i], record.weights[i]});
+  }
+  return route;
+}
+
+wire::MeshServiceRecord ToRecord(const MeshService& service) {
+  wire::MeshServiceRecord record;
+  record.name = service.name;
+  record.health_path = service.health_path;
+  record.max_connections = service.max_connections;
+  return record;
+}
+
+MeshService FromRecord(const wire::MeshServiceRecord& record) {
+  return {record.name, record.health_path, record.max_connections};
+}
+
+/// Items of `to` that `from` lacks or has otherwise, and names that only `from` has.
+template <typename Item, typename Record>
+void Compare(const std::vector<Item>& from,
+             const std::vector<Item>& to,
+             std::vector<Record>& set,
+             std::vector<std::string>& removed) {
+  std::unordered_map<std::string_view, const Item*> old;
+  for (const Item& item : from) {
+    old.emplace(item.name, &item);
+  }
+  for (const Item& item : to) {
+    const auto found = old.find(item.name);
+    if (found == old.end() || !(*found->second == item)) {
+      set.push_back(ToRecord(item));
+    }
+    if (found != old.end()) {
+      old.erase(found);
+    }
+  }
+  for (const auto& [name, item] : old) {
+    removed.emplace_back(name);
+  }
+}
+
+template <typename Item, typename Record>
+std::vector<Item> Merge(const std::vector<Item>& items,
+                        const std::vector<Record>& set,
+                        const std::vector<std::string>& removed) {
+  std::unordered_set<std::string_view> replaced(removed.begin(), removed.end());
+  for (const Record& record : set) {
+    replaced.insert(record.name);
+  }
+  std::vector<Item> merged;
+  merged.reserve(items.size() + set.size());
+  std::ranges::copy_if(items, std::back_inserter(merged),
+                       [&](const Item& item) { return !replaced.contains(item.name); });
+  for (const Record& record : set) {
+    merged.push_back(FromRecord(record));
+  }
+  return merged;
+}
+
+}  // namespace
+
+wire::LinkConfig MakeMeshDelta(const MeshConfig& from, const MeshConfig& to) {
+  wire::LinkConfig change;
+  change.base = from.version;
+  change.version = to.version;
+  Compare(from.routes, to.routes, change.set_routes, change.removed_routes);
+  Compare(from.services, to.services, change.set_services, change.removed_services);
+  change.limits.max_header_bytes = static_cast<int64_t>(to.limits.max_header_bytes);
+  change.limits.max_body_bytes = static_cast<int64_t>(to.limits.max_body_bytes);
+  change.limits.header_timeout_us = to.limits.header_timeout.count();
+  change.limits.idle_timeout_us = to.limits.idle_timeout.count();
+  return change;
+}
+
+MeshConfig ApplyMeshDelta(const MeshConfig& config, const wire::LinkConfig& change) {
+  MeshConfig next;
+  next.version = change.version;
+  next.routes = Merge(config.routes, change.set_routes, change.removed_routes);
+  next.services = Merge(config.services, change.set_services, change.removed_services);
+  next.limits.max_header_bytes = static_cast<std::size_t>(change.limits.max_header_bytes);
+  next.limits.max_body_bytes = static_cast<std::size_t>(change.limits.max_body_bytes);
+  next.limits.header_timeout = Duration(change.limits.header_timeout_us);
+  next.limits.idle_timeout = Duration(change.limits.idle_timeout_us);
+  return next;
+}
+
+}  // namespace limpet
--- a/src/settings/node_settings.cc
+++ b/src/settings/node_settings.cc
@@ -34,7 +34,7 @@
   std::string_view name;
   Member member;
   std::string_view doc;
-  /// Allowed values of an integer.
+  /// Allowed values of a number; fractions are 0 to 1 where none is given.
   Range range = {};
   TextKind text = TextKind::kAny;
   bool required = false;
@@ -137,6 +137,7 @@
     {"edge", "announcements", &S::announcements, "Address for heartbeats of the target"},
     {"edge", "target", &S::target, "Address at which the target on this VM takes requests"},
     {"edge", "store", &S::store, "Address of the store of configuration and node addresses"},
+    {"edge", "link_mbps", &S::link_mbps, "Bandwidth of the network link in Mbit/s", {0, 1'000'000}},
     {"edge", "link_port", &S::link_port, "TCP port for links from other nodes", kPortRange},
     {"edge", "metrics_port", &S::metrics_port, "HTTP port of /metrics", kPortRange},
     {"retries", "ratio", &S::retry_ratio,
@@ -224,6 +225,10 @@
   return found.has_value();
 }
 
+Range FractionRange(const Key& key) {
+  return key.range.high == 0 ? Range{0, 1} : key.range;
+}
+
 /// Sets one member from text; false if the value is not allowed.
 struct Setter {
   const Key& key;
@@ -239,7 +244,9 @@
   }
   bool operator()(double NodeSettings::*member) const {
     double& value = settings.*member;
-    return ParseNumber(text, value) && value >= 0.0 && value <= 1.0;
+    const Range range = FractionRange(key);
+    return ParseNumber(text, value) && value >= static_cast<double>(range.low) &&
+           value <= static_cast<double>(range.high);
   }
   template <Choice Enum>
   bool operator()(Enum NodeSettings::*member) const {
@@ -270,7 +277,7 @@
     return "";
   }
   std::string operator()(int NodeSettings::*) const { return key.range.Text(); }
-  std::string operator()(double NodeSettings::*) const { return "0 to 1"; }
+  std::string operator()(double NodeSettings::*) const { return FractionRange(key).Text(); }
   template <Choice Enum>
   std::string operator()(Enum NodeSettings::* /*member*/) const {
     return NamesText(NamesOf(Enum{}));
--- /dev/null
+++ b/tests/routing/config_holder_test.cc
@@ -0,0 +1,103 @@
+#include "limpet/routing/config_holder.h"
+
+#include <doctest/doctest.h>
+
+#include "limpet/core/random.h"
+#include "limpet/routing/mesh_delta.h"
+
+namespace limpet {
+namespace {
+
+using std::chrono::milliseconds;
+
+MeshRoute MakeRoute(const std::string& name, int timeout_ms) {
+  MeshRoute route;
+  route.name = name;
+  route.host = "desk.example";
+  route.path_prefix = "/" + name + "/";
+  route.timeout = milliseconds(timeout_ms);
+  route.parts = {{"desk", 1}};
+  return route;
+}
+
+MeshConfig MakeConfig(int64_t version, std::vector<MeshRoute> routes) {
+  MeshConfig config;
+  config.version = version;
+  config.services = {{"desk", "/health", 130}};
+  config.routes = std::move(routes);
+  return config;
+}
+
+TEST_CASE("a version never gives way to an older or an invalid one") {
+  ConfigHolder holder;
+  CHECK(holder.Offer(MakeConfig(5, {MakeRoute("lots", 800)})) == ConfigOffer::kApplied);
+  CHECK(holder.Offer(MakeConfig(4, {})) == ConfigOffer::kNotNewer);
+  CHECK(holder.Offer(MakeConfig(5, {})) == ConfigOffer::kNotNewer);
+  MeshRoute bad = MakeRoute("lots", 800);
+  bad.parts = {{"nobody", 1}};
+  CHECK(holder.Offer(MakeConfig(6, {bad})) == ConfigOffer::kInvalid);
+  CHECK(holder.version() == 5);
+  CHECK(holder.routes()->Match("desk.example", "/lots/1") != nullptr);
+}
+
+TEST_CASE("a change is applied only to its base") {
+  const MeshConfig first = MakeConfig(1, {MakeRoute("lots", 800)});
+  const MeshConfig second = MakeConfig(2, {MakeRoute("lots", 900), MakeRoute("slots", 100)});
+  const MeshConfig third = MakeConfig(3, {MakeRoute("slots", 100)});
+  ConfigHolder reader;
+  ConfigHolder other;
+  reader.Offer(first);
+  CHECK(other.Offer(*reader.LastChange()) == ConfigOffer::kApplied);
+  reader.Offer(second);
+  const auto skipped = reader.LastChange();
+  CHECK(skipped->set_routes.size() == 2);
+  reader.Offer(third);
+  const auto change = reader.LastChange();
+  CHECK(change->set_routes.empty());
+  CHECK(change->removed_routes == std::vector<std::string>{"lots"});
+  CHECK(other.Offer(*change) == ConfigOffer::kWrongBase);
+  CHECK(other.version() == 1);
+  CHECK(other.Offer(*reader.Whole()) == ConfigOffer::kApplied);
+  CHECK(other.version() == 3);
+  CHECK(other.Offer(*skipped) == ConfigOffer::kNotNewer);
+}
+
+TEST_CASE("a malformed change of another node changes nothing") {
+  ConfigHolder holder;
+  holder.Offer(MakeConfig(1, {MakeRoute("lots", 800)}));
+  wire::LinkConfig change;
+  change.base = 1;
+  change.version = 2;
+  change.set_routes.emplace_back();
+  change.set_routes[0].name = "x";
+  change.set_routes[0].kind = 99;
+  CHECK(holder.Offer(change) == ConfigOffer::kInvalid);
+  CHECK(holder.version() == 1);
+}
+
+TEST_CASE("changes along any sequence of versions give the same configuration") {
+  Random random(7);
+  MeshConfig current = MakeConfig(1, {});
+  MeshConfig replica;
+  replica = ApplyMeshDelta(replica, MakeMeshDelta(replica, current));
+  for (int version = 2; version < 60; ++version) {
+    MeshConfig next = MakeConfig(version, {});
+    for (int i = 0; i < 12; ++i) {
+      if (random.Below(3) > 0) {
+        next.routes.push_back(
+            MakeRoute("r" + std::to_string(i), 100 + static_cast<int>(random.Below(2))));
+      }
+    }
+    next.limits.max_body_bytes = random.Below(1000);
+    replica = ApplyMeshDelta(replica, MakeMeshDelta(current, next));
+    current = next;
+    const auto by_name = [](const MeshRoute& a, const MeshRoute& b) { return a.name < b.name; };
+    std::sort(replica.routes.begin(), replica.routes.end(), by_name);
+    std::sort(next.routes.begin(), next.routes.end(), by_name);
+    REQUIRE(replica.routes == next.routes);
+    REQUIRE(replica.limits.max_body_bytes == next.limits.max_body_bytes);
+  }
+}
+
+}  // namespace
+}  // namespace limpet
