Ask two nodes for a free slot before a request queues, and compare four targets

Cause: with 89 nodes a node's view of the load elsewhere is about a second old, and comparing all targets sent every caller to the same one. Ruled out: too few slots (half were free), the processor. Now four random targets are compared, two are asked for a free slot, and the queue is chosen by the loads that their refusals carry.

--- a/idl/limpet.thrift
+++ b/idl/limpet.thrift
@@ -390,8 +390,8 @@
   13: string route
   // The gate may queue beyond the latency target.
   12: bool accepts_late
-  // A second attempt beside an open one: taken only into a free slot.
-  14: bool hedge
+  // Taken only into a free slot, because other targets may have one.
+  14: bool free_slot_only
 }
 
 struct LinkReply {
--- a/include/limpet/traffic/mesh_call.h
+++ b/include/limpet/traffic/mesh_call.h
@@ -54,8 +54,10 @@
   /// Names the attempt in later events.
   int attempt = 0;
   PlacedTarget target;
-  /// Runs beside an open attempt, so it is only worth a free slot.
+  /// Runs beside an open attempt.
   bool hedge = false;
+  /// The target's gate should refuse rather than queue it.
+  bool free_slot_only = false;
 };
 
 /// What the driver has to do after an event.
@@ -71,7 +73,9 @@
 
 /// The call of one caller through its attempts. A request that is not idempotent is sent again only
 /// if the earlier attempt proved that it has not run. An idempotent one whose response is overdue
-/// gets a second attempt beside the first (hedged request). Free of I/O.
+/// gets a second attempt beside the first (hedged request). The first attempts look for a free slot,
+/// because what a node knows of the load elsewhere may be old; refusals bring the present load along,
+/// by which a queue is chosen in the end. Free of I/O.
 class MeshCall {
  public:
   /// The references must outlive the call.
@@ -100,17 +104,19 @@
   struct OpenAttempt {
     int attempt = 0;
     std::string node;
+    bool free_slot_only = false;
   };
 
   CallStep SendNext(TimePoint now, bool hedge);
   CallStep Finish(CallEnd end, wire::RefusalReason::type reason);
   /// Ends the call without a success, unless another attempt is still open.
   CallStep GiveUp(wire::RefusalReason::type reason);
-  CallStep OnRefused(TimePoint now, const wire::LinkReply& reply);
+  CallStep OnRefused(TimePoint now, const OpenAttempt& attempt, const wire::LinkReply& reply);
+  std::optional<PlacedTarget> Choose(TimePoint now, bool free_slot_only) const;
   CallStep OnFailedRun(TimePoint now, wire::RefusalReason::type reason, bool has_reply);
   bool MayRepeat(TimePoint now);
   std::optional<Duration> SlowAfter(TimePoint now) const;
-  void Close(int attempt);
+  OpenAttempt Close(int attempt);
   void CloseAll();
 
   MeshCallOptions options_;
@@ -118,9 +124,14 @@
   SharedRetryBudget& budget_;
   std::vector<OpenAttempt> open_;
   int last_attempt_ = 0;
-  std::vector<std::string> tried_;
+  /// Nodes that are not chosen again.
+  std::vector<std::string> excluded_;
+  /// Nodes without a free slot a moment ago; they may still queue the request.
+  std::vector<std::string> full_;
   int arrivals_ = 0;
+  /// Refusals to queue the request.
   int refusals_ = 0;
+  int tries_ = 0;
   bool may_have_run_ = false;
   bool has_saved_reply_ = false;
   Duration retry_after_{0};
--- a/include/limpet/traffic/target_gate.h
+++ b/include/limpet/traffic/target_gate.h
@@ -45,8 +45,8 @@
   TimePoint latency_target{};
   /// May wait beyond the latency target.
   bool accepts_late = false;
-  /// Another attempt of the same request is open: taken only into a free slot.
-  bool hedge = false;
+  /// Taken only into a free slot, because other targets may have one.
+  bool free_slot_only = false;
 };
 
 enum class GateVerdict {
--- a/include/limpet/traffic/target_placement.h
+++ b/include/limpet/traffic/target_placement.h
@@ -21,6 +21,9 @@
   /// A target of the own data centre is chosen if it is expected to answer within this share of the
   /// time left, even if a remote one is faster. The rest covers requests that take longer than usual.
   double local_share = 0.5;
+  /// Targets of one data centre that are compared for one request. With many callers whose views
+  /// are old, comparing all would send them all to the same target (power of d choices).
+  std::size_t compared_targets = 4;
   /// A node that left a probe or a request without any sign of life is avoided for this long.
   Duration silence_penalty = std::chrono::seconds(1);
 };
@@ -85,6 +88,13 @@
   bool IsUsable(const Entry& entry, const std::string& service) const;
   Duration ServiceTime(const Entry& entry, Duration average) const;
   Duration AverageServiceTime(const std::string& service) const;
+  struct Option {
+    const std::string* node = nullptr;
+    const Entry* entry = nullptr;
+    double time = 0;
+  };
+  /// The best of a few random candidates; null node if there are none.
+  Option Best(TimePoint now, std::vector<Option>& candidates, Duration average);
   double ExpectedTime(TimePoint now, const Entry& entry, Duration average) const;
   double RemotePenalty(size_t bytes) const;
 
--- a/src/edge/inbound_proxy.cc
+++ b/src/edge/inbound_proxy.cc
@@ -91,7 +91,7 @@
   gate_call.deadline = now + std::chrono::milliseconds(call.deadline_ms);
   gate_call.latency_target = now + std::chrono::milliseconds(call.latency_target_ms);
   gate_call.accepts_late = call.accepts_late;
-  gate_call.hedge = call.hedge;
+  gate_call.free_slot_only = call.free_slot_only;
   const GateDecision decision = gate_.Arrive(now, gate_call);
   if (decision.verdict == GateVerdict::kAttach) {
     Pending& pending = pending_.at(key);
--- a/src/edge/outbound_proxy.cc
+++ b/src/edge/outbound_proxy.cc
@@ -147,7 +147,7 @@
       });
     }
     wire::LinkCall call = MakeLinkCall(send.target, now);
-    call.hedge = send.hedge;
+    call.free_slot_only = send.free_slot_only;
     Attempt& attempt = attempts_[send.attempt];
     attempt.node = node;
     attempt.started = now;
--- a/src/gen/limpet_types.cpp
+++ b/src/gen/limpet_types.cpp
@@ -7959,8 +7959,8 @@
   this->accepts_late = val;
 }
 
-void LinkCall::__set_hedge(const bool val) {
-  this->hedge = val;
+void LinkCall::__set_free_slot_only(const bool val) {
+  this->free_slot_only = val;
 }
 std::ostream& operator<<(std::ostream& out, const LinkCall& obj)
 {
@@ -8108,8 +8108,8 @@
         break;
       case 14:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->hedge);
-          this->__isset.hedge = true;
+          xfer += iprot->readBool(this->free_slot_only);
+          this->__isset.free_slot_only = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8191,8 +8191,8 @@
   xfer += oprot->writeString(this->route);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("hedge", ::apache::thrift::protocol::T_BOOL, 14);
-  xfer += oprot->writeBool(this->hedge);
+  xfer += oprot->writeFieldBegin("free_slot_only", ::apache::thrift::protocol::T_BOOL, 14);
+  xfer += oprot->writeBool(this->free_slot_only);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8215,7 +8215,7 @@
   swap(a.latency_target_ms, b.latency_target_ms);
   swap(a.route, b.route);
   swap(a.accepts_late, b.accepts_late);
-  swap(a.hedge, b.hedge);
+  swap(a.free_slot_only, b.free_slot_only);
   swap(a.__isset, b.__isset);
 }
 
@@ -8233,7 +8233,7 @@
   latency_target_ms = other355.latency_target_ms;
   route = other355.route;
   accepts_late = other355.accepts_late;
-  hedge = other355.hedge;
+  free_slot_only = other355.free_slot_only;
   __isset = other355.__isset;
 }
 LinkCall::LinkCall(LinkCall&& other356) noexcept {
@@ -8250,7 +8250,7 @@
   latency_target_ms = other356.latency_target_ms;
   route = std::move(other356.route);
   accepts_late = other356.accepts_late;
-  hedge = other356.hedge;
+  free_slot_only = other356.free_slot_only;
   __isset = other356.__isset;
 }
 LinkCall& LinkCall::operator=(const LinkCall& other357) {
@@ -8267,7 +8267,7 @@
   latency_target_ms = other357.latency_target_ms;
   route = other357.route;
   accepts_late = other357.accepts_late;
-  hedge = other357.hedge;
+  free_slot_only = other357.free_slot_only;
   __isset = other357.__isset;
   return *this;
 }
@@ -8285,7 +8285,7 @@
   latency_target_ms = other358.latency_target_ms;
   route = std::move(other358.route);
   accepts_late = other358.accepts_late;
-  hedge = other358.hedge;
+  free_slot_only = other358.free_slot_only;
   __isset = other358.__isset;
   return *this;
 }
@@ -8305,7 +8305,7 @@
   out << ", " << "latency_target_ms=" << to_string(latency_target_ms);
   out << ", " << "route=" << to_string(route);
   out << ", " << "accepts_late=" << to_string(accepts_late);
-  out << ", " << "hedge=" << to_string(hedge);
+  out << ", " << "free_slot_only=" << to_string(free_slot_only);
   out << ")";
 }
 
--- a/src/gen/limpet_types.h
+++ b/src/gen/limpet_types.h
@@ -2976,7 +2976,7 @@
 std::ostream& operator<<(std::ostream& out, const LinkHello& obj);
 
 typedef struct _LinkCall__isset {
-  _LinkCall__isset() : call_id(false), request_id(false), service_name(false), instance(false), method(false), path(false), headers(false), idempotent(false), priority(false), deadline_ms(false), latency_target_ms(false), route(false), accepts_late(false), hedge(false) {}
+  _LinkCall__isset() : call_id(false), request_id(false), service_name(false), instance(false), method(false), path(false), headers(false), idempotent(false), priority(false), deadline_ms(false), latency_target_ms(false), route(false), accepts_late(false), free_slot_only(false) {}
   bool call_id :1;
   bool request_id :1;
   bool service_name :1;
@@ -2990,7 +2990,7 @@
   bool latency_target_ms :1;
   bool route :1;
   bool accepts_late :1;
-  bool hedge :1;
+  bool free_slot_only :1;
 } _LinkCall__isset;
 
 class LinkCall : public virtual ::apache::thrift::TBase {
@@ -3013,7 +3013,7 @@
              latency_target_ms(0),
              route(),
              accepts_late(0),
-             hedge(0) {
+             free_slot_only(0) {
   }
 
   virtual ~LinkCall() noexcept;
@@ -3030,7 +3030,7 @@
   int32_t latency_target_ms;
   std::string route;
   bool accepts_late;
-  bool hedge;
+  bool free_slot_only;
 
   _LinkCall__isset __isset;
 
@@ -3060,7 +3060,7 @@
 
   void __set_accepts_late(const bool val);
 
-  void __set_hedge(const bool val);
+  void __set_free_slot_only(const bool val);
 
   bool operator == (const LinkCall & rhs) const
   {
@@ -3090,7 +3090,7 @@
       return false;
     if (!(accepts_late == rhs.accepts_late))
       return false;
-    if (!(hedge == rhs.hedge))
+    if (!(free_slot_only == rhs.free_slot_only))
       return false;
     return true;
   }
--- a/src/traffic/mesh_call.cc
+++ b/src/traffic/mesh_call.cc
@@ -9,11 +9,14 @@
 
 using Reason = wire::RefusalReason;
 
-/// Refusals by nodes before the call is refused to its caller. Each costs a round trip between
-/// nodes; with an expected completion at hand the third choice rarely takes what two refused.
-constexpr int kMaxRefusals = 3;
+/// Nodes that are asked for a free slot before the request may queue. Each costs a round trip
+/// between nodes, which is far shorter than a place in a queue.
+constexpr std::size_t kFreeSlotTries = 2;
+/// Nodes that refuse to queue the request before it is refused to its caller. The queues were
+/// chosen by present loads, so a third one rarely takes what two refused.
+constexpr int kMaxRefusals = 2;
 /// Refusals that only show an outdated view (draining, replaced target) are cheap and end soon.
-constexpr int kMaxTried = 6;
+constexpr int kMaxTries = 8;
 /// An attempt that takes this many times as long as usual has probably lost its response.
 constexpr double kSlowFactor = 2.5;
 constexpr Duration kSlowMargin = std::chrono::milliseconds(40);
@@ -44,22 +47,32 @@
   return SendNext(now, false);
 }
 
+std::optional<PlacedTarget> MeshCall::Choose(TimePoint now, bool free_slot_only) const {
+  const PlacementRequest request{options_.service, options_.expected_response_bytes,
+                                 std::max(Duration(0), options_.latency_target - now)};
+  if (!free_slot_only) {
+    return placement_.Choose(now, request, excluded_);
+  }
+  std::vector<std::string> passed = excluded_;
+  passed.insert(passed.end(), full_.begin(), full_.end());
+  return placement_.Choose(now, request, passed);
+}
+
 CallStep MeshCall::SendNext(TimePoint now, bool hedge) {
-  const auto target =
-      tried_.size() >= kMaxTried
-          ? std::nullopt
-          : placement_.Choose(now,
-                              {options_.service, options_.expected_response_bytes,
-                               std::max(Duration(0), options_.latency_target - now)},
-                              tried_);
+  bool free_slot_only = hedge || full_.size() < kFreeSlotTries;
+  auto target = tries_ >= kMaxTries ? std::nullopt : Choose(now, free_slot_only);
+  if (!target && free_slot_only && !hedge && tries_ < kMaxTries) {
+    free_slot_only = false;
+    target = Choose(now, free_slot_only);
+  }
   if (!target) {
     return GiveUp(refusals_ > 0 ? Reason::kOverloaded : Reason::kNoEndpoint);
   }
-  open_.push_back({++last_attempt_, target->node});
-  tried_.push_back(target->node);
+  ++tries_;
+  open_.push_back({++last_attempt_, target->node, free_slot_only});
   placement_.OnSend(target->node);
   CallStep step;
-  step.send = CallSend{last_attempt_, *target, hedge};
+  step.send = CallSend{last_attempt_, *target, hedge, free_slot_only};
   step.slow_after = hedge ? std::nullopt : SlowAfter(now);
   return step;
 }
@@ -78,12 +91,15 @@
   return slow;
 }
 
-void MeshCall::Close(int attempt) {
+MeshCall::OpenAttempt MeshCall::Close(int attempt) {
   const auto found = std::ranges::find(open_, attempt, &OpenAttempt::attempt);
-  if (found != open_.end()) {
-    placement_.OnEnd(found->node);
-    open_.erase(found);
+  if (found == open_.end()) {
+    return {};
   }
+  OpenAttempt closed = std::move(*found);
+  open_.erase(found);
+  placement_.OnEnd(closed.node);
+  return closed;
 }
 
 void MeshCall::CloseAll() {
@@ -114,26 +130,34 @@
 }
 
 CallStep MeshCall::OnReply(TimePoint now, int attempt, const wire::LinkReply& reply) {
-  Close(attempt);
+  const OpenAttempt closed = Close(attempt);
   if (reply.reached_target) {
     ++arrivals_;
   }
   if (reply.outcome == wire::Outcome::kNotRun) {
-    return OnRefused(now, reply);
+    return OnRefused(now, closed, reply);
   }
+  excluded_.push_back(closed.node);
   if (reply.outcome == wire::Outcome::kRan && reply.http_status < 500) {
     return Finish(CallEnd::kForward, Reason::kNone);
   }
   return OnFailedRun(now, reply.reason, reply.outcome == wire::Outcome::kRan);
 }
 
-CallStep MeshCall::OnRefused(TimePoint now, const wire::LinkReply& reply) {
+CallStep MeshCall::OnRefused(TimePoint now,
+                             const OpenAttempt& attempt,
+                             const wire::LinkReply& reply) {
   const Duration retry_after = std::chrono::milliseconds(reply.retry_after_ms);
   if (retry_after > Duration(0)) {
     retry_after_ = retry_after_ == Duration(0) ? retry_after : std::min(retry_after_, retry_after);
   }
-  if (reply.reason == Reason::kOverloaded || reply.reason == Reason::kQueueTimeout) {
-    ++refusals_;
+  const bool overloaded =
+      reply.reason == Reason::kOverloaded || reply.reason == Reason::kQueueTimeout;
+  if (overloaded && attempt.free_slot_only) {
+    full_.push_back(attempt.node);
+  } else {
+    excluded_.push_back(attempt.node);
+    refusals_ += overloaded ? 1 : 0;
   }
   const bool spent = reply.reached_target && !MayRepeat(now);
   if (refusals_ >= kMaxRefusals || spent || now >= options_.deadline || !open_.empty()) {
@@ -166,21 +190,28 @@
 }
 
 CallStep MeshCall::OnNotSent(TimePoint now, int attempt) {
-  Close(attempt);
+  excluded_.push_back(Close(attempt).node);
   return open_.empty() ? SendNext(now, false) : CallStep{};
 }
 
 CallStep MeshCall::OnLost(TimePoint now, int attempt) {
-  Close(attempt);
+  excluded_.push_back(Close(attempt).node);
   ++arrivals_;
   return OnFailedRun(now, Reason::kConnectionLost, false);
 }
 
 CallStep MeshCall::OnSlow(TimePoint now) {
-  const bool allowed = options_.idempotent && open_.size() == 1 &&
-                       placement_.HasOther(options_.service, tried_);
+  if (!options_.idempotent || open_.size() != 1) {
+    return {};
+  }
+  std::vector<std::string> passed = excluded_;
+  passed.push_back(open_.front().node);
   // Without a second target the open attempt is the only chance.
-  return allowed && MayRepeat(now) ? SendNext(now, true) : CallStep{};
+  if (!placement_.HasOther(options_.service, passed) || !MayRepeat(now)) {
+    return {};
+  }
+  excluded_ = std::move(passed);
+  return SendNext(now, true);
 }
 
 CallStep MeshCall::OnDeadline(TimePoint /*now*/) {
--- a/src/traffic/target_gate.cc
+++ b/src/traffic/target_gate.cc
@@ -149,7 +149,7 @@
   }
   const TimePoint limit = call.accepts_late ? call.deadline : call.latency_target;
   const bool too_late = now + wait + Times(service_times_.Of(call.route), kServiceMargin) > limit;
-  if (call.hedge || too_late || queue_.size() >= options_.queue_capacity) {
+  if (call.free_slot_only || too_late || queue_.size() >= options_.queue_capacity) {
     return {.reason = Reason::kOverloaded, .retry_after = wait};
   }
   queue_.emplace(position, call);
--- a/src/traffic/target_placement.cc
+++ b/src/traffic/target_placement.cc
@@ -92,35 +92,43 @@
              static_cast<double>(bytes) / 1024.0;
 }
 
+TargetPlacement::Option TargetPlacement::Best(TimePoint now,
+                                              std::vector<Option>& candidates,
+                                              Duration average) {
+  Option best;
+  for (std::size_t i = 0; i < candidates.size() && i < options_.compared_targets; ++i) {
+    std::swap(candidates[i], candidates[i + random_.Below(candidates.size() - i)]);
+    Option& option = candidates[i];
+    const double noise = 1 + kScoreNoise * random_.Fraction();
+    option.time = ExpectedTime(now, *option.entry, average) * noise;
+    if (best.node == nullptr || option.time < best.time) {
+      best = option;
+    }
+  }
+  return best;
+}
+
 std::optional<PlacedTarget> TargetPlacement::Choose(TimePoint now,
                                                     const PlacementRequest& request,
                                                     const std::vector<std::string>& excluded) {
-  struct Best {
-    const std::string* node = nullptr;
-    const Entry* entry = nullptr;
-    double time = 0;
-  };
   const Duration average = AverageServiceTime(request.service);
-  Best local;
-  Best remote;
+  std::vector<Option> local_options;
+  std::vector<Option> remote_options;
   for (const auto& [node, entry] : entries_) {
-    if (!IsUsable(entry, request.service) ||
-        std::ranges::find(excluded, node) != excluded.end()) {
-      continue;
-    }
-    const double noise = 1 + kScoreNoise * random_.Fraction();
-    const double time = ExpectedTime(now, entry, average) * noise;
-    Best& best = entry.data_centre == data_centre_ ? local : remote;
-    if (best.node == nullptr || time < best.time) {
-      best = {&node, &entry, time};
+    if (IsUsable(entry, request.service) &&
+        std::ranges::find(excluded, node) == excluded.end()) {
+      auto& options = entry.data_centre == data_centre_ ? local_options : remote_options;
+      options.push_back({&node, &entry, 0});
     }
   }
+  const Option local = Best(now, local_options, average);
+  const Option remote = Best(now, remote_options, average);
   const auto limit = options_.local_share * static_cast<double>(request.latency_left.count());
   const bool local_wins =
       local.node != nullptr &&
       (remote.node == nullptr || local.time <= limit ||
        local.time <= remote.time + RemotePenalty(request.expected_response_bytes));
-  const Best& best = local_wins ? local : remote;
+  const Option& best = local_wins ? local : remote;
   if (best.node == nullptr) {
     return std::nullopt;
   }
