Prefer a queue nearby to a free slot in another data centre, by response size

A place in a local queue now wins while it is expected to end within its share of the time left, and that share grows with the size of the response.

--- a/src/traffic/mesh_call.cc
+++ b/src/traffic/mesh_call.cc
@@ -61,9 +61,14 @@
 CallStep MeshCall::SendNext(TimePoint now, bool hedge) {
   bool free_slot_only = hedge || full_.size() < kFreeSlotTries;
   auto target = tries_ >= kMaxTries ? std::nullopt : Choose(now, free_slot_only);
-  if (!target && free_slot_only && !hedge && tries_ < kMaxTries) {
-    free_slot_only = false;
-    target = Choose(now, free_slot_only);
+  const bool may_queue = free_slot_only && !hedge && tries_ < kMaxTries;
+  if (may_queue && (!target || (!target->is_local && !full_.empty()))) {
+    // A place in a queue nearby may be better than a free slot in another data centre.
+    const auto queue = Choose(now, false);
+    if (!target || (queue && queue->is_local)) {
+      free_slot_only = false;
+      target = queue;
+    }
   }
   if (!target) {
     return GiveUp(refusals_ > 0 ? Reason::kOverloaded : Reason::kNoEndpoint);
--- a/src/traffic/target_placement.cc
+++ b/src/traffic/target_placement.cc
@@ -123,7 +123,10 @@
   }
   const Option local = Best(now, local_options, average);
   const Option remote = Best(now, remote_options, average);
-  const auto limit = options_.local_share * static_cast<double>(request.latency_left.count());
+  const double size_share = std::min(1.0, static_cast<double>(request.expected_response_bytes) /
+                                              static_cast<double>(options_.local_share_bytes));
+  const double limit =
+      options_.local_share * size_share * static_cast<double>(request.latency_left.count());
   const bool local_wins =
       local.node != nullptr &&
       (remote.node == nullptr || local.time <= limit ||
@@ -134,7 +137,7 @@
   }
   const double penalty = RemotePenalty(request.expected_response_bytes);
   const bool wait = local_wins && penalty > static_cast<double>(request.latency_left.count());
-  return PlacedTarget{*best.node, best.entry->status.instance, wait};
+  return PlacedTarget{*best.node, best.entry->status.instance, local_wins, wait};
 }
 
 bool TargetPlacement::HasOther(const std::string& service,
