Serve the project's own HTTP interface by the event-driven edge

Cause: cxxtools' server closes a connection without an answer on headers over 4,096 bytes (the known red test), passes on contradicting lengths and answers garbage with 500 and a library's name. HttpServer keeps its interface; connections are now edge::HttpSession on one loop, and blocking handlers run on threads that are started on demand.

--- a/include/limpet/edge/http_session.h
+++ b/include/limpet/edge/http_session.h
@@ -26,6 +26,8 @@
   std::function<CallerLimits()> limits;
   /// True while the node is leaving: every answer asks the caller to close the connection.
   std::function<bool()> is_closing;
+  /// Answer to a request that is malformed, over a limit or too slow.
+  std::function<HttpAnswer(int status, const std::string& reason)> make_refusal = TextAnswer;
   /// Requests that were read whole and whose answers are not yet written.
   std::shared_ptr<int> open_requests = std::make_shared<int>(0);
 };
@@ -42,6 +44,8 @@
 
   /// The open request; valid until `Respond`.
   const HttpRequest& request() const { return request_; }
+  /// Descriptor of the connection, for code that waits on a duplicate of it.
+  int descriptor() { return socket_.native_handle(); }
   /// Moves the body out of the open request.
   std::string TakeBody() { return std::move(request_.body); }
   /// `on_gone` is called if the caller closes the connection before it has its answer.
@@ -59,7 +63,7 @@
   void BeginRequest();
   void Dispatch();
   void Reject(const ErrorCode& error);
-  void RespondAndClose(int status, std::string text);
+  void RespondAndClose(int status, const std::string& text);
   void OnWritten(bool keep_alive);
   void BeginClose();
   void Close();
--- a/include/limpet/net/http_server.h
+++ b/include/limpet/net/http_server.h
@@ -33,18 +33,17 @@
 struct HttpServerOptions {
   std::string host = "127.0.0.1";
   int port = 0;
-  /// Threads that wait for connections when the server is idle, and the most that run. A thread is
-  /// taken for the whole time of a request.
-  int min_threads = 2;
+  /// Handlers that run at once; a thread is taken for the whole time of a handler.
   int max_threads = 200;
   /// Larger request bodies are answered with 413 and the connection is closed.
   size_t max_body_bytes = size_t{4} * 1024 * 1024;
+  /// Larger headers are answered with 431 and the connection is closed.
+  size_t max_header_bytes = 4096;
 };
 
-/// HTTP server with one handler for all paths; the handler is called on several threads at once.
-/// A request with a body over the limit gets a typed answer without reaching the handler; see
-/// `MakeNotTakenAnswer`. On headers over 4,096 bytes cxxtools 3.0.0 closes the connection without
-/// an answer before any code of this class runs.
+/// HTTP server with one handler for all paths; the handler is called on several threads at once and
+/// may block. Connections are served by one loop (`edge::HttpSession`). A request that is malformed
+/// or over a limit gets a typed answer without reaching the handler; see `MakeNotTakenAnswer`.
 class HttpServer {
  public:
   using Handler = std::function<HttpAnswer(const HttpRequest&, const ConnectionWatch&)>;
--- a/src/edge/http_session.cc
+++ b/src/edge/http_session.cc
@@ -119,7 +119,7 @@
 }
 
 void HttpSession::Reject(const ErrorCode& error) {
-  RespondAndClose(StatusOf(error), error.message() + "\n");
+  RespondAndClose(StatusOf(error), error.message());
 }
 
 void HttpSession::Dispatch() {
@@ -154,12 +154,12 @@
                     });
 }
 
-void HttpSession::RespondAndClose(int status, std::string text) {
+void HttpSession::RespondAndClose(int status, const std::string& text) {
   request_ = HttpRequest();
   keep_alive_ = false;
   state_ = State::kOpen;
   ++*options_.open_requests;
-  Respond(TextAnswer(status, std::move(text)));
+  Respond(options_.make_refusal(status, text));
 }
 
 void HttpSession::OnWritten(bool keep_alive) {
@@ -241,7 +241,7 @@
   switch (state_) {
     case State::kHeaders:
     case State::kBody:
-      RespondAndClose(408, "the request did not arrive in time\n");
+      RespondAndClose(408, "the request did not arrive in time");
       return;
     case State::kIdle:
     case State::kClosing:
