Pace large responses at the rate of the VM's network link

Cause: on the grown sites links have 7 or 13 Mbit/s and a response of 90 kB takes 60 to 100 ms; small responses waited behind them, and targets were chosen by slots although their links were full. Ruled out: the processor (0.006 of 0.1 cores) and slots (half free). Bodies over 8 KiB now leave in parts at 85% of the link's rate, small messages pass between them, and the wait for the link is part of a target's expected time.

--- a/idl/limpet.thrift
+++ b/idl/limpet.thrift
@@ -351,6 +351,10 @@
   6: LoadReport load
   // Share of recent requests that failed at the target.
   7: i32 failure_permille
+  // Time that a large response waits for the network link of the target's VM, and the time that
+  // one KiB takes on it.
+  8: i32 egress_wait_us
+  9: i32 egress_us_per_kib
 }
 
 struct NodeAddress {
@@ -462,6 +466,13 @@
   4: bool store_fails
 }
 
+// Marks a part of a body that is sent in several frames, so that small messages can pass between
+// them. The last part comes with the message that the body belongs to.
+struct LinkChunk {
+  1: i64 transfer_id
+  2: bool last
+}
+
 struct LinkMessage {
   1: optional LinkHello hello
   2: optional TargetStatus status
@@ -471,4 +482,5 @@
   6: optional LinkConfig config
   7: optional LinkConfigRequest config_request
   8: optional LinkProbe probe
+  9: optional LinkChunk chunk
 }
--- a/include/limpet/edge/inbound_proxy.h
+++ b/include/limpet/edge/inbound_proxy.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "limpet/core/counters.h"
+#include "limpet/edge/egress_pacer.h"
 #include "limpet/edge/http_connection.h"
 #include "limpet/edge/http_dialect.h"
 #include "limpet/traffic/target_gate.h"
@@ -30,12 +31,13 @@
 /// same key.
 class InboundProxy {
  public:
-  /// The references must outlive the proxy. `on_status` is called when the target's status has
-  /// changed so much that other nodes should know.
+  /// The references must outlive the proxy. `pacer` may be null. `on_status` is called when the
+  /// target's status has changed so much that other nodes should know.
   InboundProxy(const Executor& executor,
                const HttpDialect& dialect,
                TargetGate& gate,
                Counters& counters,
+               std::shared_ptr<const EgressPacer> pacer,
                std::function<void()> on_status);
   ~InboundProxy();
 
@@ -92,6 +94,7 @@
   const HttpDialect& dialect_;
   TargetGate& gate_;
   Counters& counters_;
+  std::shared_ptr<const EgressPacer> pacer_;
   std::function<void()> on_status_;
   std::unordered_map<std::string, Pending> pending_;
   std::unordered_map<std::string, FinishedReply> finished_;
--- a/include/limpet/edge/link.h
+++ b/include/limpet/edge/link.h
@@ -3,11 +3,12 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
 #include "limpet/core/time.h"
-#include "limpet/edge/asio.h"
+#include "limpet/edge/egress_pacer.h"
 #include "limpet_types.h"
 
 namespace limpet::edge {
@@ -15,7 +16,7 @@
 /// One connection between two nodes: frames of a Thrift message and a raw body. A frame is the
 /// length of both (4 bytes, big-endian), the length of the message (4 bytes), the message and the
 /// body. A malformed frame closes the link.
-class Link : public std::enable_shared_from_this<Link> {
+class Link final : public PacedSender, public std::enable_shared_from_this<Link> {
  public:
   struct Handlers {
     std::function<void(wire::LinkMessage, std::string body)> on_message;
@@ -23,20 +24,33 @@
     std::function<void(ErrorCode)> on_closed;
   };
 
-  explicit Link(TcpSocket socket);
+  /// Large bodies are sent in parts at the pace of `pacer`; without one they are sent at once.
+  explicit Link(TcpSocket socket, std::shared_ptr<EgressPacer> pacer = nullptr);
 
   void Start(Handlers handlers);
   void Send(const wire::LinkMessage& message, std::string body = {});
   void Close();
 
+  std::size_t SendPart() override;
+
   bool closed() const { return closed_; }
   TimePoint last_received() const { return last_received_; }
   /// Bytes that wait to be written.
   size_t backlog() const { return backlog_; }
 
  private:
+  /// A large body on its way out.
+  struct Transfer {
+    int64_t id = 0;
+    wire::LinkMessage message;
+    std::string body;
+    std::size_t sent = 0;
+  };
+
+  void SendFrame(const wire::LinkMessage& message, std::string body);
   void Read();
   void OnRead(std::size_t bytes);
+  bool TakeChunk(const wire::LinkMessage& message, std::string& body);
   bool TakeFrame();
   void Write();
   void Fail(ErrorCode error);
@@ -44,6 +58,11 @@
   TcpSocket socket_;
   /// Shared, so that a handler may close the link that calls it.
   std::shared_ptr<const Handlers> handlers_;
+  std::shared_ptr<EgressPacer> pacer_;
+  std::deque<Transfer> transfers_;
+  int64_t last_transfer_ = 0;
+  /// Parts of bodies that are coming in, by transfer.
+  std::map<int64_t, std::string> parts_;
   std::string input_;
   std::size_t input_start_ = 0;
   std::deque<std::string> outbox_;
--- a/include/limpet/edge/link_server.h
+++ b/include/limpet/edge/link_server.h
@@ -29,7 +29,8 @@
 /// and pushes status and configuration versions to them.
 class LinkServer {
  public:
-  LinkServer(InboundProxy& inbound, LinkServerHooks hooks);
+  /// `pacer` may be null.
+  LinkServer(InboundProxy& inbound, LinkServerHooks hooks, std::shared_ptr<EgressPacer> pacer);
   ~LinkServer();
 
   void Accept(TcpSocket socket);
@@ -43,6 +44,7 @@
 
   InboundProxy& inbound_;
   LinkServerHooks hooks_;
+  std::shared_ptr<EgressPacer> pacer_;
   std::map<Session*, std::shared_ptr<Session>> sessions_;
 };
 
--- a/include/limpet/traffic/shared_retry_budget.h
+++ b/include/limpet/traffic/shared_retry_budget.h
@@ -16,7 +16,7 @@
   Duration window = std::chrono::seconds(10);
   /// Part of the limit that is spent. The rest covers calls that targets make while they run a
   /// repeated request, which count as repeats at the service they call.
-  double usable_share = 0.6;
+  double usable_share = 0.35;
 };
 
 /// This node's part of a limit on repeats that all nodes share. Each node earns from its own
@@ -44,6 +44,7 @@
   };
 
   Bucket& Fill(TimePoint now, const std::string& service);
+  double FloorOfNode() const;
   double ExtraOfNode() const;
 
   RetryBudgetOptions options_;
--- a/include/limpet/traffic/target_placement.h
+++ b/include/limpet/traffic/target_placement.h
@@ -99,8 +99,8 @@
     double time = 0;
   };
   /// The best of a few random candidates; null node if there are none.
-  Option Best(TimePoint now, std::vector<Option>& candidates, Duration average);
-  double ExpectedTime(TimePoint now, const Entry& entry, Duration average) const;
+  Option Best(TimePoint now, std::vector<Option>& candidates, Duration average, size_t bytes);
+  double ExpectedTime(TimePoint now, const Entry& entry, Duration average, size_t bytes) const;
   double RemotePenalty(size_t bytes) const;
 
   PlacementOptions options_;
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -68,6 +68,15 @@
   return options;
 }
 
+/// A fast link needs no pacing: a large response takes less than the lateness of a timer.
+constexpr double kPacedBelowMbps = 200;
+
+std::shared_ptr<EgressPacer> MakePacer(const Executor& executor, const NodeSettings& settings) {
+  return settings.link_mbps < kPacedBelowMbps
+             ? std::make_shared<EgressPacer>(executor, settings.link_mbps)
+             : nullptr;
+}
+
 CallerLimits AdminLimits() {
   return {};
 }
@@ -95,13 +104,14 @@
   links_ =
       std::make_unique<PeerLinks>(executor_, PeerLinksOptions{AddressOf(settings_), incarnation_},
                                   observer, counters_, Random(DrawSeed()));
-  inbound_ = std::make_unique<InboundProxy>(executor_, dialect_, gate_, counters_,
+  const auto pacer = MakePacer(executor_, settings_);
+  inbound_ = std::make_unique<InboundProxy>(executor_, dialect_, gate_, counters_, pacer,
                                             [this] { OnStatusChanged(); });
   outbound_ = std::make_unique<OutboundProxy>(
       executor_, OutboundProxyOptions{settings_.name, settings_.data_centre, settings_.service},
       dialect_, [this] { return config_.routes(); }, placement_, budget_, *links_, *inbound_,
       counters_, Random(DrawSeed()));
-  link_server_ = std::make_unique<LinkServer>(*inbound_, MakeLinkHooks());
+  link_server_ = std::make_unique<LinkServer>(*inbound_, MakeLinkHooks(), pacer);
 }
 
 EdgeNode::~EdgeNode() = default;
--- a/src/edge/inbound_proxy.cc
+++ b/src/edge/inbound_proxy.cc
@@ -53,11 +53,13 @@
                            const HttpDialect& dialect,
                            TargetGate& gate,
                            Counters& counters,
+                           std::shared_ptr<const EgressPacer> pacer,
                            std::function<void()> on_status)
     : executor_(executor),
       dialect_(dialect),
       gate_(gate),
       counters_(counters),
+      pacer_(std::move(pacer)),
       on_status_(std::move(on_status)) {}
 
 InboundProxy::~InboundProxy() {
@@ -368,7 +370,12 @@
 }
 
 wire::TargetStatus InboundProxy::Status() const {
-  return gate_.Status(MonotonicNow());
+  wire::TargetStatus status = gate_.Status(MonotonicNow());
+  if (pacer_) {
+    status.egress_wait_us = static_cast<int32_t>(pacer_->Wait().count());
+    status.egress_us_per_kib = static_cast<int32_t>(pacer_->TimeOf(1024).count());
+  }
+  return status;
 }
 
 void InboundProxy::NoteStatus() {
--- a/src/edge/link.cc
+++ b/src/edge/link.cc
@@ -18,6 +18,9 @@
 
 constexpr std::size_t kPrefixBytes = 8;
 constexpr std::size_t kReadBytes = std::size_t{16} << 10;
+/// Bodies above this are sent in parts. One part takes 10 ms on the slowest link (7 Mbit/s), which
+/// is as long as a small message may have to wait behind it.
+constexpr std::size_t kPartBytes = std::size_t{8} << 10;
 /// Largest frame: the largest body that a configuration allows, with room for its message.
 constexpr std::size_t kMaxFrameBytes = std::size_t{72} << 20;
 /// A node that does not read for this long is gone, or its link is silent.
@@ -39,7 +42,8 @@
 
 }  // namespace
 
-Link::Link(TcpSocket socket) : socket_(std::move(socket)), last_received_(MonotonicNow()) {
+Link::Link(TcpSocket socket, std::shared_ptr<EgressPacer> pacer)
+    : socket_(std::move(socket)), pacer_(std::move(pacer)), last_received_(MonotonicNow()) {
   SetConnectionOptions(socket_, kPeerSilence);
 }
 
@@ -52,6 +56,36 @@
   if (closed_) {
     return;
   }
+  if (!pacer_ || body.size() <= kPartBytes) {
+    SendFrame(message, std::move(body));
+    return;
+  }
+  const std::size_t size = body.size();
+  transfers_.push_back({++last_transfer_, message, std::move(body), 0});
+  pacer_->Add(weak_from_this(), size);
+}
+
+std::size_t Link::SendPart() {
+  if (closed_ || transfers_.empty()) {
+    return 0;
+  }
+  Transfer& transfer = transfers_.front();
+  std::string part = transfer.body.substr(transfer.sent, kPartBytes);
+  const std::size_t size = part.size();
+  transfer.sent += size;
+  const bool last = transfer.sent == transfer.body.size();
+  wire::LinkMessage message = last ? std::move(transfer.message) : wire::LinkMessage();
+  message.__isset.chunk = true;
+  message.chunk.transfer_id = transfer.id;
+  message.chunk.last = last;
+  if (last) {
+    transfers_.pop_front();
+  }
+  SendFrame(message, std::move(part));
+  return size;
+}
+
+void Link::SendFrame(const wire::LinkMessage& message, std::string body) {
   const std::string head = wire::Encode(message);
   std::string frame;
   frame.reserve(kPrefixBytes + head.size());
@@ -139,11 +173,29 @@
   }
   std::string body(start + kPrefixBytes + head, total - head);
   input_start_ += kPrefixBytes + total;
+  if (message.__isset.chunk && !TakeChunk(message, body)) {
+    return !closed_;
+  }
   const auto handlers = handlers_;
   handlers->on_message(std::move(message), std::move(body));
   return true;
 }
 
+bool Link::TakeChunk(const wire::LinkMessage& message, std::string& body) {
+  std::string& parts = parts_[message.chunk.transfer_id];
+  parts += body;
+  if (parts.size() > kMaxFrameBytes) {
+    Fail(asio::error::message_size);
+    return false;
+  }
+  if (!message.chunk.last) {
+    return false;
+  }
+  body = std::move(parts);
+  parts_.erase(message.chunk.transfer_id);
+  return true;
+}
+
 void Link::Fail(ErrorCode error) {
   if (closed_) {
     return;
@@ -163,6 +215,7 @@
   ErrorCode ignored;
   socket_.close(ignored);
   outbox_.clear();
+  transfers_.clear();
   // The handlers may hold this link; a read or write that still ends finds it closed.
   handlers_.reset();
 }
--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -9,7 +9,7 @@
 class LinkServer::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(LinkServer& server, TcpSocket socket)
-      : server_(server), link_(std::make_shared<Link>(std::move(socket))) {}
+      : server_(server), link_(std::make_shared<Link>(std::move(socket), server.pacer_)) {}
 
   void Start() {
     link_->Start({[self = weak_from_this()](wire::LinkMessage message, std::string body) {
@@ -114,8 +114,10 @@
   std::string key_prefix_;
 };
 
-LinkServer::LinkServer(InboundProxy& inbound, LinkServerHooks hooks)
-    : inbound_(inbound), hooks_(std::move(hooks)) {}
+LinkServer::LinkServer(InboundProxy& inbound,
+                       LinkServerHooks hooks,
+                       std::shared_ptr<EgressPacer> pacer)
+    : inbound_(inbound), hooks_(std::move(hooks)), pacer_(std::move(pacer)) {}
 
 LinkServer::~LinkServer() {
   for (const auto& [key, session] : sessions_) {
--- a/src/gen/limpet_types.cpp
+++ b/src/gen/limpet_types.cpp
@@ -7301,6 +7301,14 @@
 void TargetStatus::__set_failure_permille(const int32_t val) {
   this->failure_permille = val;
 }
+
+void TargetStatus::__set_egress_wait_us(const int32_t val) {
+  this->egress_wait_us = val;
+}
+
+void TargetStatus::__set_egress_us_per_kib(const int32_t val) {
+  this->egress_us_per_kib = val;
+}
 std::ostream& operator<<(std::ostream& out, const TargetStatus& obj)
 {
   obj.printTo(out);
@@ -7387,6 +7395,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->egress_wait_us);
+          this->__isset.egress_wait_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->egress_us_per_kib);
+          this->__isset.egress_us_per_kib = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7432,6 +7456,14 @@
   xfer += oprot->writeI32(this->failure_permille);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("egress_wait_us", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->egress_wait_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("egress_us_per_kib", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->egress_us_per_kib);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7446,6 +7478,8 @@
   swap(a.cold_ms, b.cold_ms);
   swap(a.load, b.load);
   swap(a.failure_permille, b.failure_permille);
+  swap(a.egress_wait_us, b.egress_wait_us);
+  swap(a.egress_us_per_kib, b.egress_us_per_kib);
   swap(a.__isset, b.__isset);
 }
 
@@ -7457,6 +7491,8 @@
   cold_ms = other331.cold_ms;
   load = other331.load;
   failure_permille = other331.failure_permille;
+  egress_wait_us = other331.egress_wait_us;
+  egress_us_per_kib = other331.egress_us_per_kib;
   __isset = other331.__isset;
 }
 TargetStatus::TargetStatus(TargetStatus&& other332) noexcept {
@@ -7467,6 +7503,8 @@
   cold_ms = other332.cold_ms;
   load = std::move(other332.load);
   failure_permille = other332.failure_permille;
+  egress_wait_us = other332.egress_wait_us;
+  egress_us_per_kib = other332.egress_us_per_kib;
   __isset = other332.__isset;
 }
 TargetStatus& TargetStatus::operator=(const TargetStatus& other333) {
@@ -7477,6 +7515,8 @@
   cold_ms = other333.cold_ms;
   load = other333.load;
   failure_permille = other333.failure_permille;
+  egress_wait_us = other333.egress_wait_us;
+  egress_us_per_kib = other333.egress_us_per_kib;
   __isset = other333.__isset;
   return *this;
 }
@@ -7488,6 +7528,8 @@
   cold_ms = other334.cold_ms;
   load = std::move(other334.load);
   failure_permille = other334.failure_permille;
+  egress_wait_us = other334.egress_wait_us;
+  egress_us_per_kib = other334.egress_us_per_kib;
   __isset = other334.__isset;
   return *this;
 }
@@ -7501,6 +7543,8 @@
   out << ", " << "cold_ms=" << to_string(cold_ms);
   out << ", " << "load=" << to_string(load);
   out << ", " << "failure_permille=" << to_string(failure_permille);
+  out << ", " << "egress_wait_us=" << to_string(egress_wait_us);
+  out << ", " << "egress_us_per_kib=" << to_string(egress_us_per_kib);
   out << ")";
 }
 
@@ -9922,6 +9966,129 @@
 }
 
 
+LinkChunk::~LinkChunk() noexcept {
+}
+
+
+void LinkChunk::__set_transfer_id(const int64_t val) {
+  this->transfer_id = val;
+}
+
+void LinkChunk::__set_last(const bool val) {
+  this->last = val;
+}
+std::ostream& operator<<(std::ostream& out, const LinkChunk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkChunk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->transfer_id);
+          this->__isset.transfer_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->last);
+          this->__isset.last = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkChunk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkChunk");
+
+  xfer += oprot->writeFieldBegin("transfer_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->transfer_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->last);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkChunk &a, LinkChunk &b) {
+  using ::std::swap;
+  swap(a.transfer_id, b.transfer_id);
+  swap(a.last, b.last);
+  swap(a.__isset, b.__isset);
+}
+
+LinkChunk::LinkChunk(const LinkChunk& other435) noexcept {
+  transfer_id = other435.transfer_id;
+  last = other435.last;
+  __isset = other435.__isset;
+}
+LinkChunk::LinkChunk(LinkChunk&& other436) noexcept {
+  transfer_id = other436.transfer_id;
+  last = other436.last;
+  __isset = other436.__isset;
+}
+LinkChunk& LinkChunk::operator=(const LinkChunk& other437) noexcept {
+  transfer_id = other437.transfer_id;
+  last = other437.last;
+  __isset = other437.__isset;
+  return *this;
+}
+LinkChunk& LinkChunk::operator=(LinkChunk&& other438) noexcept {
+  transfer_id = other438.transfer_id;
+  last = other438.last;
+  __isset = other438.__isset;
+  return *this;
+}
+void LinkChunk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkChunk(";
+  out << "transfer_id=" << to_string(transfer_id);
+  out << ", " << "last=" << to_string(last);
+  out << ")";
+}
+
+
 LinkMessage::~LinkMessage() noexcept {
 }
 
@@ -9965,6 +10132,11 @@
   this->probe = val;
 __isset.probe = true;
 }
+
+void LinkMessage::__set_chunk(const LinkChunk& val) {
+  this->chunk = val;
+__isset.chunk = true;
+}
 std::ostream& operator<<(std::ostream& out, const LinkMessage& obj)
 {
   obj.printTo(out);
@@ -10057,6 +10229,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->chunk.read(iprot);
+          this->__isset.chunk = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10114,6 +10294,11 @@
     xfer += this->probe.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.chunk) {
+    xfer += oprot->writeFieldBegin("chunk", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->chunk.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10129,53 +10314,58 @@
   swap(a.config, b.config);
   swap(a.config_request, b.config_request);
   swap(a.probe, b.probe);
+  swap(a.chunk, b.chunk);
   swap(a.__isset, b.__isset);
 }
 
-LinkMessage::LinkMessage(const LinkMessage& other435) {
-  hello = other435.hello;
-  status = other435.status;
-  call = other435.call;
-  reply = other435.reply;
-  cancel = other435.cancel;
-  config = other435.config;
-  config_request = other435.config_request;
-  probe = other435.probe;
-  __isset = other435.__isset;
-}
-LinkMessage::LinkMessage(LinkMessage&& other436) noexcept {
-  hello = std::move(other436.hello);
-  status = std::move(other436.status);
-  call = std::move(other436.call);
-  reply = std::move(other436.reply);
-  cancel = std::move(other436.cancel);
-  config = std::move(other436.config);
-  config_request = std::move(other436.config_request);
-  probe = std::move(other436.probe);
-  __isset = other436.__isset;
-}
-LinkMessage& LinkMessage::operator=(const LinkMessage& other437) {
-  hello = other437.hello;
-  status = other437.status;
-  call = other437.call;
-  reply = other437.reply;
-  cancel = other437.cancel;
-  config = other437.config;
-  config_request = other437.config_request;
-  probe = other437.probe;
-  __isset = other437.__isset;
+LinkMessage::LinkMessage(const LinkMessage& other439) {
+  hello = other439.hello;
+  status = other439.status;
+  call = other439.call;
+  reply = other439.reply;
+  cancel = other439.cancel;
+  config = other439.config;
+  config_request = other439.config_request;
+  probe = other439.probe;
+  chunk = other439.chunk;
+  __isset = other439.__isset;
+}
+LinkMessage::LinkMessage(LinkMessage&& other440) noexcept {
+  hello = std::move(other440.hello);
+  status = std::move(other440.status);
+  call = std::move(other440.call);
+  reply = std::move(other440.reply);
+  cancel = std::move(other440.cancel);
+  config = std::move(other440.config);
+  config_request = std::move(other440.config_request);
+  probe = std::move(other440.probe);
+  chunk = std::move(other440.chunk);
+  __isset = other440.__isset;
+}
+LinkMessage& LinkMessage::operator=(const LinkMessage& other441) {
+  hello = other441.hello;
+  status = other441.status;
+  call = other441.call;
+  reply = other441.reply;
+  cancel = other441.cancel;
+  config = other441.config;
+  config_request = other441.config_request;
+  probe = other441.probe;
+  chunk = other441.chunk;
+  __isset = other441.__isset;
   return *this;
 }
-LinkMessage& LinkMessage::operator=(LinkMessage&& other438) noexcept {
-  hello = std::move(other438.hello);
-  status = std::move(other438.status);
-  call = std::move(other438.call);
-  reply = std::move(other438.reply);
-  cancel = std::move(other438.cancel);
-  config = std::move(other438.config);
-  config_request = std::move(other438.config_request);
-  probe = std::move(other438.probe);
-  __isset = other438.__isset;
+LinkMessage& LinkMessage::operator=(LinkMessage&& other442) noexcept {
+  hello = std::move(other442.hello);
+  status = std::move(other442.status);
+  call = std::move(other442.call);
+  reply = std::move(other442.reply);
+  cancel = std::move(other442.cancel);
+  config = std::move(other442.config);
+  config_request = std::move(other442.config_request);
+  probe = std::move(other442.probe);
+  chunk = std::move(other442.chunk);
+  __isset = other442.__isset;
   return *this;
 }
 void LinkMessage::printTo(std::ostream& out) const {
@@ -10189,6 +10379,7 @@
   out << ", " << "config="; (__isset.config ? (out << to_string(config)) : (out << "<null>"));
   out << ", " << "config_request="; (__isset.config_request ? (out << to_string(config_request)) : (out << "<null>"));
   out << ", " << "probe="; (__isset.probe ? (out << to_string(probe)) : (out << "<null>"));
+  out << ", " << "chunk="; (__isset.chunk ? (out << to_string(chunk)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/limpet_types.h
+++ b/src/gen/limpet_types.h
@@ -192,6 +192,8 @@
 
 class LinkProbe;
 
+class LinkChunk;
+
 class LinkMessage;
 
 typedef struct _Service__isset {
@@ -2743,7 +2745,7 @@
 std::ostream& operator<<(std::ostream& out, const CallReply& obj);
 
 typedef struct _TargetStatus__isset {
-  _TargetStatus__isset() : instance(false), service_name(false), state(false), slots(false), cold_ms(false), load(false), failure_permille(false) {}
+  _TargetStatus__isset() : instance(false), service_name(false), state(false), slots(false), cold_ms(false), load(false), failure_permille(false), egress_wait_us(false), egress_us_per_kib(false) {}
   bool instance :1;
   bool service_name :1;
   bool state :1;
@@ -2751,6 +2753,8 @@
   bool cold_ms :1;
   bool load :1;
   bool failure_permille :1;
+  bool egress_wait_us :1;
+  bool egress_us_per_kib :1;
 } _TargetStatus__isset;
 
 class TargetStatus : public virtual ::apache::thrift::TBase {
@@ -2766,7 +2770,9 @@
                  state(static_cast<TargetState::type>(0)),
                  slots(0),
                  cold_ms(0),
-                 failure_permille(0) {
+                 failure_permille(0),
+                 egress_wait_us(0),
+                 egress_us_per_kib(0) {
   }
 
   virtual ~TargetStatus() noexcept;
@@ -2781,6 +2787,8 @@
   int32_t cold_ms;
   LoadReport load;
   int32_t failure_permille;
+  int32_t egress_wait_us;
+  int32_t egress_us_per_kib;
 
   _TargetStatus__isset __isset;
 
@@ -2798,6 +2806,10 @@
 
   void __set_failure_permille(const int32_t val);
 
+  void __set_egress_wait_us(const int32_t val);
+
+  void __set_egress_us_per_kib(const int32_t val);
+
   bool operator == (const TargetStatus & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -2814,6 +2826,10 @@
       return false;
     if (!(failure_permille == rhs.failure_permille))
       return false;
+    if (!(egress_wait_us == rhs.egress_wait_us))
+      return false;
+    if (!(egress_us_per_kib == rhs.egress_us_per_kib))
+      return false;
     return true;
   }
   bool operator != (const TargetStatus &rhs) const {
@@ -3679,8 +3695,60 @@
 
 std::ostream& operator<<(std::ostream& out, const LinkProbe& obj);
 
+typedef struct _LinkChunk__isset {
+  _LinkChunk__isset() : transfer_id(false), last(false) {}
+  bool transfer_id :1;
+  bool last :1;
+} _LinkChunk__isset;
+
+class LinkChunk : public virtual ::apache::thrift::TBase {
+ public:
+
+  LinkChunk(const LinkChunk&) noexcept;
+  LinkChunk(LinkChunk&&) noexcept;
+  LinkChunk& operator=(const LinkChunk&) noexcept;
+  LinkChunk& operator=(LinkChunk&&) noexcept;
+  LinkChunk() noexcept
+            : transfer_id(0),
+              last(0) {
+  }
+
+  virtual ~LinkChunk() noexcept;
+  int64_t transfer_id;
+  bool last;
+
+  _LinkChunk__isset __isset;
+
+  void __set_transfer_id(const int64_t val);
+
+  void __set_last(const bool val);
+
+  bool operator == (const LinkChunk & rhs) const
+  {
+    if (!(transfer_id == rhs.transfer_id))
+      return false;
+    if (!(last == rhs.last))
+      return false;
+    return true;
+  }
+  bool operator != (const LinkChunk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LinkChunk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LinkChunk &a, LinkChunk &b);
+
+std::ostream& operator<<(std::ostream& out, const LinkChunk& obj);
+
 typedef struct _LinkMessage__isset {
-  _LinkMessage__isset() : hello(false), status(false), call(false), reply(false), cancel(false), config(false), config_request(false), probe(false) {}
+  _LinkMessage__isset() : hello(false), status(false), call(false), reply(false), cancel(false), config(false), config_request(false), probe(false), chunk(false) {}
   bool hello :1;
   bool status :1;
   bool call :1;
@@ -3689,6 +3757,7 @@
   bool config :1;
   bool config_request :1;
   bool probe :1;
+  bool chunk :1;
 } _LinkMessage__isset;
 
 class LinkMessage : public virtual ::apache::thrift::TBase {
@@ -3710,6 +3779,7 @@
   LinkConfig config;
   LinkConfigRequest config_request;
   LinkProbe probe;
+  LinkChunk chunk;
 
   _LinkMessage__isset __isset;
 
@@ -3729,6 +3799,8 @@
 
   void __set_probe(const LinkProbe& val);
 
+  void __set_chunk(const LinkChunk& val);
+
   bool operator == (const LinkMessage & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -3763,6 +3835,10 @@
       return false;
     else if (__isset.probe && !(probe == rhs.probe))
       return false;
+    if (__isset.chunk != rhs.__isset.chunk)
+      return false;
+    else if (__isset.chunk && !(chunk == rhs.chunk))
+      return false;
     return true;
   }
   bool operator != (const LinkMessage &rhs) const {
--- a/src/traffic/shared_retry_budget.cc
+++ b/src/traffic/shared_retry_budget.cc
@@ -5,6 +5,11 @@
 
 namespace limpet {
 
+double SharedRetryBudget::FloorOfNode() const {
+  // The first failure of a node is worth a repeat, as long as all nodes together have enough.
+  return std::min(1.0, options_.extra / nodes_);
+}
+
 double SharedRetryBudget::ExtraOfNode() const {
   return options_.extra * options_.usable_share / nodes_;
 }
@@ -15,7 +20,7 @@
     bucket.started = true;
     // Half of the extra may be spent at once and half is earned over a window, so that no window
     // holds more than the whole.
-    bucket.tokens = ExtraOfNode() / 2;
+    bucket.tokens = std::max(FloorOfNode(), ExtraOfNode() / 2);
     bucket.filled = now;
   }
   const double windows = std::chrono::duration<double>(now - bucket.filled) /
@@ -23,7 +28,8 @@
   bucket.filled = now;
   bucket.tokens += windows * ExtraOfNode() / 2;
   bucket.recent = std::max(0.0, bucket.recent - bucket.recent * std::min(1.0, windows * 2));
-  const double cap = ExtraOfNode() / 2 + options_.ratio * options_.usable_share * bucket.recent / 4;
+  const double cap = std::max(FloorOfNode(), ExtraOfNode() / 2) +
+                     options_.ratio * options_.usable_share * bucket.recent / 4;
   bucket.tokens = std::min(bucket.tokens, cap);
   return bucket;
 }
--- a/src/traffic/target_placement.cc
+++ b/src/traffic/target_placement.cc
@@ -17,6 +17,8 @@
 constexpr double kScoreNoise = 0.1;
 /// Part of a service time that a full target costs more than an empty one.
 constexpr double kOccupancyCost = 0.25;
+/// Responses of this size wait for the network link of a VM; smaller ones pass between their parts.
+constexpr size_t kPacedBytes = 8192;
 /// A silent node is used only if all others are far busier.
 constexpr double kSilenceFactor = 20.0;
 
@@ -70,7 +72,10 @@
   return measured > 0 ? Duration(measured) : average;
 }
 
-double TargetPlacement::ExpectedTime(TimePoint now, const Entry& entry, Duration average) const {
+double TargetPlacement::ExpectedTime(TimePoint now,
+                                     const Entry& entry,
+                                     Duration average,
+                                     size_t bytes) const {
   const wire::LoadReport& load = entry.status.load;
   // A report holds this node's open calls as well as those of others.
   const int total = std::max(load.in_flight + load.queued, entry.open_calls);
@@ -83,6 +88,10 @@
   // Among targets with free slots the emptier one absorbs what others send at the same time.
   expected *= 1 + kOccupancyCost * std::min(1.0, static_cast<double>(total) / entry.status.slots);
   expected += service_time * kFailureCost * entry.status.failure_permille / 1000.0;
+  if (bytes >= kPacedBytes) {
+    expected += entry.status.egress_wait_us + static_cast<double>(entry.status.egress_us_per_kib) *
+                                                  static_cast<double>(bytes) / 1024;
+  }
   return now < entry.silent_until ? expected * kSilenceFactor : expected;
 }
 
@@ -94,13 +103,14 @@
 
 TargetPlacement::Option TargetPlacement::Best(TimePoint now,
                                               std::vector<Option>& candidates,
-                                              Duration average) {
+                                              Duration average,
+                                              size_t bytes) {
   Option best;
   for (std::size_t i = 0; i < candidates.size() && i < options_.compared_targets; ++i) {
     std::swap(candidates[i], candidates[i + random_.Below(candidates.size() - i)]);
     Option& option = candidates[i];
     const double noise = 1 + kScoreNoise * random_.Fraction();
-    option.time = ExpectedTime(now, *option.entry, average) * noise;
+    option.time = ExpectedTime(now, *option.entry, average, bytes) * noise;
     if (best.node == nullptr || option.time < best.time) {
       best = option;
     }
@@ -120,8 +130,8 @@
       options.push_back({&node, &entry, 0});
     }
   }
-  const Option local = Best(now, local_options, average);
-  const Option remote = Best(now, remote_options, average);
+  const Option local = Best(now, local_options, average, request.expected_response_bytes);
+  const Option remote = Best(now, remote_options, average, request.expected_response_bytes);
   const double size_share = std::min(1.0, static_cast<double>(request.expected_response_bytes) /
                                               static_cast<double>(options_.local_share_bytes));
   const double limit =
--- /dev/null
+++ b/tests/edge/link_test.cc
@@ -0,0 +1,98 @@
+#include "limpet/edge/link.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/ip/address.hpp>
+#include <chrono>
+#include <future>
+#include <vector>
+
+#include "edge/loop_thread.h"
+#include "edge/raw_client.h"
+#include "net/loopback.h"
+
+namespace limpet::edge {
+namespace {
+
+wire::LinkMessage Numbered(int64_t number) {
+  wire::LinkMessage message;
+  message.__isset.reply = true;
+  message.reply.call_id = number;
+  return message;
+}
+
+/// Two ends of one link on a loop; the first one is paced.
+struct Fixture {
+  LoopThread loop;
+  int port = FreePort();
+  LinkPtr sender;
+  LinkPtr receiver;
+  std::unique_ptr<Listener> listener;
+  std::vector<std::pair<int64_t, std::string>> received;
+  std::promise<void> accepted;
+  int connections = 0;
+
+  explicit Fixture(double link_mbps = 8) {
+    loop.Run([this, link_mbps] {
+      listener = std::make_unique<Listener>(
+          loop.executor(), PeerAddress{"127.0.0.1", port}, [this](TcpSocket socket) {
+            receiver = std::make_shared<Link>(std::move(socket));
+            receiver->Start({[this](wire::LinkMessage message, std::string body) {
+                               received.emplace_back(message.reply.call_id, std::move(body));
+                             },
+                             [this](ErrorCode) { receiver = nullptr; }});
+            if (++connections == 1) {
+              accepted.set_value();
+            }
+          });
+      TcpSocket socket(loop.executor());
+      socket.connect({asio::ip::make_address("127.0.0.1"), static_cast<uint16_t>(port)});
+      sender = std::make_shared<Link>(std::move(socket),
+                                      std::make_shared<EgressPacer>(loop.executor(), link_mbps));
+      sender->Start({[](wire::LinkMessage, std::string) {}, [](ErrorCode) {}});
+    });
+    accepted.get_future().get();
+  }
+  ~Fixture() { loop.Stop(); }
+  void Send(int64_t number, std::string body) {
+    loop.Run([&] { sender->Send(Numbered(number), std::move(body)); });
+  }
+  bool Await(std::size_t count) {
+    for (int i = 0; i < 500; ++i) {
+      if (loop.Run([&] { return received.size() >= count; })) {
+        return true;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return false;
+  }
+};
+
+TEST_CASE_FIXTURE(Fixture, "a small message passes a large body that is on its way") {
+  const std::string large(200'000, 'x');
+  Send(1, large);
+  Send(2, "small");
+  REQUIRE(Await(2));
+  loop.Run([&] {
+    CHECK(received[0].first == 2);
+    CHECK(received[1].first == 1);
+    CHECK(received[1].second == large);
+  });
+}
+
+TEST_CASE_FIXTURE(Fixture, "large bodies leave at the pace of the VM's link") {
+  const auto start = std::chrono::steady_clock::now();
+  Send(1, std::string(200'000, 'x'));
+  REQUIRE(Await(1));
+  // 200 kB at 8 Mbit/s take 0.2 s.
+  CHECK(std::chrono::steady_clock::now() - start > std::chrono::milliseconds(150));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a malformed frame closes the link") {
+  RawClient client(port);
+  client.Send(std::string("\x00\x00\x00\x04\x00\x00\x00\x04zzzz", 12));
+  CHECK(client.ReadAll().empty());
+}
+
+}  // namespace
+}  // namespace limpet::edge
--- a/tests/traffic/target_placement_test.cc
+++ b/tests/traffic/target_placement_test.cc
@@ -98,6 +98,23 @@
   CHECK(Send(10)["new"] > 0);
 }
 
+// Pattern: the bottleneck is the network link of the target's VM, not its slots.
+TEST_CASE_FIXTURE(Fixture,
+                  "large responses avoid a VM whose link is busy, small ones do not mind") {
+  Add("fast", 0, 80);
+  Add("slow", 0, 120);
+  wire::TargetStatus busy;
+  busy.instance = "i-fast";
+  busy.service_name = "desk";
+  busy.state = wire::TargetState::kUp;
+  busy.slots = 10;
+  busy.load.service_time_us = 80'000;
+  busy.egress_wait_us = 300'000;
+  placement.Update(kStart, "fast", "a", busy);
+  CHECK(Send(1, 90 * 1024, milliseconds(1000))["slow"] == 1);
+  CHECK(Send(1, 1000, milliseconds(1000))["fast"] == 1);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a silent node is avoided until it is heard of again") {
   Add("a", 0, 100);
   Add("b", 0, 100);
