Serve latency histograms on the metrics address

Calls of callers and at the target, in the text format of Prometheus, with bounds that double from 5 ms.

--- a/include/limpet/edge/inbound_proxy.h
+++ b/include/limpet/edge/inbound_proxy.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "limpet/core/counters.h"
+#include "limpet/core/latency_buckets.h"
 #include "limpet/edge/egress_pacer.h"
 #include "limpet/edge/http_connection.h"
 #include "limpet/edge/http_dialect.h"
@@ -54,6 +55,8 @@
 
   wire::TargetStatus Status() const;
   bool idle() const { return pending_.empty(); }
+  /// From the arrival at the gate to the end of the exchange with the target.
+  const LatencyBuckets& latency() const { return latency_; }
 
  private:
   struct Pending {
@@ -102,6 +105,7 @@
   std::string target_instance_;
   std::vector<HttpConnectionPtr> idle_;
   wire::TargetStatus announced_;
+  LatencyBuckets latency_;
 };
 
 }  // namespace limpet::edge
--- a/include/limpet/edge/outbound_proxy.h
+++ b/include/limpet/edge/outbound_proxy.h
@@ -8,6 +8,7 @@
 #include <unordered_set>
 
 #include "limpet/core/counters.h"
+#include "limpet/core/latency_buckets.h"
 #include "limpet/edge/http_dialect.h"
 #include "limpet/edge/http_session.h"
 #include "limpet/edge/inbound_proxy.h"
@@ -46,6 +47,8 @@
   /// Answers that the request has not run and when to return.
   void Refuse(const HttpSessionPtr& session, std::string_view reason, Duration retry_after);
   bool idle() const { return calls_.empty(); }
+  /// From the whole request to the decision on its answer.
+  const LatencyBuckets& latency() const { return latency_; }
   void set_service(std::string service) { options_.service = std::move(service); }
 
  private:
@@ -67,6 +70,7 @@
   Counters& counters_;
   SplitPicker splits_;
   ServiceTimes latencies_;
+  LatencyBuckets latency_;
   /// Moving average of the response size by route, in bytes.
   std::unordered_map<std::string, double> response_bytes_;
   std::unordered_set<std::shared_ptr<ActiveCall>> calls_;
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -360,7 +360,9 @@
   counters_.Get("inbound_running").Set(gate_.running());
   counters_.Get("inbound_queued").Set(static_cast<int64_t>(gate_.queued()));
   counters_.Get("peers_reachable").Set(links_->CountReachable());
-  session->Respond(TextAnswer(200, counters_.Render()));
+  session->Respond(TextAnswer(200, counters_.Render() +
+                                       outbound_->latency().Render("outbound_call_seconds") +
+                                       inbound_->latency().Render("inbound_call_seconds")));
 }
 
 void EdgeNode::PushStatus(TimePoint now) {
--- a/src/edge/inbound_proxy.cc
+++ b/src/edge/inbound_proxy.cc
@@ -286,6 +286,7 @@
   const auto found = pending_.find(key);
   Pending pending = std::move(found->second);
   pending_.erase(found);
+  latency_.Record(MonotonicNow() - pending.arrived);
   const auto events = gate_.Finish(MonotonicNow(), key, outcome.result);
   if (outcome.reply.outcome != wire::Outcome::kRan) {
     body.clear();
--- a/src/edge/outbound_proxy.cc
+++ b/src/edge/outbound_proxy.cc
@@ -237,6 +237,7 @@
         answer = TextAnswer(504, "timed out\n");
         break;
     }
+    proxy_.latency_.Record(MonotonicNow() - started_);
     Log(finish, answer.status);
     HttpSessionPtr session = session_;
     End();
--- a/tests/platform/mesh_test.cc
+++ b/tests/platform/mesh_test.cc
@@ -157,7 +157,9 @@
   CHECK(desk.seen_caller == "store");
   CHECK(desk.seen_instance == "i-desk-node");
   CHECK(caller.IsReady());
-  CHECK(caller.Metrics().find("outbound_requests") != std::string::npos);
+  const std::string metrics = caller.Metrics();
+  CHECK(metrics.find("outbound_requests") != std::string::npos);
+  CHECK(metrics.find("outbound_call_seconds_bucket{le=\"+Inf\"}") != std::string::npos);
 }
 
 TEST_CASE_FIXTURE(Fixture, "before the first configuration a node refuses and is not ready") {
