--- a/include/limpet/edge/http_connection.h
+++ b/include/limpet/edge/http_connection.h
@@ -68,7 +68,6 @@
 
   /// False once the connection cannot carry a further exchange.
   bool IsReusable(TimePoint now) const;
-  bool IsConnected() const { return state_ != State::kNew && state_ != State::kConnecting; }
   TimePoint idle_since() const { return idle_since_; }
 
  private:
--- a/include/limpet/edge/inbound_proxy.h
+++ b/include/limpet/edge/inbound_proxy.h
@@ -90,6 +90,7 @@
   void Finish(const std::string& key, Outcome outcome, std::string body);
   void Handle(const std::vector<GateEvent>& events);
   void Refuse(const std::string& key, const GateDecision& decision);
+  void LogRefusal(const Pending& pending, const GateDecision& decision);
   void Reply(Pending& pending, const std::string& key, wire::LinkReply reply, std::string body);
   void NoteStatus();
 
--- a/include/limpet/edge/link.h
+++ b/include/limpet/edge/link.h
@@ -35,8 +35,6 @@
 
   bool closed() const { return closed_; }
   TimePoint last_received() const { return last_received_; }
-  /// Bytes that wait to be written.
-  size_t backlog() const { return backlog_; }
 
  private:
   /// A large body on its way out.
@@ -67,7 +65,6 @@
   std::size_t input_start_ = 0;
   std::deque<std::string> outbox_;
   std::deque<std::string> writing_;
-  size_t backlog_ = 0;
   bool closed_ = false;
   TimePoint last_received_{};
 };
--- a/include/limpet/registry/target_registry.h
+++ b/include/limpet/registry/target_registry.h
@@ -59,7 +59,6 @@
 
   /// The latest start that was heard of and has not left; also while it drains.
   const TargetAnnouncement* current() const { return current_ ? &*current_ : nullptr; }
-  TimePoint last_heard() const { return last_heard_; }
   void set_address(std::string address) { address_ = std::move(address); }
 
  private:
@@ -73,7 +72,6 @@
 
   std::string address_;
   std::optional<TargetAnnouncement> current_;
-  TimePoint last_heard_{};
   /// Starts that have left or were replaced, by instance.
   std::map<std::string, Departed> departed_;
 };
--- a/include/limpet/traffic/target_placement.h
+++ b/include/limpet/traffic/target_placement.h
@@ -64,7 +64,6 @@
   void SetReachable(const std::string& node, bool reachable);
   /// The node shows no sign of life although requests wait for it.
   void OnSilence(TimePoint now, const std::string& node);
-  void Remove(const std::string& node);
 
   /// Nothing if no target of the service outside `excluded` (node names) can take a request.
   std::optional<PlacedTarget> Choose(TimePoint now,
@@ -77,8 +76,6 @@
 
   /// Whether a target outside `excluded` could be chosen now.
   bool HasOther(const std::string& service, const std::vector<std::string>& excluded) const;
-  /// Number of targets that could be chosen for a service now.
-  int CountUsable(const std::string& service) const;
 
  private:
   struct Entry {
--- a/src/edge/inbound_proxy.cc
+++ b/src/edge/inbound_proxy.cc
@@ -124,17 +124,26 @@
   reply.outcome = decision.outcome;
   reply.reason = decision.reason;
   reply.retry_after_ms = static_cast<int32_t>(decision.retry_after.count() / 1000);
+  if (found->second.call.free_slot_only) {
+    // The caller only looked for a free slot; it logs where the request ends.
+    counters_.Get("inbound_full").Add();
+  } else {
+    LogRefusal(found->second, decision);
+  }
+  Pending pending = std::move(found->second);
+  pending_.erase(found);
+  Reply(pending, key, std::move(reply), {});
+}
+
+void InboundProxy::LogRefusal(const Pending& pending, const GateDecision& decision) {
   counters_.Get("inbound_refusals").Add();
   LogEvent("inbound_refused")
-      .Add("request", found->second.call.request_id)
+      .Add("request", pending.call.request_id)
       .Add("reason", NameOf(kRefusalReasonNames, decision.reason))
       .Add("running", gate_.running())
       .Add("queued", static_cast<int64_t>(gate_.queued()))
-      .Add("waited_ms", MonotonicNow() - found->second.arrived)
+      .Add("waited_ms", MonotonicNow() - pending.arrived)
       .Add("retry_after_ms", decision.retry_after);
-  Pending pending = std::move(found->second);
-  pending_.erase(found);
-  Reply(pending, key, std::move(reply), {});
 }
 
 void InboundProxy::Reply(Pending& pending,
--- a/src/edge/link.cc
+++ b/src/edge/link.cc
@@ -2,7 +2,6 @@
 
 #include <spdlog/spdlog.h>
 
-#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
@@ -92,7 +91,6 @@
   PutLength(frame, head.size() + body.size());
   PutLength(frame, head.size());
   frame += head;
-  backlog_ += frame.size() + body.size();
   outbox_.push_back(std::move(frame));
   if (!body.empty()) {
     outbox_.push_back(std::move(body));
@@ -110,9 +108,8 @@
     buffers.emplace_back(asio::buffer(part));
   }
   asio::async_write(socket_, buffers,
-                    [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+                    [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
                       self->writing_.clear();
-                      self->backlog_ -= std::min(bytes, self->backlog_);
                       if (error) {
                         self->Fail(error);
                       } else if (!self->outbox_.empty() && !self->closed_) {
--- a/src/registry/target_registry.cc
+++ b/src/registry/target_registry.cc
@@ -43,7 +43,6 @@
   const bool draining = announcement.draining || (same_start && current_->draining);
   current_ = announcement;
   current_->draining = draining;
-  last_heard_ = now;
   return draining ? AnnouncementResult::kDraining : AnnouncementResult::kCurrent;
 }
 
--- a/src/traffic/target_placement.cc
+++ b/src/traffic/target_placement.cc
@@ -46,10 +46,6 @@
   entries_[node].silent_until = now + options_.silence_penalty;
 }
 
-void TargetPlacement::Remove(const std::string& node) {
-  entries_.erase(node);
-}
-
 bool TargetPlacement::IsUsable(const Entry& entry, const std::string& service) const {
   return entry.reachable && entry.status.state == wire::TargetState::kUp &&
          entry.status.service_name == service && entry.status.slots > 0;
@@ -173,9 +169,4 @@
   found->second.status.load.in_flight = std::max(0, found->second.status.load.in_flight - 1);
 }
 
-int TargetPlacement::CountUsable(const std::string& service) const {
-  return static_cast<int>(std::ranges::count_if(
-      entries_, [&](const auto& entry) { return IsUsable(entry.second, service); }));
-}
-
 }  // namespace limpet
