--- a/include/limpet/core/time.h
+++ b/include/limpet/core/time.h
@@ -12,6 +12,11 @@
 /// never compared.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
+/// `duration` times `factor`, rounded towards zero.
+constexpr Duration Scale(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
 }  // namespace limpet
 
 #endif  // LIMPET_CORE_TIME_H_
--- a/include/limpet/net/http_message.h
+++ b/include/limpet/net/http_message.h
@@ -42,6 +42,9 @@
   std::string_view Header(std::string_view name) const { return FindHeader(headers, name); }
 };
 
+/// True for statuses by which a node promises that a request has not run and never will.
+bool PromisesNotRun(int status);
+
 /// Reason phrase of a status; "Status" if it is not in the table.
 std::string_view ReasonPhrase(int status);
 
--- a/include/limpet/traffic/service_times.h
+++ b/include/limpet/traffic/service_times.h
@@ -8,6 +8,10 @@
 
 namespace limpet {
 
+/// Taken for a target or service without a sample: close to a typical request, so that a target
+/// that has just appeared is neither avoided nor preferred.
+inline constexpr Duration kAssumedServiceTime = std::chrono::milliseconds(100);
+
 /// Moving averages of the time that requests take at one target, by route and over all. Not safe
 /// for concurrent use.
 class ServiceTimes {
--- a/src/edge/inbound_proxy.cc
+++ b/src/edge/inbound_proxy.cc
@@ -1,7 +1,6 @@
 #include "limpet/edge/inbound_proxy.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include "limpet/edge/event_log.h"
@@ -29,9 +28,6 @@
 constexpr std::size_t kMaxIdleConnections = 64;
 /// A change of the load by this share of the slots is worth a message to other nodes.
 constexpr double kLoadStep = 0.25;
-/// Answers by which a node promises that a request has not run. A target gives them without that
-/// promise, so they are not passed on.
-constexpr std::array<int, 4> kPromisingStatuses = {408, 421, 429, 503};
 
 std::optional<PeerAddress> ParsePeer(const std::string& address) {
   const std::size_t colon = address.rfind(':');
@@ -215,8 +211,8 @@
   }
   const bool signed_by_target =
       dialect_.response_signature.empty() || !answer.Header(dialect_.response_signature).empty();
-  const bool promising =
-      std::ranges::find(kPromisingStatuses, answer.status) != kPromisingStatuses.end();
+  // The target gives such a status without the promise that it stands for, so it is not passed on.
+  const bool promising = PromisesNotRun(answer.status);
   const bool encoded = !answer.Header("Content-Encoding").empty();
   if (promising || (IsSuccess(answer.status) && (!signed_by_target || encoded))) {
     outcome.reply.outcome = wire::Outcome::kUnknown;
--- a/src/edge/outbound_proxy.cc
+++ b/src/edge/outbound_proxy.cc
@@ -24,8 +24,6 @@
 /// A node without a configuration usually has one within this time.
 constexpr Duration kNotReadyRetry = std::chrono::milliseconds(300);
 constexpr double kBytesWeight = 0.1;
-/// Statuses by which this node promises that a request has not run.
-constexpr std::array<int, 4> kPromisingStatuses = {408, 421, 429, 503};
 
 /// Retry-After in seconds with fractions, which the callers of this mesh accept.
 std::string RetryAfterText(Duration retry) {
@@ -245,9 +243,7 @@
   }
 
   HttpAnswer MakeAnswer(wire::LinkReply reply, std::string body) const {
-    const bool promising =
-        std::ranges::find(kPromisingStatuses, reply.http_status) != kPromisingStatuses.end();
-    if (promising) {
+    if (PromisesNotRun(reply.http_status)) {
       return TextAnswer(502, "the target's answer would promise that nothing ran\n");
     }
     HttpAnswer answer;
--- a/src/load/policy_sim.cc
+++ b/src/load/policy_sim.cc
@@ -27,10 +27,6 @@
   return -std::log(1.0 - random.Fraction());
 }
 
-Duration Scale(Duration duration, double factor) {
-  return Duration(std::llround(static_cast<double>(duration.count()) * factor));
-}
-
 }  // namespace
 
 PolicySim::PolicySim(SimOptions options)
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -56,6 +56,11 @@
   return whole && value >= 0 ? value : fallback;
 }
 
+bool PromisesNotRun(int status) {
+  constexpr std::array<int, 4> kStatuses = {408, 421, 429, 503};
+  return std::find(kStatuses.begin(), kStatuses.end(), status) != kStatuses.end();
+}
+
 std::string_view ReasonPhrase(int status) {
   for (const auto& [code, phrase] : kPhrases) {
     if (code == status) {
--- a/src/traffic/mesh_call.cc
+++ b/src/traffic/mesh_call.cc
@@ -29,10 +29,6 @@
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(30);
 constexpr Duration kMaxRetryAfter = std::chrono::milliseconds(1000);
 
-Duration Times(Duration duration, double factor) {
-  return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
-}
-
 }  // namespace
 
 MeshCall::MeshCall(MeshCallOptions options, TargetPlacement& placement, SharedRetryBudget& budget)
@@ -88,9 +84,9 @@
   if (!options_.idempotent || usual == Duration(0) || !more_allowed) {
     return std::nullopt;
   }
-  const Duration slow = std::max(kMinSlow, Times(usual, kSlowFactor) + kSlowMargin);
+  const Duration slow = std::max(kMinSlow, Scale(usual, kSlowFactor) + kSlowMargin);
   const Duration left = options_.deadline - now;
-  if (left - slow < Times(usual, kRoomForRepeat)) {
+  if (left - slow < Scale(usual, kRoomForRepeat)) {
     return std::nullopt;
   }
   return slow;
--- a/src/traffic/target_gate.cc
+++ b/src/traffic/target_gate.cc
@@ -11,9 +11,6 @@
 
 /// Weight of one result in the share of failures: it follows a change within about 15 requests.
 constexpr double kFailureWeight = 0.07;
-/// Assumed before the first sample. Close to a typical request, so that a target that has just
-/// appeared is neither avoided nor preferred.
-constexpr Duration kAssumedServiceTime = std::chrono::milliseconds(100);
 /// Requests vary around their average; with this margin most that are admitted end in time.
 constexpr double kServiceMargin = 1.25;
 /// Over this time the use of slots by priority is averaged.
@@ -21,10 +18,6 @@
 /// More urgent requests never count for more than this, or the prediction would run away.
 constexpr double kMaxUrgentShare = 0.8;
 
-Duration Times(Duration duration, double factor) {
-  return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
-}
-
 }  // namespace
 
 TargetGate::TargetGate(TargetGateOptions options)
@@ -106,7 +99,7 @@
   }
   const Duration wait = average * excess / std::max(1, target_->slots);
   // More urgent requests that arrive meanwhile go first.
-  return Times(wait, 1 / (1 - UrgentShare(position.priority)));
+  return Scale(wait, 1 / (1 - UrgentShare(position.priority)));
 }
 
 void TargetGate::NoteUse(TimePoint now, int priority, Duration service_time) {
@@ -147,7 +140,7 @@
     return {.verdict = GateVerdict::kStart};
   }
   const TimePoint limit = call.accepts_late ? call.deadline : call.latency_target;
-  const bool too_late = now + wait + Times(service_times_.Of(call.route), kServiceMargin) > limit;
+  const bool too_late = now + wait + Scale(service_times_.Of(call.route), kServiceMargin) > limit;
   if (call.free_slot_only || too_late || queue_.size() >= options_.queue_capacity) {
     return {.reason = Reason::kOverloaded, .retry_after = wait};
   }
--- a/src/traffic/target_placement.cc
+++ b/src/traffic/target_placement.cc
@@ -3,12 +3,12 @@
 #include <algorithm>
 #include <utility>
 
+#include "limpet/traffic/service_times.h"
+
 namespace limpet {
 
 namespace {
 
-/// For a service without any sample yet.
-constexpr Duration kAssumedServiceTime = std::chrono::milliseconds(100);
 /// A cold target takes about twice as long (the platform's cold factor).
 constexpr double kColdFactor = 2.0;
 /// Expected cost of a failure in service times: the request has to run again elsewhere, if it may.
