Keep the leave of a target that was not known yet

A node restarted after a loss of power, acknowledged the leave of a target that it had not heard of since, and 2.7 s later took a delayed heartbeat (sequence 21) of the same start as a new target, because a leave without a start was recorded with start 0.

The time of day now bounds the starts that such a leave is for. The first heartbeat of a start is taken in any case, because the clock may have been ahead.

--- a/include/limpet/net/clock.h
+++ b/include/limpet/net/clock.h
@@ -1,6 +1,8 @@
 #ifndef LIMPET_NET_CLOCK_H_
 #define LIMPET_NET_CLOCK_H_
 
+#include <cstdint>
+
 #include "limpet/core/time.h"
 
 namespace limpet {
@@ -9,6 +11,9 @@
 /// argument.
 TimePoint MonotonicNow();
 
+/// The time of day in Unix milliseconds. It may jump; deadlines and leases use `MonotonicNow`.
+int64_t UnixMs();
+
 }  // namespace limpet
 
 #endif  // LIMPET_NET_CLOCK_H_
--- a/include/limpet/registry/target_registry.h
+++ b/include/limpet/registry/target_registry.h
@@ -54,8 +54,12 @@
   explicit TargetRegistry(std::string address) : address_(std::move(address)) {}
 
   AnnouncementResult OnAnnouncement(TimePoint now, const TargetAnnouncement& announcement);
-  /// The target says that it is leaving for good. `born_ms` is empty if it did not say its start.
-  void OnLeave(TimePoint now, const std::string& instance, std::optional<int64_t> born_ms);
+  /// The target says that it is leaving for good. `born_ms` is empty if it did not say its start;
+  /// `unix_ms`, the time of day, then bounds the starts that the leave is for.
+  void OnLeave(TimePoint now,
+               int64_t unix_ms,
+               const std::string& instance,
+               std::optional<int64_t> born_ms);
 
   /// The latest start that was heard of and has not left; also while it drains.
   const TargetAnnouncement* current() const { return current_ ? &*current_ : nullptr; }
@@ -63,8 +67,11 @@
 
  private:
   struct Departed {
+    /// Starts up to this one have left.
     int64_t born_ms = 0;
     TimePoint at{};
+    /// The start was not known when the target left, so `born_ms` is only an upper bound.
+    bool estimated = false;
   };
 
   bool IsLate(const TargetAnnouncement& announcement) const;
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -282,7 +282,7 @@
     if (message.announcement) {
       TakeAnnouncement(*message.announcement);
     } else if (message.leave) {
-      registry_.OnLeave(MonotonicNow(), message.leave->instance, message.leave->born_ms);
+      registry_.OnLeave(MonotonicNow(), UnixMs(), message.leave->instance, message.leave->born_ms);
       inbound_->SetTarget(registry_.current());
       LogEvent("target_left").Add("instance", message.leave->instance);
     }
--- a/src/net/clock.cc
+++ b/src/net/clock.cc
@@ -13,4 +13,10 @@
                                                         std::chrono::nanoseconds(now.tv_nsec)));
 }
 
+int64_t UnixMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 }  // namespace limpet
--- a/src/net/node.cc
+++ b/src/net/node.cc
@@ -29,9 +29,7 @@
 /// Wall clock in milliseconds: a later start has a higher incarnation, unless the clock went back;
 /// then the node raises it when it learns of the earlier one.
 int64_t MakeIncarnation() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
+  return UnixMs();
 }
 
 ControlLoopOptions MakeControlOptions(const NodeSettings& settings) {
--- a/src/registry/target_registry.cc
+++ b/src/registry/target_registry.cc
@@ -8,13 +8,17 @@
 
 /// Heartbeats can be seconds late; ten minutes is far beyond any delay in the network.
 constexpr Duration kDepartedLifetime = std::chrono::minutes(10);
+/// Sequence numbers start anew with each start of a target.
+constexpr int64_t kFirstSequence = 1;
 
 }  // namespace
 
 bool TargetRegistry::IsLate(const TargetAnnouncement& announcement) const {
   const auto departed = departed_.find(announcement.instance);
   if (departed != departed_.end() && announcement.born_ms <= departed->second.born_ms) {
-    return true;
+    // The time of day may have jumped ahead before the leave; the first heartbeat of a start shows
+    // that it is a new one.
+    return !departed->second.estimated || announcement.sequence > kFirstSequence;
   }
   if (!current_) {
     return false;
@@ -37,7 +41,11 @@
   const bool same_start = current_ && current_->instance == announcement.instance &&
                           current_->born_ms == announcement.born_ms;
   if (current_ && !same_start) {
-    departed_[current_->instance] = {current_->born_ms, now};
+    departed_[current_->instance] = {current_->born_ms, now, false};
+  }
+  if (const auto departed = departed_.find(announcement.instance);
+      departed != departed_.end() && departed->second.estimated) {
+    departed->second = {std::min(departed->second.born_ms, announcement.born_ms - 1), now, false};
   }
   // Draining is final for one start, whatever a reordered heartbeat says.
   const bool draining = announcement.draining || (same_start && current_->draining);
@@ -47,13 +55,19 @@
 }
 
 void TargetRegistry::OnLeave(TimePoint now,
+                             int64_t unix_ms,
                              const std::string& instance,
                              std::optional<int64_t> born_ms) {
   const bool is_current =
       current_ && current_->instance == instance && (!born_ms || *born_ms >= current_->born_ms);
-  const int64_t born = born_ms.value_or(is_current ? current_->born_ms : 0);
+  // A node that has just restarted may hear the leave of a target that it never heard of.
+  const bool estimated = !born_ms && !is_current;
+  const int64_t known = is_current ? current_->born_ms : unix_ms;
+  const int64_t born = born_ms.value_or(known);
   Departed& departed = departed_[instance];
-  departed = {std::max(departed.born_ms, born), now};
+  if (born >= departed.born_ms) {
+    departed = {born, now, estimated};
+  }
   if (is_current) {
     current_.reset();
   }
--- a/tests/registry/target_registry_test.cc
+++ b/tests/registry/target_registry_test.cc
@@ -8,6 +8,7 @@
 using std::chrono::seconds;
 
 constexpr TimePoint kNow{seconds(100)};
+constexpr int64_t kUnixMs = 1500;
 constexpr const char* kAddress = "10.0.0.1:8080";
 
 TargetAnnouncement Announce(const std::string& instance, int64_t born_ms, int64_t sequence) {
@@ -24,7 +25,7 @@
 TEST_CASE("a late heartbeat does not bring back a target that has left") {
   TargetRegistry registry(kAddress);
   CHECK(registry.OnAnnouncement(kNow, Announce("i-1", 1000, 5)) == AnnouncementResult::kCurrent);
-  registry.OnLeave(kNow, "i-1", std::nullopt);
+  registry.OnLeave(kNow, kUnixMs, "i-1", std::nullopt);
   CHECK(registry.current() == nullptr);
   CHECK(registry.OnAnnouncement(kNow + seconds(3), Announce("i-1", 1000, 4)) ==
         AnnouncementResult::kLate);
@@ -36,7 +37,7 @@
 TEST_CASE("a target that starts again under its name is taken as new") {
   TargetRegistry registry(kAddress);
   registry.OnAnnouncement(kNow, Announce("i-1", 1000, 90));
-  registry.OnLeave(kNow, "i-1", std::nullopt);
+  registry.OnLeave(kNow, kUnixMs, "i-1", std::nullopt);
   CHECK(registry.OnAnnouncement(kNow, Announce("i-1", 2000, 0)) == AnnouncementResult::kCurrent);
   CHECK(registry.OnAnnouncement(kNow, Announce("i-1", 1000, 91)) == AnnouncementResult::kLate);
   CHECK(registry.current()->born_ms == 2000);
@@ -59,6 +60,27 @@
   CHECK(registry.OnAnnouncement(kNow, Announce("i-2", 2000, 0)) == AnnouncementResult::kCurrent);
 }
 
+// Guards against requests to a target that has left beside a node that had just restarted and so
+// did not know the target when it left.
+TEST_CASE("a late heartbeat does not bring back a target that left before it was known") {
+  TargetRegistry registry(kAddress);
+  registry.OnLeave(kNow, kUnixMs, "i-1", std::nullopt);
+  CHECK(registry.OnAnnouncement(kNow + seconds(3), Announce("i-1", 1000, 21)) ==
+        AnnouncementResult::kLate);
+  CHECK(registry.current() == nullptr);
+  CHECK(registry.OnAnnouncement(kNow + seconds(4), Announce("i-1", 1600, 5)) ==
+        AnnouncementResult::kCurrent);
+}
+
+// Guards against a target that is never used because the time of day was ahead when an earlier
+// start of it left.
+TEST_CASE("the first heartbeat of a start is taken whatever the time of day was at the leave") {
+  TargetRegistry registry(kAddress);
+  registry.OnLeave(kNow, kUnixMs + 5000, "i-1", std::nullopt);
+  CHECK(registry.OnAnnouncement(kNow, Announce("i-1", 2000, 1)) == AnnouncementResult::kCurrent);
+  CHECK(registry.OnAnnouncement(kNow, Announce("i-1", 2000, 2)) == AnnouncementResult::kCurrent);
+}
+
 TEST_CASE("a heartbeat for another place names no target here") {
   TargetRegistry registry(kAddress);
   TargetAnnouncement other = Announce("i-1", 1000, 1);
@@ -70,9 +92,9 @@
 TEST_CASE("a leave of an earlier start does not remove the current one") {
   TargetRegistry registry(kAddress);
   registry.OnAnnouncement(kNow, Announce("i-1", 2000, 1));
-  registry.OnLeave(kNow, "i-1", 1000);
+  registry.OnLeave(kNow, kUnixMs, "i-1", 1000);
   CHECK(registry.current() != nullptr);
-  registry.OnLeave(kNow, "i-0", std::nullopt);
+  registry.OnLeave(kNow, kUnixMs, "i-0", std::nullopt);
   CHECK(registry.current() != nullptr);
 }
 
