--- a/idl/limpet.thrift
+++ b/idl/limpet.thrift
@@ -355,6 +355,9 @@
   // one KiB takes on it.
   8: i32 egress_wait_us
   9: i32 egress_us_per_kib
+  // Time of recent requests at this target in thousandths of what their routes usually take; 0 if
+  // there are no recent ones.
+  10: i32 slowdown_permille
 }
 
 struct NodeAddress {
@@ -396,6 +399,10 @@
   12: bool accepts_late
   // Taken only into a free slot, because other targets may have one.
   14: bool free_slot_only
+  // Time that requests of the route usually run at a target, over all targets; 0 if unknown.
+  15: i32 usual_run_us
+  // Expected size of the response; 0 if unknown.
+  16: i32 expected_response_bytes
 }
 
 struct LinkReply {
@@ -409,6 +416,8 @@
   // With a refusal for overload: when room is expected.
   7: i32 retry_after_ms
   8: TargetStatus target
+  // Time that the request ran at the target; 0 if it did not run.
+  9: i32 run_us
 }
 
 struct LinkCancel {
@@ -471,6 +480,8 @@
 struct LinkChunk {
   1: i64 transfer_id
   2: bool last
+  // In the first part, which is empty: the call whose response follows; 0 for other bodies.
+  3: i64 call_id
 }
 
 struct LinkMessage {
--- a/include/limpet/edge/egress_pacer.h
+++ b/include/limpet/edge/egress_pacer.h
@@ -2,12 +2,13 @@
 #define LIMPET_EDGE_EGRESS_PACER_H_
 
 #include <cstddef>
-#include <deque>
-#include <functional>
+#include <cstdint>
 #include <memory>
+#include <unordered_map>
 
 #include "limpet/core/time.h"
 #include "limpet/edge/asio.h"
+#include "limpet/traffic/egress_schedule.h"
 
 namespace limpet::edge {
 
@@ -16,37 +17,38 @@
  public:
   virtual ~PacedSender() = default;
   /// Sends the next part and returns its size; 0 if nothing is left.
-  virtual std::size_t SendPart() = 0;
+  virtual std::size_t SendPart(int64_t transfer) = 0;
 };
 
-/// Releases parts of large bodies at a little less than the rate of the VM's network link, in turn
-/// for all senders. The queue of the link stays short, so small messages are not held up behind
-/// large responses.
+/// Releases parts of large bodies at the rate of the VM's network link, in the order of an
+/// `EgressSchedule`.
 class EgressPacer {
  public:
-  /// Rates are in Mbit/s.
+  /// Rate of the link in Mbit/s.
   EgressPacer(const Executor& executor, double link_mbps);
   ~EgressPacer();
   EgressPacer(const EgressPacer&) = delete;
   EgressPacer& operator=(const EgressPacer&) = delete;
 
-  /// The sender has `bytes` more to send and is asked for parts until it has none.
-  void Add(const std::weak_ptr<PacedSender>& sender, std::size_t bytes);
+  /// The sender has `bytes` to send that should have left by `due`. It is asked for parts from the
+  /// next turn of the loop on. Returns the id of the transfer.
+  int64_t Add(const std::weak_ptr<PacedSender>& sender, std::size_t bytes, TimePoint due);
+  void Remove(int64_t transfer);
+  /// Bytes that leave without being asked for.
+  void OnSent(std::size_t bytes);
 
   /// Time until what waits now has left.
-  Duration Wait() const;
-  Duration TimeOf(std::size_t bytes) const;
+  Duration Wait() const { return schedule_.Wait(); }
+  Duration TimeOf(std::size_t bytes) const { return schedule_.TimeOf(bytes); }
 
  private:
+  void ReleaseLater(Duration delay);
   void Release();
 
   Timer timer_;
-  double bytes_per_us_;
-  std::deque<std::weak_ptr<PacedSender>> senders_;
-  std::size_t waiting_bytes_ = 0;
+  EgressSchedule schedule_;
+  std::unordered_map<int64_t, std::weak_ptr<PacedSender>> senders_;
   bool timer_pending_ = false;
-  /// When the link is free again.
-  TimePoint free_at_{};
 };
 
 }  // namespace limpet::edge
--- a/include/limpet/edge/inbound_proxy.h
+++ b/include/limpet/edge/inbound_proxy.h
@@ -64,6 +64,8 @@
     std::string body;
     CallSinkPtr sink;
     TimePoint arrived{};
+    /// When it was sent to the target.
+    TimePoint started{};
     TimePoint deadline{};
     HttpConnectionPtr connection;
     bool reused_connection = false;
@@ -81,6 +83,12 @@
     TargetResult result = TargetResult::kBroken;
   };
 
+  using PendingCalls = std::unordered_map<std::string, Pending>;
+
+  /// Size of the response that the network link has to be free for; 0 if it is small.
+  std::size_t PacedBytes(const wire::LinkCall& call) const;
+  /// Takes a call out of `pending_`.
+  Pending Take(PendingCalls::iterator call);
   void Run(const std::string& key, Pending& pending);
   HttpRequest MakeRequest(const Pending& pending, TimePoint now) const;
   HttpConnectionPtr Acquire(TimePoint now, bool idempotent, bool& reused);
@@ -100,7 +108,9 @@
   Counters& counters_;
   std::shared_ptr<const EgressPacer> pacer_;
   std::function<void()> on_status_;
-  std::unordered_map<std::string, Pending> pending_;
+  PendingCalls pending_;
+  /// Expected large responses of `pending_`.
+  std::size_t admitted_bytes_ = 0;
   std::unordered_map<std::string, FinishedReply> finished_;
   PeerAddress target_address_;
   std::string target_instance_;
--- a/include/limpet/edge/link.h
+++ b/include/limpet/edge/link.h
@@ -22,16 +22,21 @@
     std::function<void(wire::LinkMessage, std::string body)> on_message;
     /// Called at most once, not after `Close`.
     std::function<void(ErrorCode)> on_closed;
+    /// The large response of this call is on its way. May be empty.
+    std::function<void(int64_t call_id)> on_transfer;
   };
 
   /// Large bodies are sent in parts at the pace of `pacer`; without one they are sent at once.
   explicit Link(TcpSocket socket, std::shared_ptr<EgressPacer> pacer = nullptr);
 
   void Start(Handlers handlers);
-  void Send(const wire::LinkMessage& message, std::string body = {});
+  /// A large body should have left by `due`.
+  void Send(const wire::LinkMessage& message, std::string body = {}, TimePoint due = {});
+  /// Gives up the large response of a call if it has not left yet.
+  void DropReply(int64_t call_id);
   void Close();
 
-  std::size_t SendPart() override;
+  std::size_t SendPart(int64_t transfer) override;
 
   bool closed() const { return closed_; }
   TimePoint last_received() const { return last_received_; }
@@ -39,13 +44,13 @@
  private:
   /// A large body on its way out.
   struct Transfer {
-    int64_t id = 0;
     wire::LinkMessage message;
     std::string body;
     std::size_t sent = 0;
   };
 
   void SendFrame(const wire::LinkMessage& message, std::string body);
+  void SendChunk(int64_t transfer, wire::LinkMessage message, bool last, std::string part);
   void Read();
   void OnRead(std::size_t bytes);
   bool TakeChunk(const wire::LinkMessage& message, std::string& body);
@@ -57,8 +62,8 @@
   /// Shared, so that a handler may close the link that calls it.
   std::shared_ptr<const Handlers> handlers_;
   std::shared_ptr<EgressPacer> pacer_;
-  std::deque<Transfer> transfers_;
-  int64_t last_transfer_ = 0;
+  /// By the pacer's ids.
+  std::map<int64_t, Transfer> transfers_;
   /// Parts of bodies that are coming in, by transfer.
   std::map<int64_t, std::string> parts_;
   std::string input_;
--- a/include/limpet/edge/peer_links.h
+++ b/include/limpet/edge/peer_links.h
@@ -47,8 +47,14 @@
 /// of them twice.
 class PeerLinks {
  public:
-  using ReplyCallback = std::function<void(wire::LinkReply, std::string body)>;
-  using FailureCallback = std::function<void(LinkFailure)>;
+  /// Events of one call. Exactly one of `on_reply` and `on_failure` comes, unless `Cancel` comes
+  /// first.
+  struct CallHandlers {
+    std::function<void(wire::LinkReply, std::string body)> on_reply;
+    std::function<void(LinkFailure)> on_failure;
+    /// The target has answered; its large response is on its way.
+    std::function<void()> on_transfer;
+  };
 
   PeerLinks(const Executor& executor,
             PeerLinksOptions options,
@@ -59,13 +65,11 @@
 
   /// Keeps a link to this node from now on.
   void Add(const wire::NodeAddress& node);
-  /// Exactly one of the callbacks is called later, unless `Cancel` comes first. Returns the id of
-  /// the call.
+  /// The handlers are called later. Returns the id of the call.
   int64_t Call(const std::string& node,
                wire::LinkCall call,
                std::string body,
-               ReplyCallback on_reply,
-               FailureCallback on_failure);
+               CallHandlers handlers);
   void Cancel(const std::string& node, int64_t call_id);
   void RequestConfig(const std::string& node, int64_t have);
   /// Asks a node for a sign of life and its configuration version.
@@ -84,8 +88,7 @@
   struct OpenCall {
     wire::LinkCall call;
     std::string body;
-    ReplyCallback on_reply;
-    FailureCallback on_failure;
+    CallHandlers handlers;
   };
   struct Peer {
     wire::NodeAddress address;
@@ -109,6 +112,7 @@
   void OnMessage(const std::string& name, wire::LinkMessage message, std::string body);
   void OnHello(Peer& peer, const wire::LinkHello& hello);
   void OnReply(Peer& peer, wire::LinkReply reply, std::string body);
+  void OnTransfer(const std::string& name, int64_t call_id);
   void OnClosed(const std::string& name, ErrorCode error);
   void LoseCalls(Peer& peer, bool idempotent_only);
   void SendCall(Peer& peer, const OpenCall& call);
--- a/include/limpet/traffic/mesh_call.h
+++ b/include/limpet/traffic/mesh_call.h
@@ -23,6 +23,8 @@
   size_t expected_response_bytes = 0;
   /// Usual time of one attempt of this route; 0 if unknown.
   Duration usual_latency{0};
+  /// Time that requests of the route usually run at a target; 0 if unknown.
+  Duration usual_run_time{0};
 };
 
 /// How a call ends for its caller.
@@ -90,6 +92,8 @@
   CallStep OnNotSent(TimePoint now, int attempt);
   /// The link was lost after the attempt was handed over, and its outcome cannot be asked for.
   CallStep OnLost(TimePoint now, int attempt);
+  /// The target has answered and its large response is on its way over the network.
+  void OnTransfer(int attempt);
   /// The response is overdue.
   CallStep OnSlow(TimePoint now);
   CallStep OnDeadline(TimePoint now);
@@ -105,6 +109,7 @@
     int attempt = 0;
     std::string node;
     bool free_slot_only = false;
+    bool transferring = false;
   };
 
   CallStep SendNext(TimePoint now, bool hedge);
--- a/include/limpet/traffic/target_gate.h
+++ b/include/limpet/traffic/target_gate.h
@@ -40,11 +40,17 @@
   bool idempotent = false;
   /// 0 is the most urgent.
   int priority = 0;
+  /// Time that requests of the route usually run, over all targets; 0 if unknown.
+  Duration usual_run_time{0};
   TimePoint deadline{};
   /// When the response loses its full value.
   TimePoint latency_target{};
   /// May wait beyond the latency target.
   bool accepts_late = false;
+  /// Time until the VM's network link has sent the large responses that were admitted before, and
+  /// the time that this call's response takes on it; 0 for a small response.
+  Duration link_wait{0};
+  Duration link_time{0};
   /// Taken only into a free slot, because other targets may have one.
   bool free_slot_only = false;
 };
@@ -108,7 +114,6 @@
   wire::TargetStatus Status(TimePoint now) const;
   int running() const { return static_cast<int>(running_.size()); }
   size_t queued() const { return queue_.size(); }
-  bool IsRunning(const std::string& key) const { return running_.contains(key); }
 
  private:
   struct QueueKey {
@@ -121,6 +126,7 @@
     std::string route;
     int priority = 0;
     TimePoint started{};
+    Duration usual_run_time{0};
   };
   /// Decaying sum of the time that requests of one priority have spent in slots.
   struct Use {
@@ -130,7 +136,10 @@
 
   wire::RefusalReason::type CheckTarget(TimePoint now, const GateCall& call) const;
   Duration PredictWait(const QueueKey& position) const;
+  /// Time by which the response would leave too late; zero or less if it is in time.
+  Duration PredictLateness(TimePoint now, const GateCall& call, Duration wait) const;
   void NoteUse(TimePoint now, int priority, Duration service_time);
+  void NoteSlowdown(Duration run_time, Duration usual);
   /// Share of the slots that more urgent requests have taken lately, 0 to 1.
   double UrgentShare(int priority) const;
   void Start(TimePoint now, const GateCall& call);
@@ -150,6 +159,8 @@
   std::unordered_map<std::string, Running> running_;
   uint64_t next_sequence_ = 0;
   std::map<int, Use> use_by_priority_;
+  /// Moving average of run times relative to what the routes usually take; 0 without a sample.
+  double slowdown_ = 0;
   /// Moving share of failed requests, 0 to 1.
   double failure_share_ = 0;
   int failures_in_row_ = 0;
--- a/include/limpet/traffic/target_placement.h
+++ b/include/limpet/traffic/target_placement.h
@@ -8,6 +8,7 @@
 
 #include "limpet/core/random.h"
 #include "limpet/core/time.h"
+#include "limpet/traffic/service_times.h"
 #include "limpet_types.h"
 
 namespace limpet {
@@ -38,6 +39,8 @@
   size_t expected_response_bytes = 0;
   /// Time until the response loses its full value.
   Duration latency_left{0};
+  /// Time that requests of the route usually run, over all targets.
+  Duration usual_run_time = kAssumedServiceTime;
 };
 
 struct PlacedTarget {
@@ -88,16 +91,14 @@
   };
 
   bool IsUsable(const Entry& entry, const std::string& service) const;
-  Duration ServiceTime(const Entry& entry, Duration average) const;
-  Duration AverageServiceTime(const std::string& service) const;
   struct Option {
     const std::string* node = nullptr;
     const Entry* entry = nullptr;
     double time = 0;
   };
   /// The best of a few random candidates; null node if there are none.
-  Option Best(TimePoint now, std::vector<Option>& candidates, Duration average, size_t bytes);
-  double ExpectedTime(TimePoint now, const Entry& entry, Duration average, size_t bytes) const;
+  Option Best(TimePoint now, std::vector<Option>& candidates, const PlacementRequest& request);
+  double ExpectedTime(TimePoint now, const Entry& entry, const PlacementRequest& request) const;
   double RemotePenalty(size_t bytes) const;
 
   PlacementOptions options_;
--- a/src/edge/egress_pacer.cc
+++ b/src/edge/egress_pacer.cc
@@ -6,57 +6,52 @@
 
 namespace limpet::edge {
 
-namespace {
-
-/// Left for small messages, headers and acknowledgements.
-constexpr double kUsableShare = 0.85;
-constexpr double kBitsPerByte = 8;
-/// Timers fire late by up to a few milliseconds; what they miss is sent in one go.
-constexpr Duration kBurst = std::chrono::milliseconds(10);
-
-}  // namespace
-
 EgressPacer::EgressPacer(const Executor& executor, double link_mbps)
-    : timer_(executor), bytes_per_us_(std::max(0.1, link_mbps) * kUsableShare / kBitsPerByte) {}
+    : timer_(executor), schedule_(link_mbps) {}
 
 EgressPacer::~EgressPacer() = default;
 
-void EgressPacer::Add(const std::weak_ptr<PacedSender>& sender, std::size_t bytes) {
-  senders_.push_back(sender);
-  waiting_bytes_ += bytes;
+int64_t EgressPacer::Add(const std::weak_ptr<PacedSender>& sender,
+                         std::size_t bytes,
+                         TimePoint due) {
+  const int64_t transfer = schedule_.Add(bytes, due);
+  senders_.emplace(transfer, sender);
   if (!timer_pending_) {
-    Release();
+    ReleaseLater(Duration(0));
   }
+  return transfer;
 }
 
-Duration EgressPacer::TimeOf(std::size_t bytes) const {
-  return Duration(static_cast<int64_t>(static_cast<double>(bytes) / bytes_per_us_));
+void EgressPacer::Remove(int64_t transfer) {
+  schedule_.Remove(transfer);
+  senders_.erase(transfer);
 }
 
-Duration EgressPacer::Wait() const {
-  return senders_.empty() ? Duration(0) : TimeOf(waiting_bytes_);
+void EgressPacer::OnSent(std::size_t bytes) {
+  schedule_.OnSent(MonotonicNow(), bytes);
 }
 
 void EgressPacer::Release() {
   const TimePoint now = MonotonicNow();
-  free_at_ = std::max(free_at_, now - kBurst);
-  while (!senders_.empty() && free_at_ <= now) {
-    const auto sender = senders_.front().lock();
-    senders_.pop_front();
-    const std::size_t sent = sender ? sender->SendPart() : 0;
+  while (const auto transfer = schedule_.Next(now)) {
+    const auto sender = senders_[*transfer].lock();
+    const std::size_t sent = sender ? sender->SendPart(*transfer) : 0;
     if (sent == 0) {
+      Remove(*transfer);
       continue;
     }
-    waiting_bytes_ -= std::min(sent, waiting_bytes_);
-    free_at_ += TimeOf(sent);
-    senders_.push_back(sender);
+    if (!schedule_.OnPartSent(now, *transfer, sent)) {
+      senders_.erase(*transfer);
+    }
   }
-  if (senders_.empty()) {
-    waiting_bytes_ = 0;
-    return;
+  if (!schedule_.empty()) {
+    ReleaseLater(schedule_.free_at() - now);
   }
+}
+
+void EgressPacer::ReleaseLater(Duration delay) {
   timer_pending_ = true;
-  timer_.expires_after(free_at_ - now);
+  timer_.expires_after(std::max(Duration(0), delay));
   timer_.async_wait([this](ErrorCode error) {
     if (!error) {
       timer_pending_ = false;
--- a/src/edge/inbound_proxy.cc
+++ b/src/edge/inbound_proxy.cc
@@ -88,10 +88,16 @@
   gate_call.route = call.route;
   gate_call.idempotent = call.idempotent;
   gate_call.priority = call.priority;
+  gate_call.usual_run_time = Duration(call.usual_run_us);
   gate_call.deadline = now + std::chrono::milliseconds(call.deadline_ms);
   gate_call.latency_target = now + std::chrono::milliseconds(call.latency_target_ms);
   gate_call.accepts_late = call.accepts_late;
   gate_call.free_slot_only = call.free_slot_only;
+  const std::size_t paced_bytes = PacedBytes(call);
+  if (paced_bytes > 0) {
+    gate_call.link_wait = pacer_->Wait() + pacer_->TimeOf(admitted_bytes_);
+    gate_call.link_time = pacer_->TimeOf(paced_bytes);
+  }
   const GateDecision decision = gate_.Arrive(now, gate_call);
   if (decision.verdict == GateVerdict::kAttach) {
     Pending& pending = pending_.at(key);
@@ -105,6 +111,7 @@
   pending.sink = std::move(sink);
   pending.arrived = now;
   pending.deadline = gate_call.deadline;
+  admitted_bytes_ += paced_bytes;
   const auto [entry, inserted] = pending_.emplace(key, std::move(pending));
   if (decision.verdict == GateVerdict::kRefuse) {
     Refuse(key, decision);
@@ -114,6 +121,18 @@
   NoteStatus();
 }
 
+std::size_t InboundProxy::PacedBytes(const wire::LinkCall& call) const {
+  const auto bytes = static_cast<std::size_t>(std::max(0, call.expected_response_bytes));
+  return pacer_ && bytes >= kLargeResponseBytes ? bytes : 0;
+}
+
+InboundProxy::Pending InboundProxy::Take(PendingCalls::iterator call) {
+  Pending pending = std::move(call->second);
+  pending_.erase(call);
+  admitted_bytes_ -= PacedBytes(pending.call);
+  return pending;
+}
+
 void InboundProxy::Refuse(const std::string& key, const GateDecision& decision) {
   const auto found = pending_.find(key);
   wire::LinkReply reply;
@@ -126,8 +145,7 @@
   } else {
     LogRefusal(found->second, decision);
   }
-  Pending pending = std::move(found->second);
-  pending_.erase(found);
+  Pending pending = Take(found);
   Reply(pending, key, std::move(reply), {});
 }
 
@@ -185,6 +203,7 @@
 
 void InboundProxy::Run(const std::string& key, Pending& pending) {
   const TimePoint now = MonotonicNow();
+  pending.started = now;
   const bool idempotent = pending.call.idempotent && !pending.sent_again;
   pending.connection = Acquire(now, idempotent, pending.reused_connection);
   auto matches = [id = pending.call.request_id,
@@ -289,10 +308,11 @@
 
 void InboundProxy::Finish(const std::string& key, Outcome outcome, std::string body) {
   const auto found = pending_.find(key);
-  Pending pending = std::move(found->second);
-  pending_.erase(found);
-  latency_.Record(MonotonicNow() - pending.arrived);
-  const auto events = gate_.Finish(MonotonicNow(), key, outcome.result);
+  Pending pending = Take(found);
+  const TimePoint now = MonotonicNow();
+  latency_.Record(now - pending.arrived);
+  outcome.reply.run_us = static_cast<int32_t>((now - pending.started).count());
+  const auto events = gate_.Finish(now, key, outcome.result);
   if (outcome.reply.outcome != wire::Outcome::kRan) {
     body.clear();
   }
@@ -322,7 +342,7 @@
     return;
   }
   if (gate_.RemoveQueued(key)) {
-    pending_.erase(found);
+    Take(found);
     return;
   }
   if (!found->second.call.idempotent) {
@@ -332,7 +352,7 @@
   if (found->second.connection) {
     found->second.connection->Close();
   }
-  pending_.erase(found);
+  Take(found);
   Handle(gate_.Finish(MonotonicNow(), key, TargetResult::kCancelled));
   NoteStatus();
 }
--- a/src/edge/link.cc
+++ b/src/edge/link.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
@@ -19,7 +20,9 @@
 constexpr std::size_t kReadBytes = std::size_t{16} << 10;
 /// Bodies above this are sent in parts. One part takes 10 ms on the slowest link (7 Mbit/s), which
 /// is as long as a small message may have to wait behind it.
-constexpr std::size_t kPartBytes = std::size_t{8} << 10;
+constexpr std::size_t kPartBytes = kLargeResponseBytes;
+/// A message without a body: its Thrift part with the headers of a response and the load report.
+constexpr std::size_t kSmallMessageBytes = 500;
 /// Largest frame: the largest body that a configuration allows, with room for its message.
 constexpr std::size_t kMaxFrameBytes = std::size_t{72} << 20;
 /// A node that does not read for this long is gone, or its link is silent.
@@ -51,39 +54,68 @@
   Read();
 }
 
-void Link::Send(const wire::LinkMessage& message, std::string body) {
+void Link::Send(const wire::LinkMessage& message, std::string body, TimePoint due) {
   if (closed_) {
     return;
   }
-  if (!pacer_ || body.size() <= kPartBytes) {
+  if (!pacer_) {
     SendFrame(message, std::move(body));
     return;
   }
-  const std::size_t size = body.size();
-  transfers_.push_back({++last_transfer_, message, std::move(body), 0});
-  pacer_->Add(weak_from_this(), size);
+  if (body.size() <= kPartBytes) {
+    pacer_->OnSent(body.size() + kSmallMessageBytes);
+    SendFrame(message, std::move(body));
+    return;
+  }
+  const int64_t transfer = pacer_->Add(weak_from_this(), body.size(), due);
+  transfers_.emplace(transfer, Transfer{message, std::move(body), 0});
+  if (message.__isset.reply) {
+    wire::LinkMessage begin;
+    begin.chunk.call_id = message.reply.call_id;
+    SendChunk(transfer, std::move(begin), false, {});
+  }
+}
+
+void Link::SendChunk(int64_t transfer, wire::LinkMessage message, bool last, std::string part) {
+  message.__isset.chunk = true;
+  message.chunk.transfer_id = transfer;
+  message.chunk.last = last;
+  SendFrame(message, std::move(part));
 }
 
-std::size_t Link::SendPart() {
-  if (closed_ || transfers_.empty()) {
+std::size_t Link::SendPart(int64_t id) {
+  const auto found = transfers_.find(id);
+  if (closed_ || found == transfers_.end()) {
     return 0;
   }
-  Transfer& transfer = transfers_.front();
+  Transfer& transfer = found->second;
   std::string part = transfer.body.substr(transfer.sent, kPartBytes);
   const std::size_t size = part.size();
   transfer.sent += size;
-  const bool last = transfer.sent == transfer.body.size();
-  wire::LinkMessage message = last ? std::move(transfer.message) : wire::LinkMessage();
-  message.__isset.chunk = true;
-  message.chunk.transfer_id = transfer.id;
-  message.chunk.last = last;
-  if (last) {
-    transfers_.pop_front();
+  if (transfer.sent < transfer.body.size()) {
+    SendChunk(id, {}, false, std::move(part));
+  } else {
+    wire::LinkMessage message = std::move(transfer.message);
+    transfers_.erase(found);
+    SendChunk(id, std::move(message), true, std::move(part));
   }
-  SendFrame(message, std::move(part));
   return size;
 }
 
+void Link::DropReply(int64_t call_id) {
+  const auto found = std::ranges::find_if(transfers_, [call_id](const auto& entry) {
+    return entry.second.message.__isset.reply && entry.second.message.reply.call_id == call_id;
+  });
+  if (found == transfers_.end()) {
+    return;
+  }
+  const int64_t transfer = found->first;
+  pacer_->Remove(transfer);
+  transfers_.erase(found);
+  // Lets the peer forget the parts that it has.
+  SendChunk(transfer, {}, true, {});
+}
+
 void Link::SendFrame(const wire::LinkMessage& message, std::string body) {
   const std::string head = wire::Encode(message);
   std::string frame;
@@ -179,6 +211,13 @@
 }
 
 bool Link::TakeChunk(const wire::LinkMessage& message, std::string& body) {
+  if (message.chunk.call_id != 0) {
+    const auto handlers = handlers_;
+    if (handlers->on_transfer) {
+      handlers->on_transfer(message.chunk.call_id);
+    }
+    return false;
+  }
   std::string& parts = parts_[message.chunk.transfer_id];
   parts += body;
   if (parts.size() > kMaxFrameBytes) {
@@ -212,6 +251,9 @@
   ErrorCode ignored;
   socket_.close(ignored);
   outbox_.clear();
+  for (const auto& [id, transfer] : transfers_) {
+    pacer_->Remove(id);
+  }
   transfers_.clear();
   // The handlers may hold this link; a read or write that still ends finds it closed.
   handlers_.reset();
--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -3,6 +3,8 @@
 #include <utility>
 #include <vector>
 
+#include "limpet/net/clock.h"
+
 namespace limpet::edge {
 
 /// One accepted link.
@@ -21,7 +23,8 @@
                     if (const auto session = self.lock()) {
                       session->server_.sessions_.erase(session.get());
                     }
-                  }});
+                  },
+                  nullptr});
   }
   void Send(const wire::LinkMessage& message, std::string body = {}) {
     link_->Send(message, std::move(body));
@@ -33,7 +36,8 @@
  private:
   class ReplySink final : public CallSink {
    public:
-    explicit ReplySink(std::weak_ptr<Link> link) : link_(std::move(link)) {}
+    /// `due` is when the response loses its full value.
+    ReplySink(std::weak_ptr<Link> link, TimePoint due) : link_(std::move(link)), due_(due) {}
     bool IsOpen() const override {
       const auto link = link_.lock();
       return link && !link->closed();
@@ -43,12 +47,13 @@
         wire::LinkMessage message;
         message.__isset.reply = true;
         message.reply = std::move(reply);
-        link->Send(message, std::move(body));
+        link->Send(message, std::move(body), due_);
       }
     }
 
    private:
     std::weak_ptr<Link> link_;
+    TimePoint due_;
   };
 
   void OnMessage(wire::LinkMessage message, std::string body) {
@@ -60,11 +65,14 @@
     }
     if (message.__isset.call) {
       const std::string key = KeyOf(message.call.call_id);
+      const TimePoint due =
+          MonotonicNow() + std::chrono::milliseconds(message.call.latency_target_ms);
       server_.inbound_.Call(key, std::move(message.call), std::move(body),
-                            std::make_shared<ReplySink>(link_));
+                            std::make_shared<ReplySink>(link_, due));
     }
     if (message.__isset.cancel) {
       server_.inbound_.Cancel(KeyOf(message.cancel.call_id));
+      link_->DropReply(message.cancel.call_id);
     }
     if (message.__isset.probe) {
       OnProbe(message.probe);
--- a/src/edge/outbound_proxy.cc
+++ b/src/edge/outbound_proxy.cc
@@ -130,6 +130,8 @@
     call.deadline_ms = left_ms(call_.options().deadline - kDeadlineMargin);
     call.accepts_late = target.wait_beyond_target;
     call.latency_target_ms = left_ms(call_.options().latency_target);
+    call.usual_run_us = static_cast<int32_t>(call_.options().usual_run_time.count());
+    call.expected_response_bytes = static_cast<int32_t>(call_.options().expected_response_bytes);
     return call;
   }
 
@@ -159,12 +161,15 @@
       return;
     }
     const auto self = shared_from_this();
-    attempt.link_call = proxy_.links_.Call(
-        node, std::move(call), body_,
-        [self, id = send.attempt](wire::LinkReply reply, std::string body) {
-          self->OnReply(id, std::move(reply), std::move(body));
-        },
-        [self, id = send.attempt](LinkFailure failure) { self->OnFailure(id, failure); });
+    PeerLinks::CallHandlers handlers;
+    handlers.on_reply = [self, id = send.attempt](wire::LinkReply reply, std::string body) {
+      self->OnReply(id, std::move(reply), std::move(body));
+    };
+    handlers.on_failure = [self, id = send.attempt](LinkFailure failure) {
+      self->OnFailure(id, failure);
+    };
+    handlers.on_transfer = [self, id = send.attempt] { self->call_.OnTransfer(id); };
+    attempt.link_call = proxy_.links_.Call(node, std::move(call), body_, std::move(handlers));
   }
 
   void OnReply(int id, wire::LinkReply reply, std::string body) {
@@ -175,6 +180,7 @@
     const TimePoint now = MonotonicNow();
     if (reply.outcome == wire::Outcome::kRan && reply.http_status < 500) {
       proxy_.latencies_.Record(now, route_, now - found->second.started);
+      proxy_.run_times_.Record(now, route_, Duration(reply.run_us));
       double& average = proxy_.response_bytes_[route_];
       average += kBytesWeight * (static_cast<double>(body.size()) - average);
     }
@@ -361,6 +367,7 @@
   options.expected_response_bytes =
       bytes == response_bytes_.end() ? 0 : static_cast<size_t>(bytes->second);
   options.usual_latency = latencies_.Of(route.name);
+  options.usual_run_time = run_times_.OfRoute(route.name);
   return options;
 }
 
--- a/src/edge/peer_links.cc
+++ b/src/edge/peer_links.cc
@@ -116,6 +116,11 @@
                       if (*alive) {
                         OnClosed(name, closed);
                       }
+                    },
+                    [this, alive = alive_, name](int64_t call_id) {
+                      if (*alive) {
+                        OnTransfer(name, call_id);
+                      }
                     }});
   wire::LinkMessage message;
   message.__isset.hello = true;
@@ -189,11 +194,20 @@
   if (found == peer.calls.end()) {
     return;
   }
-  const ReplyCallback on_reply = std::move(found->second.on_reply);
+  const auto on_reply = std::move(found->second.handlers.on_reply);
   peer.calls.erase(found);
   on_reply(std::move(reply), std::move(body));
 }
 
+void PeerLinks::OnTransfer(const std::string& name, int64_t call_id) {
+  const Peer& peer = peers_.at(name);
+  const auto found = peer.calls.find(call_id);
+  if (found != peer.calls.end()) {
+    const auto on_transfer = found->second.handlers.on_transfer;
+    on_transfer();
+  }
+}
+
 void PeerLinks::OnClosed(const std::string& name, ErrorCode error) {
   Peer& peer = peers_.at(name);
   peer.link.reset();
@@ -211,16 +225,16 @@
 }
 
 void PeerLinks::LoseCalls(Peer& peer, bool idempotent_only) {
-  std::vector<FailureCallback> lost;
+  std::vector<std::function<void(LinkFailure)>> lost;
   for (auto it = peer.calls.begin(); it != peer.calls.end();) {
     if (idempotent_only && !it->second.call.idempotent) {
       ++it;
       continue;
     }
-    lost.push_back(std::move(it->second.on_failure));
+    lost.push_back(std::move(it->second.handlers.on_failure));
     it = peer.calls.erase(it);
   }
-  for (const FailureCallback& on_failure : lost) {
+  for (const auto& on_failure : lost) {
     on_failure(LinkFailure::kLost);
   }
 }
@@ -235,18 +249,18 @@
 int64_t PeerLinks::Call(const std::string& node,
                         wire::LinkCall call,
                         std::string body,
-                        ReplyCallback on_reply,
-                        FailureCallback on_failure) {
+                        CallHandlers handlers) {
   call.call_id = next_call_id_++;
   const int64_t id = call.call_id;
   const auto found = peers_.find(node);
   if (found == peers_.end() || !found->second.ready) {
-    asio::post(executor_,
-               [on_failure = std::move(on_failure)] { on_failure(LinkFailure::kNotSent); });
+    asio::post(executor_, [on_failure = std::move(handlers.on_failure)] {
+      on_failure(LinkFailure::kNotSent);
+    });
     return id;
   }
   Peer& peer = found->second;
-  OpenCall open{std::move(call), std::move(body), std::move(on_reply), std::move(on_failure)};
+  OpenCall open{std::move(call), std::move(body), std::move(handlers)};
   SendCall(peer, open);
   peer.calls.emplace(id, std::move(open));
   return id;
--- a/src/gen/limpet_types.cpp
+++ b/src/gen/limpet_types.cpp
@@ -7309,6 +7309,10 @@
 void TargetStatus::__set_egress_us_per_kib(const int32_t val) {
   this->egress_us_per_kib = val;
 }
+
+void TargetStatus::__set_slowdown_permille(const int32_t val) {
+  this->slowdown_permille = val;
+}
 std::ostream& operator<<(std::ostream& out, const TargetStatus& obj)
 {
   obj.printTo(out);
@@ -7411,6 +7415,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slowdown_permille);
+          this->__isset.slowdown_permille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7464,6 +7476,10 @@
   xfer += oprot->writeI32(this->egress_us_per_kib);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("slowdown_permille", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->slowdown_permille);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7480,6 +7496,7 @@
   swap(a.failure_permille, b.failure_permille);
   swap(a.egress_wait_us, b.egress_wait_us);
   swap(a.egress_us_per_kib, b.egress_us_per_kib);
+  swap(a.slowdown_permille, b.slowdown_permille);
   swap(a.__isset, b.__isset);
 }
 
@@ -7493,6 +7510,7 @@
   failure_permille = other331.failure_permille;
   egress_wait_us = other331.egress_wait_us;
   egress_us_per_kib = other331.egress_us_per_kib;
+  slowdown_permille = other331.slowdown_permille;
   __isset = other331.__isset;
 }
 TargetStatus::TargetStatus(TargetStatus&& other332) noexcept {
@@ -7505,6 +7523,7 @@
   failure_permille = other332.failure_permille;
   egress_wait_us = other332.egress_wait_us;
   egress_us_per_kib = other332.egress_us_per_kib;
+  slowdown_permille = other332.slowdown_permille;
   __isset = other332.__isset;
 }
 TargetStatus& TargetStatus::operator=(const TargetStatus& other333) {
@@ -7517,6 +7536,7 @@
   failure_permille = other333.failure_permille;
   egress_wait_us = other333.egress_wait_us;
   egress_us_per_kib = other333.egress_us_per_kib;
+  slowdown_permille = other333.slowdown_permille;
   __isset = other333.__isset;
   return *this;
 }
@@ -7530,6 +7550,7 @@
   failure_permille = other334.failure_permille;
   egress_wait_us = other334.egress_wait_us;
   egress_us_per_kib = other334.egress_us_per_kib;
+  slowdown_permille = other334.slowdown_permille;
   __isset = other334.__isset;
   return *this;
 }
@@ -7545,6 +7566,7 @@
   out << ", " << "failure_permille=" << to_string(failure_permille);
   out << ", " << "egress_wait_us=" << to_string(egress_wait_us);
   out << ", " << "egress_us_per_kib=" << to_string(egress_us_per_kib);
+  out << ", " << "slowdown_permille=" << to_string(slowdown_permille);
   out << ")";
 }
 
@@ -8006,6 +8028,14 @@
 void LinkCall::__set_free_slot_only(const bool val) {
   this->free_slot_only = val;
 }
+
+void LinkCall::__set_usual_run_us(const int32_t val) {
+  this->usual_run_us = val;
+}
+
+void LinkCall::__set_expected_response_bytes(const int32_t val) {
+  this->expected_response_bytes = val;
+}
 std::ostream& operator<<(std::ostream& out, const LinkCall& obj)
 {
   obj.printTo(out);
@@ -8158,6 +8188,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->usual_run_us);
+          this->__isset.usual_run_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->expected_response_bytes);
+          this->__isset.expected_response_bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8239,6 +8285,14 @@
   xfer += oprot->writeBool(this->free_slot_only);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("usual_run_us", ::apache::thrift::protocol::T_I32, 15);
+  xfer += oprot->writeI32(this->usual_run_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expected_response_bytes", ::apache::thrift::protocol::T_I32, 16);
+  xfer += oprot->writeI32(this->expected_response_bytes);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8260,6 +8314,8 @@
   swap(a.route, b.route);
   swap(a.accepts_late, b.accepts_late);
   swap(a.free_slot_only, b.free_slot_only);
+  swap(a.usual_run_us, b.usual_run_us);
+  swap(a.expected_response_bytes, b.expected_response_bytes);
   swap(a.__isset, b.__isset);
 }
 
@@ -8278,6 +8334,8 @@
   route = other355.route;
   accepts_late = other355.accepts_late;
   free_slot_only = other355.free_slot_only;
+  usual_run_us = other355.usual_run_us;
+  expected_response_bytes = other355.expected_response_bytes;
   __isset = other355.__isset;
 }
 LinkCall::LinkCall(LinkCall&& other356) noexcept {
@@ -8295,6 +8353,8 @@
   route = std::move(other356.route);
   accepts_late = other356.accepts_late;
   free_slot_only = other356.free_slot_only;
+  usual_run_us = other356.usual_run_us;
+  expected_response_bytes = other356.expected_response_bytes;
   __isset = other356.__isset;
 }
 LinkCall& LinkCall::operator=(const LinkCall& other357) {
@@ -8312,6 +8372,8 @@
   route = other357.route;
   accepts_late = other357.accepts_late;
   free_slot_only = other357.free_slot_only;
+  usual_run_us = other357.usual_run_us;
+  expected_response_bytes = other357.expected_response_bytes;
   __isset = other357.__isset;
   return *this;
 }
@@ -8330,6 +8392,8 @@
   route = std::move(other358.route);
   accepts_late = other358.accepts_late;
   free_slot_only = other358.free_slot_only;
+  usual_run_us = other358.usual_run_us;
+  expected_response_bytes = other358.expected_response_bytes;
   __isset = other358.__isset;
   return *this;
 }
@@ -8350,6 +8414,8 @@
   out << ", " << "route=" << to_string(route);
   out << ", " << "accepts_late=" << to_string(accepts_late);
   out << ", " << "free_slot_only=" << to_string(free_slot_only);
+  out << ", " << "usual_run_us=" << to_string(usual_run_us);
+  out << ", " << "expected_response_bytes=" << to_string(expected_response_bytes);
   out << ")";
 }
 
@@ -8389,6 +8455,10 @@
 void LinkReply::__set_target(const TargetStatus& val) {
   this->target = val;
 }
+
+void LinkReply::__set_run_us(const int32_t val) {
+  this->run_us = val;
+}
 std::ostream& operator<<(std::ostream& out, const LinkReply& obj)
 {
   obj.printTo(out);
@@ -8497,6 +8567,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->run_us);
+          this->__isset.run_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8554,6 +8632,10 @@
   xfer += this->target.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("run_us", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->run_us);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8569,6 +8651,7 @@
   swap(a.headers, b.headers);
   swap(a.retry_after_ms, b.retry_after_ms);
   swap(a.target, b.target);
+  swap(a.run_us, b.run_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -8581,6 +8664,7 @@
   headers = other367.headers;
   retry_after_ms = other367.retry_after_ms;
   target = other367.target;
+  run_us = other367.run_us;
   __isset = other367.__isset;
 }
 LinkReply::LinkReply(LinkReply&& other368) noexcept {
@@ -8592,6 +8676,7 @@
   headers = std::move(other368.headers);
   retry_after_ms = other368.retry_after_ms;
   target = std::move(other368.target);
+  run_us = other368.run_us;
   __isset = other368.__isset;
 }
 LinkReply& LinkReply::operator=(const LinkReply& other369) {
@@ -8603,6 +8688,7 @@
   headers = other369.headers;
   retry_after_ms = other369.retry_after_ms;
   target = other369.target;
+  run_us = other369.run_us;
   __isset = other369.__isset;
   return *this;
 }
@@ -8615,6 +8701,7 @@
   headers = std::move(other370.headers);
   retry_after_ms = other370.retry_after_ms;
   target = std::move(other370.target);
+  run_us = other370.run_us;
   __isset = other370.__isset;
   return *this;
 }
@@ -8629,6 +8716,7 @@
   out << ", " << "headers=" << to_string(headers);
   out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
   out << ", " << "target=" << to_string(target);
+  out << ", " << "run_us=" << to_string(run_us);
   out << ")";
 }
 
@@ -9977,6 +10065,10 @@
 void LinkChunk::__set_last(const bool val) {
   this->last = val;
 }
+
+void LinkChunk::__set_call_id(const int64_t val) {
+  this->call_id = val;
+}
 std::ostream& operator<<(std::ostream& out, const LinkChunk& obj)
 {
   obj.printTo(out);
@@ -10021,6 +10113,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call_id);
+          this->__isset.call_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10046,6 +10146,10 @@
   xfer += oprot->writeBool(this->last);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("call_id", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->call_id);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10055,28 +10159,33 @@
   using ::std::swap;
   swap(a.transfer_id, b.transfer_id);
   swap(a.last, b.last);
+  swap(a.call_id, b.call_id);
   swap(a.__isset, b.__isset);
 }
 
 LinkChunk::LinkChunk(const LinkChunk& other435) noexcept {
   transfer_id = other435.transfer_id;
   last = other435.last;
+  call_id = other435.call_id;
   __isset = other435.__isset;
 }
 LinkChunk::LinkChunk(LinkChunk&& other436) noexcept {
   transfer_id = other436.transfer_id;
   last = other436.last;
+  call_id = other436.call_id;
   __isset = other436.__isset;
 }
 LinkChunk& LinkChunk::operator=(const LinkChunk& other437) noexcept {
   transfer_id = other437.transfer_id;
   last = other437.last;
+  call_id = other437.call_id;
   __isset = other437.__isset;
   return *this;
 }
 LinkChunk& LinkChunk::operator=(LinkChunk&& other438) noexcept {
   transfer_id = other438.transfer_id;
   last = other438.last;
+  call_id = other438.call_id;
   __isset = other438.__isset;
   return *this;
 }
@@ -10085,6 +10194,7 @@
   out << "LinkChunk(";
   out << "transfer_id=" << to_string(transfer_id);
   out << ", " << "last=" << to_string(last);
+  out << ", " << "call_id=" << to_string(call_id);
   out << ")";
 }
 
--- a/src/gen/limpet_types.h
+++ b/src/gen/limpet_types.h
@@ -2745,7 +2745,7 @@
 std::ostream& operator<<(std::ostream& out, const CallReply& obj);
 
 typedef struct _TargetStatus__isset {
-  _TargetStatus__isset() : instance(false), service_name(false), state(false), slots(false), cold_ms(false), load(false), failure_permille(false), egress_wait_us(false), egress_us_per_kib(false) {}
+  _TargetStatus__isset() : instance(false), service_name(false), state(false), slots(false), cold_ms(false), load(false), failure_permille(false), egress_wait_us(false), egress_us_per_kib(false), slowdown_permille(false) {}
   bool instance :1;
   bool service_name :1;
   bool state :1;
@@ -2755,6 +2755,7 @@
   bool failure_permille :1;
   bool egress_wait_us :1;
   bool egress_us_per_kib :1;
+  bool slowdown_permille :1;
 } _TargetStatus__isset;
 
 class TargetStatus : public virtual ::apache::thrift::TBase {
@@ -2772,7 +2773,8 @@
                  cold_ms(0),
                  failure_permille(0),
                  egress_wait_us(0),
-                 egress_us_per_kib(0) {
+                 egress_us_per_kib(0),
+                 slowdown_permille(0) {
   }
 
   virtual ~TargetStatus() noexcept;
@@ -2789,6 +2791,7 @@
   int32_t failure_permille;
   int32_t egress_wait_us;
   int32_t egress_us_per_kib;
+  int32_t slowdown_permille;
 
   _TargetStatus__isset __isset;
 
@@ -2810,6 +2813,8 @@
 
   void __set_egress_us_per_kib(const int32_t val);
 
+  void __set_slowdown_permille(const int32_t val);
+
   bool operator == (const TargetStatus & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -2830,6 +2835,8 @@
       return false;
     if (!(egress_us_per_kib == rhs.egress_us_per_kib))
       return false;
+    if (!(slowdown_permille == rhs.slowdown_permille))
+      return false;
     return true;
   }
   bool operator != (const TargetStatus &rhs) const {
@@ -2992,7 +2999,7 @@
 std::ostream& operator<<(std::ostream& out, const LinkHello& obj);
 
 typedef struct _LinkCall__isset {
-  _LinkCall__isset() : call_id(false), request_id(false), service_name(false), instance(false), method(false), path(false), headers(false), idempotent(false), priority(false), deadline_ms(false), latency_target_ms(false), route(false), accepts_late(false), free_slot_only(false) {}
+  _LinkCall__isset() : call_id(false), request_id(false), service_name(false), instance(false), method(false), path(false), headers(false), idempotent(false), priority(false), deadline_ms(false), latency_target_ms(false), route(false), accepts_late(false), free_slot_only(false), usual_run_us(false), expected_response_bytes(false) {}
   bool call_id :1;
   bool request_id :1;
   bool service_name :1;
@@ -3007,6 +3014,8 @@
   bool route :1;
   bool accepts_late :1;
   bool free_slot_only :1;
+  bool usual_run_us :1;
+  bool expected_response_bytes :1;
 } _LinkCall__isset;
 
 class LinkCall : public virtual ::apache::thrift::TBase {
@@ -3029,7 +3038,9 @@
              latency_target_ms(0),
              route(),
              accepts_late(0),
-             free_slot_only(0) {
+             free_slot_only(0),
+             usual_run_us(0),
+             expected_response_bytes(0) {
   }
 
   virtual ~LinkCall() noexcept;
@@ -3047,6 +3058,8 @@
   std::string route;
   bool accepts_late;
   bool free_slot_only;
+  int32_t usual_run_us;
+  int32_t expected_response_bytes;
 
   _LinkCall__isset __isset;
 
@@ -3078,6 +3091,10 @@
 
   void __set_free_slot_only(const bool val);
 
+  void __set_usual_run_us(const int32_t val);
+
+  void __set_expected_response_bytes(const int32_t val);
+
   bool operator == (const LinkCall & rhs) const
   {
     if (!(call_id == rhs.call_id))
@@ -3108,6 +3125,10 @@
       return false;
     if (!(free_slot_only == rhs.free_slot_only))
       return false;
+    if (!(usual_run_us == rhs.usual_run_us))
+      return false;
+    if (!(expected_response_bytes == rhs.expected_response_bytes))
+      return false;
     return true;
   }
   bool operator != (const LinkCall &rhs) const {
@@ -3127,7 +3148,7 @@
 std::ostream& operator<<(std::ostream& out, const LinkCall& obj);
 
 typedef struct _LinkReply__isset {
-  _LinkReply__isset() : call_id(false), outcome(false), reason(false), reached_target(false), http_status(false), headers(false), retry_after_ms(false), target(false) {}
+  _LinkReply__isset() : call_id(false), outcome(false), reason(false), reached_target(false), http_status(false), headers(false), retry_after_ms(false), target(false), run_us(false) {}
   bool call_id :1;
   bool outcome :1;
   bool reason :1;
@@ -3136,6 +3157,7 @@
   bool headers :1;
   bool retry_after_ms :1;
   bool target :1;
+  bool run_us :1;
 } _LinkReply__isset;
 
 class LinkReply : public virtual ::apache::thrift::TBase {
@@ -3151,7 +3173,8 @@
               reason(static_cast<RefusalReason::type>(0)),
               reached_target(0),
               http_status(0),
-              retry_after_ms(0) {
+              retry_after_ms(0),
+              run_us(0) {
   }
 
   virtual ~LinkReply() noexcept;
@@ -3171,6 +3194,7 @@
   std::vector<Header>  headers;
   int32_t retry_after_ms;
   TargetStatus target;
+  int32_t run_us;
 
   _LinkReply__isset __isset;
 
@@ -3190,6 +3214,8 @@
 
   void __set_target(const TargetStatus& val);
 
+  void __set_run_us(const int32_t val);
+
   bool operator == (const LinkReply & rhs) const
   {
     if (!(call_id == rhs.call_id))
@@ -3208,6 +3234,8 @@
       return false;
     if (!(target == rhs.target))
       return false;
+    if (!(run_us == rhs.run_us))
+      return false;
     return true;
   }
   bool operator != (const LinkReply &rhs) const {
@@ -3696,9 +3724,10 @@
 std::ostream& operator<<(std::ostream& out, const LinkProbe& obj);
 
 typedef struct _LinkChunk__isset {
-  _LinkChunk__isset() : transfer_id(false), last(false) {}
+  _LinkChunk__isset() : transfer_id(false), last(false), call_id(false) {}
   bool transfer_id :1;
   bool last :1;
+  bool call_id :1;
 } _LinkChunk__isset;
 
 class LinkChunk : public virtual ::apache::thrift::TBase {
@@ -3710,12 +3739,14 @@
   LinkChunk& operator=(LinkChunk&&) noexcept;
   LinkChunk() noexcept
             : transfer_id(0),
-              last(0) {
+              last(0),
+              call_id(0) {
   }
 
   virtual ~LinkChunk() noexcept;
   int64_t transfer_id;
   bool last;
+  int64_t call_id;
 
   _LinkChunk__isset __isset;
 
@@ -3723,12 +3754,16 @@
 
   void __set_last(const bool val);
 
+  void __set_call_id(const int64_t val);
+
   bool operator == (const LinkChunk & rhs) const
   {
     if (!(transfer_id == rhs.transfer_id))
       return false;
     if (!(last == rhs.last))
       return false;
+    if (!(call_id == rhs.call_id))
+      return false;
     return true;
   }
   bool operator != (const LinkChunk &rhs) const {
--- /dev/null
+++ b/src/traffic/egress_schedule.cc
@@ -0,0 +1,73 @@
+#include "limpet/traffic/egress_schedule.h"
+
+#include <algorithm>
+
+namespace limpet {
+
+namespace {
+
+/// The rest is for headers of the network's protocols and for acknowledgements.
+constexpr double kUsableShare = 0.93;
+constexpr double kBitsPerByte = 8;
+/// Timers fire late by up to a few milliseconds; what they miss is sent in one go.
+constexpr Duration kBurst = std::chrono::milliseconds(10);
+constexpr double kMinLinkMbps = 0.1;
+
+}  // namespace
+
+EgressSchedule::EgressSchedule(double link_mbps)
+    : bytes_per_us_(std::max(kMinLinkMbps, link_mbps) * kUsableShare / kBitsPerByte) {}
+
+int64_t EgressSchedule::Add(std::size_t bytes, TimePoint due) {
+  const int64_t transfer = ++last_transfer_;
+  transfers_.emplace(Position{due, transfer}, bytes);
+  due_.emplace(transfer, due);
+  waiting_bytes_ += bytes;
+  return transfer;
+}
+
+void EgressSchedule::Remove(int64_t transfer) {
+  const auto due = due_.find(transfer);
+  if (due == due_.end()) {
+    return;
+  }
+  const auto found = transfers_.find({due->second, transfer});
+  waiting_bytes_ -= found->second;
+  transfers_.erase(found);
+  due_.erase(due);
+}
+
+std::optional<int64_t> EgressSchedule::Next(TimePoint now) {
+  free_at_ = std::max(free_at_, now - kBurst);
+  if (transfers_.empty() || free_at_ > now) {
+    return std::nullopt;
+  }
+  const auto on_time = transfers_.lower_bound({now, 0});
+  return (on_time == transfers_.end() ? transfers_.begin() : on_time)->first.second;
+}
+
+bool EgressSchedule::OnPartSent(TimePoint now, int64_t transfer, std::size_t bytes) {
+  OnSent(now, bytes);
+  const auto due = due_.find(transfer);
+  if (due == due_.end()) {
+    return false;
+  }
+  std::size_t& left = transfers_.at({due->second, transfer});
+  if (bytes >= left) {
+    Remove(transfer);
+    return false;
+  }
+  left -= bytes;
+  waiting_bytes_ -= bytes;
+  return true;
+}
+
+void EgressSchedule::OnSent(TimePoint now, std::size_t bytes) {
+  free_at_ = std::max(free_at_, now - kBurst) + TimeOf(bytes);
+}
+
+Duration EgressSchedule::TimeOf(std::size_t bytes) const {
+  return Duration(static_cast<int64_t>(static_cast<double>(bytes) / bytes_per_us_));
+}
+
+}  // namespace limpet
--- a/src/traffic/mesh_call.cc
+++ b/src/traffic/mesh_call.cc
@@ -44,8 +44,11 @@
 }
 
 std::optional<PlacedTarget> MeshCall::Choose(TimePoint now, bool free_slot_only) const {
-  const PlacementRequest request{options_.service, options_.expected_response_bytes,
-                                 std::max(Duration(0), options_.latency_target - now)};
+  PlacementRequest request{options_.service, options_.expected_response_bytes,
+                           std::max(Duration(0), options_.latency_target - now)};
+  if (options_.usual_run_time > Duration(0)) {
+    request.usual_run_time = options_.usual_run_time;
+  }
   if (!free_slot_only) {
     return placement_.Choose(now, request, excluded_);
   }
@@ -70,7 +73,7 @@
     return GiveUp(refusals_ > 0 ? Reason::kOverloaded : Reason::kNoEndpoint);
   }
   ++tries_;
-  open_.push_back({++last_attempt_, target->node, free_slot_only});
+  open_.push_back({++last_attempt_, target->node, free_slot_only, false});
   placement_.OnSend(target->node);
   CallStep step;
   step.send = CallSend{last_attempt_, *target, hedge, free_slot_only};
@@ -201,8 +204,16 @@
   return OnFailedRun(now, Reason::kConnectionLost, false);
 }
 
+void MeshCall::OnTransfer(int attempt) {
+  const auto found = std::ranges::find(open_, attempt, &OpenAttempt::attempt);
+  if (found != open_.end()) {
+    found->transferring = true;
+  }
+}
+
 CallStep MeshCall::OnSlow(TimePoint now) {
-  if (!options_.idempotent || open_.size() != 1) {
+  // A second copy of a response that is on its way would only take more of the network.
+  if (!options_.idempotent || open_.size() != 1 || open_.front().transferring) {
     return {};
   }
   std::vector<std::string> passed = excluded_;
--- a/src/traffic/service_times.cc
+++ b/src/traffic/service_times.cc
@@ -4,20 +4,17 @@
 
 namespace {
 
-/// Weight of a new sample: the average follows a target that becomes slow within about ten
-/// requests, and one long request moves it by a tenth.
-constexpr double kSampleWeight = 0.1;
 /// Without a sample for this long a slow target may have recovered, so it is tried again.
 constexpr Duration kFreshFor = std::chrono::seconds(2);
 /// Routes come and go with the configuration; a mesh has a few hundred at a time.
 constexpr size_t kMaxRoutes = 4096;
 
-void Move(double& average, double sample) {
-  average = average == 0 ? sample : average + kSampleWeight * (sample - average);
-}
-
 }  // namespace
 
+void ServiceTimes::Move(double& average, double sample) const {
+  average = average == 0 ? sample : average + sample_weight_ * (sample - average);
+}
+
 void ServiceTimes::Record(TimePoint now, const std::string& route, Duration service_time) {
   if (by_route_us_.size() >= kMaxRoutes) {
     by_route_us_.clear();
@@ -29,8 +26,13 @@
 }
 
 Duration ServiceTimes::Of(const std::string& route) const {
+  const Duration time = OfRoute(route);
+  return time > Duration(0) ? time : average();
+}
+
+Duration ServiceTimes::OfRoute(const std::string& route) const {
   const auto found = by_route_us_.find(route);
-  return found == by_route_us_.end() ? average() : Duration(static_cast<int64_t>(found->second));
+  return found == by_route_us_.end() ? Duration(0) : Duration(static_cast<int64_t>(found->second));
 }
 
 bool ServiceTimes::IsFresh(TimePoint now) const {
@@ -38,7 +40,7 @@
 }
 
 void ServiceTimes::Clear() {
-  *this = ServiceTimes();
+  *this = ServiceTimes(sample_weight_);
 }
 
 }  // namespace limpet
--- a/src/traffic/target_gate.cc
+++ b/src/traffic/target_gate.cc
@@ -13,6 +13,12 @@
 constexpr double kFailureWeight = 0.07;
 /// Requests vary around their average; with this margin most that are admitted end in time.
 constexpr double kServiceMargin = 1.25;
+/// Weight of one run in the slowdown: it follows a target that becomes slow within about ten
+/// requests.
+constexpr double kSlowdownWeight = 0.1;
+/// One run far from the usual time must not decide for seconds where requests go.
+constexpr double kMinSlowdown = 0.1;
+constexpr double kMaxSlowdown = 20.0;
 /// Over this time the use of slots by priority is averaged.
 constexpr Duration kUseWindow = std::chrono::seconds(2);
 /// More urgent requests never count for more than this, or the prediction would run away.
@@ -34,6 +40,7 @@
   cold_until_ = now + target->cold_remaining;
   if (!same) {
     service_times_.Clear();
+    slowdown_ = 0;
     failure_share_ = 0;
     failures_in_row_ = 0;
     return RefuseAll(Reason::kTargetUnavailable);
@@ -102,6 +109,13 @@
   return Scale(wait, 1 / (1 - UrgentShare(position.priority)));
 }
 
+Duration TargetGate::PredictLateness(TimePoint now, const GateCall& call, Duration wait) const {
+  const TimePoint limit = call.accepts_late ? call.deadline : call.latency_target;
+  const Duration answered = wait + Scale(service_times_.Of(call.route), kServiceMargin);
+  // The link sends what is ahead while the target works on the request.
+  return now + std::max(answered, call.link_wait) + call.link_time - limit;
+}
+
 void TargetGate::NoteUse(TimePoint now, int priority, Duration service_time) {
   Use& use = use_by_priority_[priority];
   const double windows =
@@ -110,6 +124,16 @@
   use.updated = now;
 }
 
+void TargetGate::NoteSlowdown(Duration run_time, Duration usual) {
+  if (usual <= Duration(0)) {
+    return;
+  }
+  const double ratio =
+      std::clamp(static_cast<double>(run_time.count()) / static_cast<double>(usual.count()),
+                 kMinSlowdown, kMaxSlowdown);
+  slowdown_ = slowdown_ == 0 ? ratio : slowdown_ + kSlowdownWeight * (ratio - slowdown_);
+}
+
 double TargetGate::UrgentShare(int priority) const {
   double urgent_us = 0;
   for (const auto& [other, use] : use_by_priority_) {
@@ -135,14 +159,14 @@
   }
   const QueueKey position{call.priority, call.latency_target, next_sequence_++};
   const Duration wait = PredictWait(position);
-  if (wait == Duration(0) && queue_.empty()) {
+  const Duration lateness = PredictLateness(now, call, wait);
+  const bool link_too_busy = call.link_time > Duration(0) && lateness > Duration(0);
+  if (wait == Duration(0) && queue_.empty() && !link_too_busy) {
     Start(now, call);
     return {.verdict = GateVerdict::kStart};
   }
-  const TimePoint limit = call.accepts_late ? call.deadline : call.latency_target;
-  const bool too_late = now + wait + Scale(service_times_.Of(call.route), kServiceMargin) > limit;
-  if (call.free_slot_only || too_late || queue_.size() >= options_.queue_capacity) {
-    return {.reason = Reason::kOverloaded, .retry_after = wait};
+  if (call.free_slot_only || lateness > Duration(0) || queue_.size() >= options_.queue_capacity) {
+    return {.reason = Reason::kOverloaded, .retry_after = std::max(wait, lateness)};
   }
   queue_.emplace(position, call);
   queued_keys_.emplace(call.key, position);
@@ -150,7 +174,7 @@
 }
 
 void TargetGate::Start(TimePoint now, const GateCall& call) {
-  running_.emplace(call.key, Running{call.route, call.priority, now});
+  running_.emplace(call.key, Running{call.route, call.priority, now, call.usual_run_time});
   if (!call.idempotent) {
     ledger_.Record(call.deadline + options_.ledger_margin, call.request_id, LedgerState::kTaken);
   }
@@ -162,8 +186,10 @@
   }
   const bool answered = result == TargetResult::kAnswered || result == TargetResult::kFailed;
   if (answered || result == TargetResult::kTimedOut) {
-    service_times_.Record(now, running.route, now - running.started);
-    NoteUse(now, running.priority, now - running.started);
+    const Duration run_time = now - running.started;
+    service_times_.Record(now, running.route, run_time);
+    NoteUse(now, running.priority, run_time);
+    NoteSlowdown(run_time, running.usual_run_time);
   }
   const bool good = result == TargetResult::kAnswered;
   failure_share_ += kFailureWeight * ((good ? 0.0 : 1.0) - failure_share_);
@@ -244,6 +270,7 @@
   status.load.queued = static_cast<int32_t>(queue_.size());
   if (service_times_.IsFresh(now)) {
     status.load.service_time_us = static_cast<int32_t>(service_times_.average().count());
+    status.slowdown_permille = static_cast<int32_t>(slowdown_ * 1000);
   }
   status.failure_permille = static_cast<int32_t>(failure_share_ * 1000);
   return status;
--- a/src/traffic/target_placement.cc
+++ b/src/traffic/target_placement.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "limpet/traffic/service_times.h"
+#include "limpet/traffic/egress_schedule.h"
 
 namespace limpet {
 
@@ -17,8 +17,6 @@
 constexpr double kScoreNoise = 0.1;
 /// Part of a service time that a full target costs more than an empty one.
 constexpr double kOccupancyCost = 0.25;
-/// Responses of this size wait for the network link of a VM; smaller ones pass between their parts.
-constexpr size_t kPacedBytes = 8192;
 /// A silent node is used only if all others are far busier.
 constexpr double kSilenceFactor = 20.0;
 
@@ -51,42 +49,30 @@
          entry.status.service_name == service && entry.status.slots > 0;
 }
 
-Duration TargetPlacement::AverageServiceTime(const std::string& service) const {
-  int64_t sum = 0;
-  int64_t count = 0;
-  for (const auto& [node, entry] : entries_) {
-    if (IsUsable(entry, service) && entry.status.load.service_time_us > 0) {
-      sum += entry.status.load.service_time_us;
-      ++count;
-    }
-  }
-  return count == 0 ? kAssumedServiceTime : Duration(sum / count);
-}
-
-Duration TargetPlacement::ServiceTime(const Entry& entry, Duration average) const {
-  const int measured = entry.status.load.service_time_us;
-  return measured > 0 ? Duration(measured) : average;
-}
-
 double TargetPlacement::ExpectedTime(TimePoint now,
                                      const Entry& entry,
-                                     Duration average,
-                                     size_t bytes) const {
+                                     const PlacementRequest& request) const {
   const wire::LoadReport& load = entry.status.load;
   // A report holds this node's open calls as well as those of others.
   const int total = std::max(load.in_flight + load.queued, entry.open_calls);
-  auto service_time = static_cast<double>(ServiceTime(entry, average).count());
+  double slowdown =
+      entry.status.slowdown_permille > 0 ? entry.status.slowdown_permille / 1000.0 : 1;
   if (now < entry.cold_until) {
-    service_time = std::max(service_time, kColdFactor * static_cast<double>(average.count()));
+    slowdown = std::max(slowdown, kColdFactor);
   }
+  const auto usual = static_cast<double>(request.usual_run_time.count());
+  const double run_time = usual * slowdown;
+  // What waits ahead is of all routes, so the target's average over them counts for the wait.
+  const double ahead_time = load.service_time_us > 0 ? load.service_time_us : run_time;
   const double excess = std::max(0, total + 1 - entry.status.slots);
-  double expected = service_time * (1 + excess / entry.status.slots);
+  double expected = run_time + ahead_time * excess / entry.status.slots;
   // Among targets with free slots the emptier one absorbs what others send at the same time.
   expected *= 1 + kOccupancyCost * std::min(1.0, static_cast<double>(total) / entry.status.slots);
-  expected += service_time * kFailureCost * entry.status.failure_permille / 1000.0;
-  if (bytes >= kPacedBytes) {
-    expected += entry.status.egress_wait_us + static_cast<double>(entry.status.egress_us_per_kib) *
-                                                  static_cast<double>(bytes) / 1024;
+  expected += run_time * kFailureCost * entry.status.failure_permille / 1000.0;
+  if (request.expected_response_bytes >= kLargeResponseBytes) {
+    expected += entry.status.egress_wait_us +
+                static_cast<double>(entry.status.egress_us_per_kib) *
+                    static_cast<double>(request.expected_response_bytes) / 1024;
   }
   return now < entry.silent_until ? expected * kSilenceFactor : expected;
 }
@@ -99,14 +85,13 @@
 
 TargetPlacement::Option TargetPlacement::Best(TimePoint now,
                                               std::vector<Option>& candidates,
-                                              Duration average,
-                                              size_t bytes) {
+                                              const PlacementRequest& request) {
   Option best;
   for (std::size_t i = 0; i < candidates.size() && i < options_.compared_targets; ++i) {
     std::swap(candidates[i], candidates[i + random_.Below(candidates.size() - i)]);
     Option& option = candidates[i];
     const double noise = 1 + kScoreNoise * random_.Fraction();
-    option.time = ExpectedTime(now, *option.entry, average, bytes) * noise;
+    option.time = ExpectedTime(now, *option.entry, request) * noise;
     if (best.node == nullptr || option.time < best.time) {
       best = option;
     }
@@ -117,7 +102,6 @@
 std::optional<PlacedTarget> TargetPlacement::Choose(TimePoint now,
                                                     const PlacementRequest& request,
                                                     const std::vector<std::string>& excluded) {
-  const Duration average = AverageServiceTime(request.service);
   std::vector<Option> local_options;
   std::vector<Option> remote_options;
   for (const auto& [node, entry] : entries_) {
@@ -126,8 +110,8 @@
       options.push_back({&node, &entry, 0});
     }
   }
-  const Option local = Best(now, local_options, average, request.expected_response_bytes);
-  const Option remote = Best(now, remote_options, average, request.expected_response_bytes);
+  const Option local = Best(now, local_options, request);
+  const Option remote = Best(now, remote_options, request);
   const double size_share = std::min(1.0, static_cast<double>(request.expected_response_bytes) /
                                               static_cast<double>(options_.local_share_bytes));
   const double limit =
--- a/tests/edge/link_test.cc
+++ b/tests/edge/link_test.cc
@@ -29,6 +29,7 @@
   LinkPtr receiver;
   std::unique_ptr<Listener> listener;
   std::vector<std::pair<int64_t, std::string>> received;
+  std::vector<int64_t> announced;
   std::promise<void> accepted;
   int connections = 0;
 
@@ -38,9 +39,12 @@
           loop.executor(), PeerAddress{"127.0.0.1", port}, [this](TcpSocket socket) {
             receiver = std::make_shared<Link>(std::move(socket));
             receiver->Start({[this](wire::LinkMessage message, std::string body) {
-                               received.emplace_back(message.reply.call_id, std::move(body));
+                               if (message.__isset.reply) {
+                                 received.emplace_back(message.reply.call_id, std::move(body));
+                               }
                              },
-                             [this](ErrorCode) { receiver = nullptr; }});
+                             [this](ErrorCode) { receiver = nullptr; },
+                             [this](int64_t call_id) { announced.push_back(call_id); }});
             if (++connections == 1) {
               accepted.set_value();
             }
@@ -49,7 +53,7 @@
       socket.connect({asio::ip::make_address("127.0.0.1"), static_cast<uint16_t>(port)});
       sender = std::make_shared<Link>(std::move(socket),
                                       std::make_shared<EgressPacer>(loop.executor(), link_mbps));
-      sender->Start({[](wire::LinkMessage, std::string) {}, [](ErrorCode) {}});
+      sender->Start({[](wire::LinkMessage, std::string) {}, [](ErrorCode) {}, nullptr});
     });
     accepted.get_future().get();
   }
@@ -88,6 +92,28 @@
   CHECK(std::chrono::steady_clock::now() - start > std::chrono::milliseconds(150));
 }
 
+TEST_CASE_FIXTURE(Fixture, "the peer learns at once that a large response is on its way") {
+  Send(7, std::string(200'000, 'x'));
+  for (int i = 0; i < 500 && loop.Run([&] { return announced.empty(); }); ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  }
+  loop.Run([&] {
+    CHECK(received.empty());
+    CHECK(announced == std::vector<int64_t>{7});
+  });
+}
+
+// Guards against sending the rest of a response that nobody waits for.
+TEST_CASE_FIXTURE(Fixture, "a dropped response leaves the link to the others") {
+  const auto start = std::chrono::steady_clock::now();
+  Send(1, std::string(2'000'000, 'x'));
+  Send(2, std::string(20'000, 'y'));
+  loop.Run([&] { sender->DropReply(1); });
+  REQUIRE(Await(1));
+  CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(1));
+  loop.Run([&] { CHECK(received.back().second.size() == 20'000); });
+}
+
 TEST_CASE_FIXTURE(Fixture, "a malformed frame closes the link") {
   RawClient client(port);
   client.Send(std::string("\x00\x00\x00\x04\x00\x00\x00\x04zzzz", 12));
--- a/tests/traffic/mesh_call_test.cc
+++ b/tests/traffic/mesh_call_test.cc
@@ -204,6 +204,16 @@
   }
 }
 
+// Guards against twice the load on network links that are the bottleneck.
+TEST_CASE_FIXTURE(Fixture, "a response that is on its way is not asked for elsewhere") {
+  MeshCall call = Make(true);
+  const CallStep first = call.Start(kStart);
+  REQUIRE(first.slow_after);
+  call.OnTransfer(first.send->attempt);
+  CHECK_FALSE(call.OnSlow(kStart + *first.slow_after).send);
+  CHECK(call.OnReply(kStart, 1, Ran(200)).finish->end == CallEnd::kForward);
+}
+
 TEST_CASE_FIXTURE(Fixture, "no hedge goes out without a second target") {
   for (const char* node : {"n2", "n3", "n4"}) {
     placement.SetReachable(node, false);
--- a/tests/traffic/target_gate_test.cc
+++ b/tests/traffic/target_gate_test.cc
@@ -70,6 +70,25 @@
   CHECK(events[0].key == "urgent");
 }
 
+// Guards against a report of speed that depends on which routes a target happens to serve.
+TEST_CASE_FIXTURE(Fixture, "the reported slowdown is relative to what each route usually takes") {
+  const auto run = [this](const std::string& key, Duration usual, Duration took) {
+    GateCall call = Call(key);
+    call.usual_run_time = usual;
+    gate.Arrive(kStart - took, call);
+    gate.Finish(kStart, key, TargetResult::kAnswered);
+  };
+  CHECK(gate.Status(kStart).slowdown_permille == 0);
+  for (int i = 0; i < 40; ++i) {
+    run("short" + std::to_string(i), milliseconds(20), milliseconds(40));
+    run("long" + std::to_string(i), milliseconds(200), milliseconds(400));
+    // Says nothing about the speed.
+    run("unknown" + std::to_string(i), Duration(0), milliseconds(90));
+  }
+  CHECK(gate.Status(kStart).slowdown_permille == 2000);
+  CHECK(gate.Status(kStart + seconds(5)).slowdown_permille == 0);
+}
+
 TEST_CASE_FIXTURE(Fixture, "overload is refused on arrival with the time when room is expected") {
   Learn(milliseconds(150));
   int queued = 0;
@@ -87,6 +106,27 @@
   CHECK(decision.retry_after > milliseconds(200));
 }
 
+// Pattern: admission by the bottleneck, here the VM's network link. Without it, large responses
+// were admitted into free slots and waited over a second for the link.
+TEST_CASE_FIXTURE(Fixture, "a large response is refused when the link cannot send it in time") {
+  Learn(milliseconds(100));
+  GateCall call = Call("large");
+  call.link_time = milliseconds(60);
+  call.link_wait = milliseconds(500);
+  const GateDecision refused = gate.Arrive(kStart, call);
+  CHECK(refused.verdict == GateVerdict::kRefuse);
+  CHECK(refused.reason == Reason::kOverloaded);
+  CHECK(refused.retry_after >= milliseconds(160));
+  // The link sends what is ahead while the target works.
+  call.link_wait = milliseconds(100);
+  CHECK(gate.Arrive(kStart, call).verdict == GateVerdict::kStart);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a small response does not wait for the link") {
+  Learn(milliseconds(100));
+  CHECK(gate.Arrive(kStart, Call("small")).verdict == GateVerdict::kStart);
+}
+
 // Pattern: load shedding by rank. Without this, plain requests were admitted into a queue in which
 // urgent ones kept passing them, and ended late.
 TEST_CASE_FIXTURE(Fixture, "plain requests are shed earlier while urgent ones take most slots") {
--- a/tests/traffic/target_placement_test.cc
+++ b/tests/traffic/target_placement_test.cc
@@ -29,6 +29,8 @@
     status.cold_ms = cold_ms;
     status.load.in_flight = in_flight;
     status.load.service_time_us = service_time_ms * 1000;
+    // Relative to the usual 100 ms of the request below.
+    status.slowdown_permille = service_time_ms * 10;
     status.failure_permille = failure_permille;
     placement.Update(kStart, node, data_centre, status);
     placement.SetReachable(node, true);
@@ -58,6 +60,25 @@
   CHECK(sent["slow"] > 0);
 }
 
+// Pattern: join the shortest queue with a mix of short and long requests. Guards against short
+// requests making the targets that they happen to run on look fast, which draws all others there.
+TEST_CASE_FIXTURE(Fixture, "a target that runs short requests counts as no faster than its twin") {
+  for (const char* node : {"short", "long"}) {
+    wire::TargetStatus status;
+    status.instance = node;
+    status.service_name = "desk";
+    status.state = wire::TargetState::kUp;
+    status.slots = 10;
+    status.load.service_time_us = node == std::string("short") ? 26'000 : 160'000;
+    status.slowdown_permille = 1000;
+    placement.Update(kStart, node, "a", status);
+    placement.SetReachable(node, true);
+  }
+  auto sent = Send(16);
+  CHECK(sent["short"] >= 6);
+  CHECK(sent["long"] >= 6);
+}
+
 // Pattern: outlier avoidance by failure share, whatever the health endpoint says.
 TEST_CASE_FIXTURE(Fixture,
                   "a target that fails half of its requests gets work only when others are full") {
@@ -109,6 +130,7 @@
   busy.state = wire::TargetState::kUp;
   busy.slots = 10;
   busy.load.service_time_us = 80'000;
+  busy.slowdown_permille = 800;
   busy.egress_wait_us = 300'000;
   placement.Update(kStart, "fast", "a", busy);
   CHECK(Send(1, 90 * 1024, milliseconds(1000))["slow"] == 1);
