Notice silent peers before calls are lost to them

A caller's node noticed a silent peer only by a call that waited for it, so each of 89 nodes lost a call to each of 22 dead ones. Ruled out: refusals by gates (none logged for these ids) and the resume after a broken link (the links did not break).

Nodes send a sign of life on links that were quiet for 400 ms; a peer that is quiet for a second is probed and avoided.

--- a/include/limpet/edge/link.h
+++ b/include/limpet/edge/link.h
@@ -40,6 +40,7 @@
 
   bool closed() const { return closed_; }
   TimePoint last_received() const { return last_received_; }
+  TimePoint last_sent() const { return last_sent_; }
 
  private:
   /// A large body on its way out.
@@ -72,6 +73,7 @@
   std::deque<std::string> writing_;
   bool closed_ = false;
   TimePoint last_received_{};
+  TimePoint last_sent_{};
 };
 
 using LinkPtr = std::shared_ptr<Link>;
--- a/include/limpet/edge/link_server.h
+++ b/include/limpet/edge/link_server.h
@@ -35,6 +35,8 @@
 
   void Accept(TcpSocket socket);
   void PushStatus(const wire::TargetStatus& status);
+  /// Sends a sign of life on links that have been quiet; called every 50 ms or so.
+  void Tick(TimePoint now);
   /// Sends a change of the configuration to the linked nodes of one data centre.
   void PushConfig(const wire::LinkConfig& change, const std::string& data_centre);
   int CountLinks() const { return static_cast<int>(sessions_.size()); }
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -60,6 +60,10 @@
   return address;
 }
 
+int LinkListenPort(const NodeSettings& settings) {
+  return settings.link_listen_port == 0 ? settings.link_port : settings.link_listen_port;
+}
+
 RetryBudgetOptions MakeBudgetOptions(const NodeSettings& settings) {
   RetryBudgetOptions options;
   options.ratio = settings.retry_ratio;
@@ -161,7 +165,7 @@
   serve(settings_.announcements, announcement_sessions_);
   serve({settings_.host, settings_.metrics_port}, metrics_sessions_);
   listeners_.push_back(std::make_unique<Listener>(
-      executor_, PeerAddress{settings_.host, settings_.link_port},
+      executor_, PeerAddress{settings_.host, LinkListenPort(settings_)},
       [this](TcpSocket socket) { link_server_->Accept(std::move(socket)); }));
   serve(settings_.outbound, caller_sessions_);
   coordination_.WatchConfig([this](MeshConfig config) { OnStoreConfig(std::move(config)); });
@@ -384,6 +388,7 @@
   const TimePoint now = MonotonicNow();
   inbound_->Tick();
   links_->Tick();
+  link_server_->Tick(now);
   PushStatus(now);
   if (now - last_probe_ >= kProbeInterval) {
     last_probe_ = now;
--- a/src/edge/link.cc
+++ b/src/edge/link.cc
@@ -117,6 +117,7 @@
 }
 
 void Link::SendFrame(const wire::LinkMessage& message, std::string body) {
+  last_sent_ = MonotonicNow();
   const std::string head = wire::Encode(message);
   std::string frame;
   frame.reserve(kPrefixBytes + head.size());
--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -7,6 +7,13 @@
 
 namespace limpet::edge {
 
+namespace {
+
+/// Twice within the silence after which a peer without open calls is avoided.
+constexpr Duration kSignOfLifeInterval = std::chrono::milliseconds(400);
+
+}  // namespace
+
 /// One accepted link.
 class LinkServer::Session : public std::enable_shared_from_this<Session> {
  public:
@@ -29,6 +36,7 @@
   void Send(const wire::LinkMessage& message, std::string body = {}) {
     link_->Send(message, std::move(body));
   }
+  TimePoint last_sent() const { return link_->last_sent(); }
   const std::string& data_centre() const { return data_centre_; }
   bool greeted() const { return !key_prefix_.empty(); }
   void Close() { link_->Close(); }
@@ -150,6 +158,14 @@
   }
 }
 
+void LinkServer::Tick(TimePoint now) {
+  for (const auto& [key, session] : sessions_) {
+    if (session->greeted() && now - session->last_sent() >= kSignOfLifeInterval) {
+      session->Send({});
+    }
+  }
+}
+
 void LinkServer::PushConfig(const wire::LinkConfig& change, const std::string& data_centre) {
   wire::LinkMessage message;
   message.__isset.config = true;
--- a/src/edge/peer_links.cc
+++ b/src/edge/peer_links.cc
@@ -24,6 +24,11 @@
 /// A node answers a probe from its loop at once, so silence beyond this shows a cut or a pause.
 constexpr Duration kProbeAfter = std::chrono::milliseconds(250);
 constexpr Duration kSilentAfter = std::chrono::milliseconds(400);
+/// Peers send a sign of life every 400 ms, so this long a silence shows a cut or a pause before any
+/// call is lost to it.
+constexpr Duration kQuietAfter = std::chrono::milliseconds(1000);
+/// After a pause of this node all peers look quiet until their probes are answered.
+constexpr Duration kProbeRoundTrip = std::chrono::milliseconds(100);
 /// A link that stays silent this long is opened anew.
 constexpr Duration kReopenAfter = std::chrono::milliseconds(1200);
 
@@ -322,12 +327,12 @@
 }
 
 void PeerLinks::CheckSilence(const std::string& name, Peer& peer, TimePoint now) {
-  if (!peer.ready || peer.calls.empty()) {
+  if (!peer.ready) {
     peer.probed_at = {};
     return;
   }
   const Duration silence = now - peer.link->last_received();
-  if (silence < kProbeAfter) {
+  if (silence < (peer.calls.empty() ? kQuietAfter : kProbeAfter)) {
     peer.probed_at = {};
     return;
   }
@@ -336,15 +341,17 @@
     wire::LinkMessage message;
     message.__isset.probe = true;
     peer.link->Send(message);
-    return;
   }
-  if (now - peer.probed_at >= kReopenAfter) {
+  const Duration probed = now - peer.probed_at;
+  if (probed >= kReopenAfter) {
     LogEvent("peer_silent").Add("peer", name).Add("silence_ms", silence);
     peer.link->Close();
     OnClosed(name, asio::error::timed_out);
-  } else if (now - peer.probed_at >= kSilentAfter) {
+  } else if (probed >= kSilentAfter) {
     observer_.OnPeerSilent(name);
     LoseCalls(peer, true);
+  } else if (silence >= kQuietAfter && probed >= kProbeRoundTrip) {
+    observer_.OnPeerSilent(name);
   }
 }
 
--- /dev/null
+++ b/tests/edge/peer_links_test.cc
@@ -0,0 +1,125 @@
+#include "limpet/edge/peer_links.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+#include "edge/loop_thread.h"
+#include "limpet/edge/link_server.h"
+#include "limpet/net/clock.h"
+#include "net/loopback.h"
+
+namespace limpet::edge {
+namespace {
+
+using std::chrono::milliseconds;
+
+class RecordingObserver final : public PeerLinksObserver {
+ public:
+  void OnPeerStatus(const wire::NodeAddress&, const wire::TargetStatus&) override {}
+  void OnPeerReachable(const std::string&, bool reachable) override { this->reachable = reachable; }
+  void OnPeerSilent(const std::string&) override { ++silent; }
+  void OnPeerVersion(const wire::NodeAddress&, int64_t, bool) override {}
+  void OnPeerConfig(const std::string&, const wire::LinkConfig&) override {}
+  void OnPeerAddresses(const std::vector<wire::NodeAddress>&) override {}
+
+  bool reachable = false;
+  int silent = 0;
+};
+
+/// One node with links; no calls are sent.
+struct Fixture {
+  LoopThread loop;
+  Counters counters;
+  wire::NodeAddress server_address;
+  RecordingObserver observer;
+  std::unique_ptr<PeerLinks> links;
+
+  Fixture() {
+    server_address.name = "server";
+    server_address.host = "127.0.0.1";
+    server_address.port = FreePort();
+  }
+  ~Fixture() {
+    loop.Stop();
+    links.reset();
+  }
+  wire::LinkHello Hello() const {
+    wire::LinkHello hello;
+    hello.node = server_address;
+    hello.incarnation = 1;
+    return hello;
+  }
+  std::unique_ptr<Listener> Listen(std::function<void(TcpSocket)> accept) {
+    return loop.Run([&] {
+      return std::make_unique<Listener>(
+          loop.executor(), PeerAddress{"127.0.0.1", server_address.port}, std::move(accept));
+    });
+  }
+  void ConnectLinks() {
+    loop.Run([this] {
+      wire::NodeAddress self;
+      self.name = "client";
+      self.host = "127.0.0.1";
+      self.port = FreePort();
+      links = std::make_unique<PeerLinks>(loop.executor(), PeerLinksOptions{self, 2}, observer,
+                                          counters, Random(1));
+      links->Add(server_address);
+    });
+    while (!loop.Run([this] { return observer.reachable; })) {
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+  }
+  void TickFor(Duration time, LinkServer* server) {
+    const TimePoint end = MonotonicNow() + time;
+    while (MonotonicNow() < end) {
+      loop.Run([&] {
+        if (server != nullptr) {
+          server->Tick(MonotonicNow());
+        }
+        links->Tick();
+      });
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+  }
+};
+
+TEST_CASE_FIXTURE(Fixture, "a peer without calls that gives signs of life is not avoided") {
+  HttpDialect dialect;
+  TargetGate gate{TargetGateOptions{}};
+  InboundProxy inbound(loop.executor(), dialect, gate, counters, nullptr, [] {});
+  LinkServerHooks hooks;
+  hooks.make_hello = [this] { return Hello(); };
+  hooks.on_node = [](const wire::NodeAddress&) {};
+  hooks.on_peer_version = [](const std::string&, int64_t) {};
+  hooks.config_version = [] { return int64_t{0}; };
+  hooks.store_fails = [] { return false; };
+  LinkServer server(inbound, std::move(hooks), nullptr);
+  const auto listener = Listen([&](TcpSocket socket) { server.Accept(std::move(socket)); });
+  ConnectLinks();
+  TickFor(milliseconds(1800), &server);
+  CHECK(observer.silent == 0);
+  CHECK(observer.reachable);
+  loop.Stop();
+}
+
+// Guards against one call of every caller being lost to a VM that lost power before the caller
+// avoids it.
+TEST_CASE_FIXTURE(Fixture, "a silent peer is avoided before any call is lost to it") {
+  LinkPtr silent;
+  const auto listener = Listen([&](TcpSocket socket) {
+    silent = std::make_shared<Link>(std::move(socket));
+    silent->Start({[](wire::LinkMessage, std::string) {}, [](ErrorCode) {}, nullptr});
+    wire::LinkMessage message;
+    message.__isset.hello = true;
+    message.hello = Hello();
+    silent->Send(message);
+  });
+  ConnectLinks();
+  TickFor(milliseconds(1400), nullptr);
+  CHECK(observer.silent > 0);
+  loop.Stop();
+}
+
+}  // namespace
+}  // namespace limpet::edge
