Shorten the time that a target is out of use around the restart of its node

Ruled out: time of the restart itself (0.3 s) and of reading the configuration.

A stopping node takes calls of other nodes for 1.8 s; a node that has just started asks its target's health endpoint which instance it is. A gate without samples predicts from the callers' usual times, since it queued over 200 requests after a restart; failures no longer make a target look fast (found by the test of a failing target).

--- a/include/limpet/edge/edge_node.h
+++ b/include/limpet/edge/edge_node.h
@@ -15,6 +15,7 @@
 #include "limpet/edge/listener.h"
 #include "limpet/edge/outbound_proxy.h"
 #include "limpet/edge/peer_links.h"
+#include "limpet/edge/target_probe.h"
 #include "limpet/registry/target_registry.h"
 #include "limpet/routing/config_holder.h"
 #include "limpet/settings/node_settings.h"
@@ -87,6 +88,8 @@
   void PushStatus(TimePoint now);
   void Tick();
   void CheckStopped();
+  /// Looks for the target of a node that has just started.
+  void DiscoverTarget(TimePoint now);
 
   Executor executor_;
   NodeSettings settings_;
@@ -122,7 +125,13 @@
   TimePoint config_requested_{};
   bool joined_ = false;
   TimePoint joined_at_{};
+  TargetProbe target_probe_;
+  TimePoint last_discovery_{};
+  /// The target has announced itself or its leave.
+  bool target_heard_ = false;
   bool stopping_ = false;
+  /// Calls of other nodes are refused from now on.
+  bool inbound_stopped_ = false;
   TimePoint stop_begun_{};
   std::function<void()> on_stopped_;
 };
--- a/include/limpet/edge/http_dialect.h
+++ b/include/limpet/edge/http_dialect.h
@@ -13,6 +13,8 @@
   std::string deadline_ms = "X-Limpet-Deadline-Ms";
   /// Instance that the request is meant for; any other refuses it.
   std::string expected_instance = "X-Limpet-Expected-Instance";
+  /// Names the target's instance on responses of its health endpoint.
+  std::string instance = "X-Limpet-Instance";
   /// Present on a response if the target did not run the request.
   std::string not_executed = "X-Limpet-Target-Not-Run";
   /// Present on every response that a target made. Empty: responses carry no such proof.
--- /dev/null
+++ b/include/limpet/edge/target_probe.h
@@ -0,0 +1,37 @@
+#ifndef LIMPET_EDGE_TARGET_PROBE_H_
+#define LIMPET_EDGE_TARGET_PROBE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "limpet/edge/http_connection.h"
+#include "limpet/edge/http_dialect.h"
+
+namespace limpet::edge {
+
+/// Asks the target's health endpoint which instance it is. A node that has just started finds its
+/// target by it, instead of waiting for the next heartbeat.
+class TargetProbe {
+ public:
+  using Callback = std::function<void(const std::string& instance)>;
+
+  /// `dialect` must outlive the probe.
+  TargetProbe(const Executor& executor, const HttpDialect& dialect);
+  ~TargetProbe();
+  TargetProbe(const TargetProbe&) = delete;
+  TargetProbe& operator=(const TargetProbe&) = delete;
+
+  /// `on_instance` is called later if the target is healthy and names itself.
+  void Send(const PeerAddress& target, const std::string& health_path, Callback on_instance);
+  bool pending() const { return connection_ != nullptr; }
+
+ private:
+  Executor executor_;
+  const HttpDialect& dialect_;
+  HttpConnectionPtr connection_;
+};
+
+}  // namespace limpet::edge
+
+#endif  // LIMPET_EDGE_TARGET_PROBE_H_
--- a/include/limpet/registry/target_registry.h
+++ b/include/limpet/registry/target_registry.h
@@ -27,8 +27,12 @@
   Duration cold_remaining{0};
   /// Rises with each heartbeat of one start.
   int64_t sequence = 0;
-  /// Time of the start, by the clock of the target.
+  /// Time of the start, by the clock of the target; 0 if unknown.
   int64_t born_ms = 0;
+
+  bool IsSameStart(const TargetAnnouncement& later) const {
+    return instance == later.instance && (born_ms == later.born_ms || born_ms == 0);
+  }
 };
 
 enum class AnnouncementResult {
@@ -61,6 +65,10 @@
                const std::string& instance,
                std::optional<int64_t> born_ms);
 
+  /// The target's health endpoint named an instance before any heartbeat came. False if that is not
+  /// news, or if the instance has left. Its start is unknown until its next heartbeat.
+  bool OnDiscovered(const std::string& instance, const std::string& service, int slots);
+
   /// The latest start that was heard of and has not left; also while it drains.
   const TargetAnnouncement* current() const { return current_ ? &*current_ : nullptr; }
   void set_address(std::string address) { address_ = std::move(address); }
--- a/include/limpet/traffic/target_gate.h
+++ b/include/limpet/traffic/target_gate.h
@@ -135,9 +135,14 @@
   };
 
   wire::RefusalReason::type CheckTarget(TimePoint now, const GateCall& call) const;
-  Duration PredictWait(const QueueKey& position) const;
+  /// Expected time of the call at the target, also before the first sample.
+  Duration ExpectedRunTime(TimePoint now, const GateCall& call) const;
+  Duration PredictWait(const QueueKey& position, Duration run_time) const;
   /// Time by which the response would leave too late; zero or less if it is in time.
-  Duration PredictLateness(TimePoint now, const GateCall& call, Duration wait) const;
+  Duration PredictLateness(TimePoint now,
+                           const GateCall& call,
+                           Duration wait,
+                           Duration run_time) const;
   void NoteUse(TimePoint now, int priority, Duration service_time);
   void NoteSlowdown(Duration run_time, Duration usual);
   /// Share of the slots that more urgent requests have taken lately, 0 to 1.
--- a/include/limpet/traffic/target_placement.h
+++ b/include/limpet/traffic/target_placement.h
@@ -73,6 +73,9 @@
                                      const PlacementRequest& request,
                                      const std::vector<std::string>& excluded);
 
+  /// Slots of the known targets of a service, the smallest; 0 if none is known.
+  int SlotsOf(const std::string& service) const;
+
   /// Each `OnSend` is followed by exactly one `OnEnd`.
   void OnSend(const std::string& node);
   void OnEnd(const std::string& node);
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -32,10 +32,22 @@
 /// a second, and two misses take a node out. Later requests are refused at once, because they might
 /// not end before the kill.
 constexpr Duration kStopNotice = std::chrono::milliseconds(2800);
+/// Calls of other nodes to the target are taken for this long after the request to stop, because
+/// the node has to stay for its own callers anyway; what they start ends well before the kill.
+constexpr Duration kInboundNotice = std::chrono::milliseconds(1800);
+/// The same as a share of the grace period, for short ones.
+constexpr double kInboundShare = 0.3;
 constexpr Duration kStoppingRetry = std::chrono::milliseconds(200);
 /// What is still open this long before the kill is given up in an orderly way.
 constexpr Duration kStopMargin = std::chrono::milliseconds(300);
 
+/// A target is looked for during its first heartbeat intervals; then only heartbeats name it.
+constexpr Duration kDiscoveryTime = std::chrono::seconds(2);
+constexpr Duration kDiscoveryInterval = std::chrono::milliseconds(250);
+/// Slots of a discovered target if no other one of its service is known; few, until its heartbeat
+/// says how many it has.
+constexpr int kAssumedSlots = 4;
+
 uint64_t DrawSeed() {
   std::random_device device;
   return (uint64_t{device()} << 32) | device();
@@ -103,7 +115,8 @@
       gate_(TargetGateOptions{}),
       placement_(PlacementOptions{}, settings_.data_centre, Random(DrawSeed())),
       budget_(MakeBudgetOptions(settings_)),
-      tick_timer_(executor) {
+      tick_timer_(executor),
+      target_probe_(executor, dialect_) {
   PeerLinksObserver& observer = *this;
   links_ =
       std::make_unique<PeerLinks>(executor_, PeerLinksOptions{AddressOf(settings_), incarnation_},
@@ -283,6 +296,7 @@
 void EdgeNode::OnAnnouncement(const HttpSessionPtr& session) {
   try {
     const AnnouncementCodec::Message message = codec_.Decode(session->request());
+    target_heard_ = true;
     if (message.announcement) {
       TakeAnnouncement(*message.announcement);
     } else if (message.leave) {
@@ -326,6 +340,27 @@
   }
 }
 
+void EdgeNode::DiscoverTarget(TimePoint now) {
+  const bool wanted = !target_heard_ && registry_.current() == nullptr && config_.routes() &&
+                      now - started_ <= kDiscoveryTime;
+  if (!wanted || target_probe_.pending() || now - last_discovery_ < kDiscoveryInterval) {
+    return;
+  }
+  const MeshService* service = config_.routes()->FindService(settings_.service);
+  if (service == nullptr || service->health_path.empty()) {
+    return;
+  }
+  last_discovery_ = now;
+  target_probe_.Send(settings_.target, service->health_path, [this](const std::string& instance) {
+    const int known_slots = placement_.SlotsOf(settings_.service);
+    const int slots = known_slots > 0 ? known_slots : kAssumedSlots;
+    if (!target_heard_ && registry_.OnDiscovered(instance, settings_.service, slots)) {
+      LogEvent("target_discovered").Add("instance", instance).Add("slots", slots);
+      inbound_->SetTarget(registry_.current());
+    }
+  });
+}
+
 bool EdgeNode::IsReady() const {
   if (stopping_ || !config_.routes()) {
     return false;
@@ -389,6 +424,7 @@
   inbound_->Tick();
   links_->Tick();
   link_server_->Tick(now);
+  DiscoverTarget(now);
   PushStatus(now);
   if (now - last_probe_ >= kProbeInterval) {
     last_probe_ = now;
@@ -416,18 +452,22 @@
   stopping_ = true;
   stop_begun_ = MonotonicNow();
   on_stopped_ = std::move(on_stopped);
-  inbound_->StartDraining();
-  PushStatus(stop_begun_);
 }
 
 void EdgeNode::CheckStopped() {
   if (!on_stopped_) {
     return;
   }
-  const Duration elapsed = MonotonicNow() - stop_begun_;
+  const TimePoint now = MonotonicNow();
+  const Duration elapsed = now - stop_begun_;
+  const Duration grace = std::chrono::milliseconds(settings_.grace_period_ms);
+  if (!inbound_stopped_ && elapsed >= std::min(kInboundNotice, Scale(grace, kInboundShare))) {
+    inbound_stopped_ = true;
+    inbound_->StartDraining();
+    PushStatus(now);
+  }
   const bool idle = inbound_->idle() && outbound_->idle() && *caller_sessions_.open_requests == 0;
-  const bool out_of_time =
-      elapsed >= std::chrono::milliseconds(settings_.grace_period_ms) - kStopMargin;
+  const bool out_of_time = elapsed >= grace - kStopMargin;
   if ((idle && elapsed >= kStopNotice) || out_of_time) {
     LogEvent("stopped").Add("idle", int{idle}).Add("after_ms", elapsed);
     FlushEventLog();
--- a/src/registry/target_registry.cc
+++ b/src/registry/target_registry.cc
@@ -38,8 +38,7 @@
   if (IsLate(announcement)) {
     return AnnouncementResult::kLate;
   }
-  const bool same_start = current_ && current_->instance == announcement.instance &&
-                          current_->born_ms == announcement.born_ms;
+  const bool same_start = current_ && current_->IsSameStart(announcement);
   if (current_ && !same_start) {
     departed_[current_->instance] = {current_->born_ms, now, false};
   }
@@ -73,6 +72,20 @@
   }
 }
 
+bool TargetRegistry::OnDiscovered(const std::string& instance,
+                                  const std::string& service,
+                                  int slots) {
+  if (current_ || departed_.contains(instance)) {
+    return false;
+  }
+  current_.emplace();
+  current_->instance = instance;
+  current_->service = service;
+  current_->address = address_;
+  current_->slots = slots;
+  return true;
+}
+
 void TargetRegistry::Forget(TimePoint now) {
   std::erase_if(departed_,
                 [now](const auto& entry) { return now - entry.second.at > kDepartedLifetime; });
--- a/src/traffic/target_gate.cc
+++ b/src/traffic/target_gate.cc
@@ -13,6 +13,9 @@
 constexpr double kFailureWeight = 0.07;
 /// Requests vary around their average; with this margin most that are admitted end in time.
 constexpr double kServiceMargin = 1.25;
+/// Before the first sample a request is expected to take this share of its latency target, because
+/// operators set targets with room for a queue.
+constexpr double kAssumedShareOfTarget = 0.33;
 /// Weight of one run in the slowdown: it follows a target that becomes slow within about ten
 /// requests.
 constexpr double kSlowdownWeight = 0.1;
@@ -34,8 +37,7 @@
     target_.reset();
     return RefuseAll(Reason::kTargetUnavailable);
   }
-  const bool same =
-      target_ && target_->instance == target->instance && target_->born_ms == target->born_ms;
+  const bool same = target_ && target_->IsSameStart(*target);
   target_ = *target;
   cold_until_ = now + target->cold_remaining;
   if (!same) {
@@ -93,25 +95,36 @@
   return IsDown(now) ? Reason::kTargetUnavailable : Reason::kNone;
 }
 
-Duration TargetGate::PredictWait(const QueueKey& position) const {
+Duration TargetGate::ExpectedRunTime(TimePoint now, const GateCall& call) const {
+  if (const Duration known = service_times_.Of(call.route); known > Duration(0)) {
+    return known;
+  }
+  if (call.usual_run_time > Duration(0)) {
+    return call.usual_run_time;
+  }
+  return std::max(Duration(0), Scale(call.latency_target - now, kAssumedShareOfTarget));
+}
+
+Duration TargetGate::PredictWait(const QueueKey& position, Duration run_time) const {
   const auto free = target_->slots - running();
   const auto ahead = std::distance(queue_.begin(), queue_.lower_bound(position));
   const auto excess = static_cast<int64_t>(ahead) + 1 - free;
   if (excess <= 0) {
     return Duration(0);
   }
-  Duration average = service_times_.average();
-  if (average == Duration(0)) {
-    average = kAssumedServiceTime;
-  }
+  const Duration known = service_times_.average();
+  const Duration average = known > Duration(0) ? known : run_time;
   const Duration wait = average * excess / std::max(1, target_->slots);
   // More urgent requests that arrive meanwhile go first.
   return Scale(wait, 1 / (1 - UrgentShare(position.priority)));
 }
 
-Duration TargetGate::PredictLateness(TimePoint now, const GateCall& call, Duration wait) const {
+Duration TargetGate::PredictLateness(TimePoint now,
+                                     const GateCall& call,
+                                     Duration wait,
+                                     Duration run_time) const {
   const TimePoint limit = call.accepts_late ? call.deadline : call.latency_target;
-  const Duration answered = wait + Scale(service_times_.Of(call.route), kServiceMargin);
+  const Duration answered = wait + Scale(run_time, kServiceMargin);
   // The link sends what is ahead while the target works on the request.
   return now + std::max(answered, call.link_wait) + call.link_time - limit;
 }
@@ -158,8 +171,9 @@
     return {.reason = Reason::kOverloaded};
   }
   const QueueKey position{call.priority, call.latency_target, next_sequence_++};
-  const Duration wait = PredictWait(position);
-  const Duration lateness = PredictLateness(now, call, wait);
+  const Duration run_time = ExpectedRunTime(now, call);
+  const Duration wait = PredictWait(position, run_time);
+  const Duration lateness = PredictLateness(now, call, wait, run_time);
   const bool link_too_busy = call.link_time > Duration(0) && lateness > Duration(0);
   if (wait == Duration(0) && queue_.empty() && !link_too_busy) {
     Start(now, call);
@@ -189,7 +203,10 @@
     const Duration run_time = now - running.started;
     service_times_.Record(now, running.route, run_time);
     NoteUse(now, running.priority, run_time);
-    NoteSlowdown(run_time, running.usual_run_time);
+  }
+  if (result == TargetResult::kAnswered || result == TargetResult::kTimedOut) {
+    // A target that fails fast is not fast.
+    NoteSlowdown(now - running.started, running.usual_run_time);
   }
   const bool good = result == TargetResult::kAnswered;
   failure_share_ += kFailureWeight * ((good ? 0.0 : 1.0) - failure_share_);
--- a/src/traffic/target_placement.cc
+++ b/src/traffic/target_placement.cc
@@ -13,6 +13,9 @@
 constexpr double kColdFactor = 2.0;
 /// Expected cost of a failure in service times: the request has to run again elsewhere, if it may.
 constexpr double kFailureCost = 6.0;
+/// Microseconds that a failure costs at least, however short the requests are: a repeat takes a
+/// round trip and a place in the retry budget.
+constexpr double kMinFailureTime = 10'000;
 /// Equal scores are spread, so that callers with the same view do not all choose the same target.
 constexpr double kScoreNoise = 0.1;
 /// Part of a service time that a full target costs more than an empty one.
@@ -68,7 +71,8 @@
   double expected = run_time + ahead_time * excess / entry.status.slots;
   // Among targets with free slots the emptier one absorbs what others send at the same time.
   expected *= 1 + kOccupancyCost * std::min(1.0, static_cast<double>(total) / entry.status.slots);
-  expected += run_time * kFailureCost * entry.status.failure_permille / 1000.0;
+  expected +=
+      std::max(run_time, kMinFailureTime) * kFailureCost * entry.status.failure_permille / 1000.0;
   if (request.expected_response_bytes >= kLargeResponseBytes) {
     expected += entry.status.egress_wait_us +
                 static_cast<double>(entry.status.egress_us_per_kib) *
@@ -137,6 +141,16 @@
   });
 }
 
+int TargetPlacement::SlotsOf(const std::string& service) const {
+  int slots = 0;
+  for (const auto& [node, entry] : entries_) {
+    if (IsUsable(entry, service)) {
+      slots = slots == 0 ? entry.status.slots : std::min(slots, entry.status.slots);
+    }
+  }
+  return slots;
+}
+
 void TargetPlacement::OnSend(const std::string& node) {
   Entry& entry = entries_[node];
   ++entry.open_calls;
--- a/tests/platform/mesh_test.cc
+++ b/tests/platform/mesh_test.cc
@@ -92,6 +92,8 @@
 
   std::atomic<int> executions{0};
   std::atomic<bool> fails{false};
+  /// What the health endpoint says.
+  std::atomic<bool> healthy{false};
   std::atomic<bool> silent{false};
   std::string seen_caller;
   std::string seen_instance;
@@ -106,8 +108,14 @@
     return client.ReadResponse();
   }
   void OnTarget(const edge::HttpSessionPtr& session) {
-    ++executions;
     const HttpRequest& request = session->request();
+    if (request.path == "/health") {
+      HttpAnswer answer = TextAnswer(healthy ? 200 : 503, "");
+      answer.headers.push_back(MakeHeader("X-Instance-Id", "i-" + name_));
+      session->Respond(std::move(answer));
+      return;
+    }
+    ++executions;
     seen_caller = std::string(request.Header("X-Caller-Service"));
     seen_instance = std::string(request.Header("X-Expected-Instance"));
     if (silent) {
@@ -194,6 +202,25 @@
   CHECK(desk.executions == before);
 }
 
+// Guards against a wait for the next heartbeat after every restart of a node.
+TEST_CASE_FIXTURE(Fixture, "a node that has just started finds its target by the health endpoint") {
+  desk.healthy = true;
+  store.Put("keyed.op", "config", ConfigText(1, "/lots/"));
+  CHECK(caller.CallUntil("/lots/1", "200"));
+  CHECK(desk.seen_instance == "i-desk-node");
+}
+
+// Guards against the loss of a target's capacity while its node waits for its own callers to leave.
+TEST_CASE_FIXTURE(Fixture, "a stopping node takes calls of other nodes for a while") {
+  Begin();
+  std::atomic<bool> stopped{false};
+  desk.Stop(stopped);
+  CHECK(caller.Call("/lots/1").starts_with("HTTP/1.1 200"));
+  std::this_thread::sleep_for(milliseconds(2000));
+  CHECK(caller.Call("/lots/1").starts_with("HTTP/1.1 503"));
+  CHECK_FALSE(stopped);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a failing target's requests are repeated at another") {
   Begin();
   CHECK(desk2.Announce("ready", 1).starts_with("HTTP/1.1 200"));
--- a/tests/registry/target_registry_test.cc
+++ b/tests/registry/target_registry_test.cc
@@ -81,6 +81,23 @@
   CHECK(registry.OnAnnouncement(kNow, Announce("i-1", 2000, 2)) == AnnouncementResult::kCurrent);
 }
 
+TEST_CASE("a target that was discovered is the start that its next heartbeat names") {
+  TargetRegistry registry(kAddress);
+  CHECK(registry.OnDiscovered("i-1", "desk", 4));
+  CHECK_FALSE(registry.OnDiscovered("i-1", "desk", 4));
+  CHECK(registry.OnAnnouncement(kNow, Announce("i-1", 1000, 21)) == AnnouncementResult::kCurrent);
+  CHECK(registry.current()->slots == 12);
+  CHECK(registry.OnAnnouncement(kNow, Announce("i-1", 1000, 20)) == AnnouncementResult::kLate);
+}
+
+// Guards against work for a target that has left and still answers its health check.
+TEST_CASE("a target that has left is not discovered") {
+  TargetRegistry registry(kAddress);
+  registry.OnLeave(kNow, kUnixMs, "i-1", std::nullopt);
+  CHECK_FALSE(registry.OnDiscovered("i-1", "desk", 4));
+  CHECK(registry.current() == nullptr);
+}
+
 TEST_CASE("a heartbeat for another place names no target here") {
   TargetRegistry registry(kAddress);
   TargetAnnouncement other = Announce("i-1", 1000, 1);
--- a/tests/traffic/target_gate_test.cc
+++ b/tests/traffic/target_gate_test.cc
@@ -122,11 +122,56 @@
   CHECK(gate.Arrive(kStart, call).verdict == GateVerdict::kStart);
 }
 
+TEST_CASE("calls go on when the heartbeat of a discovered target names its start") {
+  TargetGate gate{TargetGateOptions{}};
+  TargetAnnouncement target = Target(1);
+  gate.SetTarget(kStart, &target);
+  gate.Arrive(kStart, Call("runs"));
+  gate.Arrive(kStart, Call("waits"));
+  target.born_ms = 1000;
+  CHECK(gate.SetTarget(kStart, &target).empty());
+  CHECK(gate.queued() == 1);
+}
+
+// Guards against a target that draws requests because it fails them fast.
+TEST_CASE_FIXTURE(Fixture, "failures do not make a target look fast") {
+  for (int i = 0; i < 20; ++i) {
+    GateCall call = Call(std::to_string(i));
+    call.usual_run_time = milliseconds(100);
+    gate.Arrive(kStart - milliseconds(i % 2 == 0 ? 100 : 1), call);
+    gate.Finish(kStart, call.key, i % 2 == 0 ? TargetResult::kAnswered : TargetResult::kFailed);
+  }
+  CHECK(gate.Status(kStart).slowdown_permille == 1000);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a small response does not wait for the link") {
   Learn(milliseconds(100));
   CHECK(gate.Arrive(kStart, Call("small")).verdict == GateVerdict::kStart);
 }
 
+// Pattern: load shedding after a restart. Guards against a queue of hundreds of requests at a gate
+// that has no sample yet, all of which ended late.
+TEST_CASE_FIXTURE(Fixture, "a gate without samples queues no more than can end in time") {
+  const auto queue = [this](Duration usual) {
+    int queued = 0;
+    for (int i = 0; i < 50; ++i) {
+      GateCall call = Call(std::to_string(usual.count()) + "/" + std::to_string(i));
+      call.usual_run_time = usual;
+      queued += gate.Arrive(kStart, call).verdict == GateVerdict::kQueue ? 1 : 0;
+    }
+    return queued;
+  };
+  SUBCASE("the callers know what the route takes") {
+    // 400 ms less a request of 125 ms leave 275 ms; two slots give a place every 50 ms.
+    CHECK(queue(milliseconds(100)) == 5);
+  }
+  SUBCASE("nothing is known but the latency target") {
+    const int queued = queue(Duration(0));
+    CHECK(queued > 0);
+    CHECK(queued <= 4);
+  }
+}
+
 // Pattern: load shedding by rank. Without this, plain requests were admitted into a queue in which
 // urgent ones kept passing them, and ended late.
 TEST_CASE_FIXTURE(Fixture, "plain requests are shed earlier while urgent ones take most slots") {
