Keep the leave of a target that was only discovered

The node had restarted, found its target by the health endpoint, acknowledged its leave and took a late heartbeat 2.7 s later, because the start of a discovered target was unknown and the leave was recorded with start 0. Ruled out: the fix for leaves of unknown targets itself, whose test passes; the target was known, only its start was not.

Tests: a late heartbeat after the leave of a discovered target (failed before), a discovered target that is replaced.

--- a/src/registry/target_registry.cc
+++ b/src/registry/target_registry.cc
@@ -59,9 +59,10 @@
                              std::optional<int64_t> born_ms) {
   const bool is_current =
       current_ && current_->instance == instance && (!born_ms || *born_ms >= current_->born_ms);
-  // A node that has just restarted may hear the leave of a target that it never heard of.
-  const bool estimated = !born_ms && !is_current;
-  const int64_t known = is_current ? current_->born_ms : unix_ms;
+  // A node that has just restarted may hear the leave of a target before any heartbeat of it.
+  const bool start_known = is_current && current_->born_ms != 0;
+  const bool estimated = !born_ms && !start_known;
+  const int64_t known = start_known ? current_->born_ms : unix_ms;
   const int64_t born = born_ms.value_or(known);
   Departed& departed = departed_[instance];
   if (born >= departed.born_ms) {
--- a/tests/registry/target_registry_test.cc
+++ b/tests/registry/target_registry_test.cc
@@ -98,6 +98,25 @@
   CHECK(registry.current() == nullptr);
 }
 
+// Guards against requests to a target that left between the restart of its node and its next
+// heartbeat, of which a late one came afterwards.
+TEST_CASE("a late heartbeat does not bring back a target that was only discovered") {
+  TargetRegistry registry(kAddress);
+  registry.OnDiscovered("i-1", "desk", 4);
+  registry.OnLeave(kNow, kUnixMs, "i-1", std::nullopt);
+  CHECK(registry.OnAnnouncement(kNow + seconds(3), Announce("i-1", 1000, 21)) ==
+        AnnouncementResult::kLate);
+  CHECK(registry.current() == nullptr);
+}
+
+TEST_CASE("a discovered target that another one replaced does not come back") {
+  TargetRegistry registry(kAddress);
+  registry.OnDiscovered("i-1", "desk", 4);
+  registry.OnAnnouncement(kNow, Announce("i-2", 2000, 1));
+  CHECK(registry.OnAnnouncement(kNow, Announce("i-1", 1000, 21)) == AnnouncementResult::kLate);
+  CHECK(registry.current()->instance == "i-2");
+}
+
 TEST_CASE("a heartbeat for another place names no target here") {
   TargetRegistry registry(kAddress);
   TargetAnnouncement other = Announce("i-1", 1000, 1);
