Add limpetctl explain-request

It gathers the log lines of one request from the logs of several nodes, orders them by time, names the cause and the nodes that lost the same peer, and counts lines that are cut short.

--- a/apps/limpetctl.cc
+++ b/apps/limpetctl.cc
@@ -2,6 +2,7 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <exception>
+#include <fstream>
 #include <iostream>
 #include <optional>
 #include <random>
@@ -14,6 +15,7 @@
 #include "cli/http_node_access.h"
 #include "cli/inventory_commands.h"
 #include "cli/node_commands.h"
+#include "cli/request_timeline.h"
 #include "cli/status_commands.h"
 #include "limpet/config/ini_reader.h"
 #include "limpet/config/inventory.h"
@@ -37,6 +39,9 @@
   explain ROUTE      show where calls of a route (name, or path with --caller) go
   nodes              list the nodes
   drain HOST:PORT    make the node with this admin address leave
+  explain-request ID [FILE...]
+                     gather the log lines of a request from the logs of several nodes (or standard
+                     input) and name the cause of its end
 
 Examples:
   limpetctl status --inventory > mesh.ini
@@ -119,6 +124,9 @@
           limpet::ParseAddressOption("drain", Argument(arguments, "HOST:PORT")), timeout_);
       return limpet::DrainCommand(node).Run();
     }
+    if (command == "explain-request") {
+      return ExplainRequest(arguments);
+    }
     throw limpet::UsageError("unknown command \"" + command + "\"");
   }
 
@@ -166,6 +174,24 @@
     return limpet::StatusCommand(log_).Run(version);
   }
 
+  static CommandResult ExplainRequest(const std::vector<std::string>& arguments) {
+    if (arguments.size() < 2) {
+      throw limpet::UsageError("explain-request needs ID");
+    }
+    limpet::RequestTimeline timeline(arguments[1]);
+    if (arguments.size() == 2) {
+      timeline.Read(std::cin);
+    }
+    for (std::size_t i = 2; i < arguments.size(); ++i) {
+      std::ifstream log(arguments[i]);
+      if (!log) {
+        throw limpet::UsageError("cannot read " + arguments[i]);
+      }
+      timeline.Read(log);
+    }
+    return timeline.Result();
+  }
+
   template <typename Command>
   CommandResult RunAtNodeOrLog(const Command& command) {
     if (options_.count("node") == 0) {
