--- a/include/limpet/edge/edge_node.h
+++ b/include/limpet/edge/edge_node.h
@@ -117,6 +117,7 @@
   Timer tick_timer_;
   TimePoint started_{};
   TimePoint last_push_{};
+  int local_pushes_ = 0;
   bool push_due_ = false;
   /// What other nodes were told last.
   wire::TargetStatus pushed_;
--- a/include/limpet/edge/link_server.h
+++ b/include/limpet/edge/link_server.h
@@ -34,7 +34,8 @@
   ~LinkServer();
 
   void Accept(TcpSocket socket);
-  void PushStatus(const wire::TargetStatus& status);
+  /// To the linked nodes of one data centre, or to all if it is empty.
+  void PushStatus(const wire::TargetStatus& status, const std::string& data_centre);
   /// Sends a sign of life on links that have been quiet; called every 50 ms or so.
   void Tick(TimePoint now);
   /// Sends a change of the configuration to the linked nodes of one data centre.
@@ -44,6 +45,8 @@
  private:
   class Session;
 
+  void Push(const wire::LinkMessage& message, const std::string& data_centre);
+
   InboundProxy& inbound_;
   LinkServerHooks hooks_;
   std::shared_ptr<EgressPacer> pacer_;
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -15,6 +15,9 @@
 /// Load changes are pushed to other nodes, because replies alone leave a node that gets few calls
 /// with an old view. All pushes of a node together stay below this rate, whatever their number.
 constexpr int kPushesPerSecond = 100;
+/// Other data centres get one of so many pushes of load: they get few of the requests, and bytes
+/// between data centres are paid for.
+constexpr int kRemotePushShare = 4;
 constexpr Duration kMinPushInterval = std::chrono::milliseconds(100);
 /// A random peer is asked for its configuration version this often, which repairs a node whose
 /// readers have lost the store.
@@ -416,7 +419,8 @@
   push_due_ = false;
   last_push_ = now;
   pushed_ = status;
-  link_server_->PushStatus(status);
+  const bool everywhere = state_changed || ++local_pushes_ % kRemotePushShare == 0;
+  link_server_->PushStatus(status, everywhere ? "" : settings_.data_centre);
 }
 
 void EdgeNode::Tick() {
--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -147,12 +147,16 @@
   session->Start();
 }
 
-void LinkServer::PushStatus(const wire::TargetStatus& status) {
+void LinkServer::PushStatus(const wire::TargetStatus& status, const std::string& data_centre) {
   wire::LinkMessage message;
   message.__isset.status = true;
   message.status = status;
+  Push(message, data_centre);
+}
+
+void LinkServer::Push(const wire::LinkMessage& message, const std::string& data_centre) {
   for (const auto& [key, session] : sessions_) {
-    if (session->greeted()) {
+    if (session->greeted() && (data_centre.empty() || session->data_centre() == data_centre)) {
       session->Send(message);
     }
   }
@@ -170,11 +174,7 @@
   wire::LinkMessage message;
   message.__isset.config = true;
   message.config = change;
-  for (const auto& [key, session] : sessions_) {
-    if (session->greeted() && session->data_centre() == data_centre) {
-      session->Send(message);
-    }
-  }
+  Push(message, data_centre);
 }
 
 }  // namespace limpet::edge
