Add a randomized fault soak of real processes

scripts/soak runs nodes as processes on loopback with targets, a store stand-in and callers; proxies in front of links and store delay, cut, silence and reset; signals kill, pause, stop and restart; targets crash, leave, lie and lose answers; configurations come in storms.

Findings so far are of the harness, each seen in its logs: ports from the range of outgoing connections, two soaks in one folder, a rebuild that took the program away.

--- a/include/limpet/settings/node_settings.h
+++ b/include/limpet/settings/node_settings.h
@@ -93,8 +93,10 @@
   PeerAddress store;
   /// Bandwidth of this VM's network link; the widest links read the store for others.
   double link_mbps = 1000;
-  /// TCP port of links from other nodes.
+  /// TCP port of links that other nodes are told.
   int link_port = 7401;
+  /// TCP port listened on for links, if a forwarder stands between; 0 for `link_port`.
+  int link_listen_port = 0;
   /// TCP port of /metrics.
   int metrics_port = 7481;
 
--- /dev/null
+++ b/scripts/lib/soak/__main__.py
@@ -0,0 +1,83 @@
+"""Runs one seed after the other: python3 -m soak --binary build/limpetd-platform --seeds 1,2,3."""
+
+import argparse
+import asyncio
+import fcntl
+import os
+import random
+import shutil
+import sys
+import time
+
+from soak.world import World
+
+
+async def run_seed(arguments, seed):
+    random.seed(seed)
+    # Tasks of servers that are still open at the end are cancelled; only errors of faults and checks count.
+    asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+    folder = os.path.join(arguments.out, f"seed-{seed}")
+    os.makedirs(folder, exist_ok=True)
+    # Two soaks in one folder would run on each other's settings.
+    lock = open(os.path.join(folder, "lock"), "w", encoding="utf-8")
+    fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    for name in os.listdir(folder):
+        if name != "lock":
+            os.remove(os.path.join(folder, name))
+    # A build that goes on meanwhile must not take the program away.
+    binary = shutil.copy(arguments.binary, os.path.join(os.path.abspath(folder), "limpetd"))
+    world = World(binary, folder, arguments.nodes)
+    try:
+        await world.start()
+        await world.disturb(arguments.seconds)
+        await world.check_recovery()
+    finally:
+        await world.stop()
+        lock.close()
+    return world.record
+
+
+def parse_seeds(text):
+    """"7", "1,2" or "1-50"; "fresh:N" draws N new seeds."""
+    if text.startswith("fresh:"):
+        first = int(time.time()) % 1_000_000 * 100
+        return [first + i for i in range(int(text[len("fresh:") :]))]
+    seeds = []
+    for part in text.split(","):
+        first, _, last = part.partition("-")
+        seeds += range(int(first), int(last or first) + 1)
+    return seeds
+
+
+def regression_seeds():
+    path = os.path.join(os.path.dirname(__file__), "regressions.txt")
+    with open(path, encoding="utf-8") as lines:
+        return [int(line.split()[0]) for line in lines if line.strip() and not line.startswith("#")]
+
+
+def main():
+    parser = argparse.ArgumentParser(prog="scripts/soak", description=__doc__)
+    parser.add_argument("--binary", required=True, help="the node program")
+    parser.add_argument("--seeds", default="1", help='"7", "1,2", "1-50" or "fresh:N"')
+    parser.add_argument("--seconds", type=float, default=12.0, help="how long faults come")
+    parser.add_argument("--nodes", type=int, default=6)
+    parser.add_argument("--regressions", action="store_true", help="the seeds of regressions.txt")
+    parser.add_argument("--out", default="out/soak", help="folder for settings and logs")
+    arguments = parser.parse_args()
+    failed = []
+    seeds = regression_seeds() if arguments.regressions else parse_seeds(arguments.seeds)
+    for seed in seeds:
+        record = asyncio.run(run_seed(arguments, seed))
+        verdict = "failed" if record.violations else "passed"
+        print(f"seed {seed} {verdict}: {len(record.sent)} requests, {dict(record.outcomes)}", flush=True)
+        for violation in record.violations[:20]:
+            print("  " + violation, flush=True)
+        if record.violations:
+            failed.append(seed)
+    if failed:
+        print(f"failed seeds: {failed}; logs in {arguments.out}")
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/scripts/lib/soak/target.py
@@ -0,0 +1,167 @@
+"""Targets of the soak: they run requests, announce themselves and misbehave."""
+
+import asyncio
+import hashlib
+import json
+import random
+import time
+
+from soak import http
+from soak.proxy import abort
+
+HEARTBEAT_S = 0.5
+SLOTS = 4
+WORK_S = (0.003, 0.03)
+
+
+def body_of(request_id, path):
+    """The response that belongs to a request: unique and long enough to be cut."""
+    digest = hashlib.sha256(f"{request_id} {path}".encode()).hexdigest()
+    return digest.encode() * (1 + int(digest[:2], 16) % 40)
+
+
+class Target:
+    """The application beside one node. `fault` is one of "", "slow", "lost" (runs, then resets), "mute" (runs and
+    never answers), "cut" (half of the body), "extra" (a second response), "errors" and "shed"."""
+
+    def __init__(self, name, service, record):
+        self.name = name
+        self.service = service
+        self.record = record
+        self.fault = ""
+        self.fault_share = 0.3
+        self.generation = 0
+        self.instance = ""
+        self.sequence = 0
+        self.born_ms = 0
+        self.draining = False
+        self.alive = False
+        self.running = 0
+        self.server = None
+        self.port = 0
+        self.writers = set()
+        self.announce_port = 0
+        self.beats = None
+
+    async def listen(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def begin(self, keep_name=False):
+        """Starts under a new instance name, or under the old one."""
+        self.generation += 0 if keep_name and self.generation else 1
+        self.instance = f"i-{self.name}-{self.generation}"
+        self.sequence = 0
+        self.born_ms = int(time.time() * 1000)
+        self.draining = False
+        self.alive = True
+        self.beats = asyncio.create_task(self.send_heartbeats())
+
+    def crash(self):
+        self.alive = False
+        if self.beats:
+            self.beats.cancel()
+        for writer in list(self.writers):
+            abort(writer)
+
+    async def leave(self, announce_draining):
+        """Leaves as planned: once acknowledged it serves for two seconds more."""
+        self.draining = True
+        if self.beats:
+            self.beats.cancel()
+        if not announce_draining or await self.heartbeat():
+            if announce_draining or await self.delete():
+                self.record.leaving(self.instance)
+        await asyncio.sleep(2.0)
+        if announce_draining:
+            await self.delete()
+        self.crash()
+
+    async def send_heartbeats(self):
+        while True:
+            await self.heartbeat()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def heartbeat(self):
+        self.sequence += 1
+        body = json.dumps(
+            {
+                "service": self.service,
+                "address": f"127.0.0.1:{self.port}",
+                "zone": "a",
+                "version": "v1",
+                "slots": SLOTS,
+                "state": "draining" if self.draining else "ready",
+                "cold_remaining_ms": 0,
+                "sequence": self.sequence,
+                "born": self.born_ms,
+            }
+        ).encode()
+        return await self.announce("PUT", body)
+
+    async def delete(self):
+        return await self.announce("DELETE", b"")
+
+    async def announce(self, method, body):
+        try:
+            path = f"/instances/{self.instance}"
+            reply = await http.exchange("127.0.0.1", self.announce_port, method, path, body=body, timeout=1.0)
+            return reply.status == 200
+        except (OSError, http.HttpError, TimeoutError):
+            return False
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while (request := await http.read_message(reader)) is not None:
+                if not self.alive:
+                    abort(writer)
+                    return
+                if not await self.handle(request, writer):
+                    return
+        except (OSError, http.HttpError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def handle(self, request, writer):
+        request_id = request.headers.get("x-request-id", "")
+        path = request.start[1]
+        if path == "/health":
+            writer.write(http.encode_response(200, {"X-Instance-Id": self.instance}))
+            return True
+        refusal = self.refusal(request)
+        if refusal:
+            writer.write(http.encode_response(refusal, {"X-Not-Executed": "1", "X-Request-Id": request_id}))
+            return True
+        self.record.ran(self, request)
+        fault = self.fault if random.random() < self.fault_share else ""
+        self.running += 1
+        try:
+            await asyncio.sleep(random.uniform(*WORK_S) * (20 if fault == "slow" else 1))
+        finally:
+            self.running -= 1
+        if fault == "lost":
+            abort(writer)
+            return False
+        if fault == "mute":
+            await asyncio.sleep(30)
+            return False
+        headers = {"X-Request-Id": request_id, "X-Server-Signature": self.instance}
+        status = 500 if fault == "errors" else 200
+        response = http.encode_response(status, headers, body_of(request_id, path))
+        if fault == "cut":
+            writer.write(response[: len(response) - 20])
+            await writer.drain()
+            return False
+        writer.write(response + (response if fault == "extra" else b""))
+        await writer.drain()
+        return True
+
+    def refusal(self, request):
+        if request.headers.get("x-expected-instance", self.instance) != self.instance:
+            return 421
+        if self.running >= SLOTS * 2 or (self.fault == "shed" and random.random() < self.fault_share):
+            return 503
+        return 0
