--- a/include/limpet/traffic/target_placement.h
+++ b/include/limpet/traffic/target_placement.h
@@ -22,7 +22,7 @@
   /// A target of the own data centre is chosen if it is expected to answer within this share of the
   /// time left, even if a remote one is faster. The rest covers requests that take longer than
   /// usual.
-  double local_share = 0.5;
+  double local_share = 0.75;
   /// Responses of this size or more have the whole local share, smaller ones less of it, because
   /// they cost little between data centres.
   size_t local_share_bytes = 4096;
