--- a/include/limpet/traffic/target_placement.h
+++ b/include/limpet/traffic/target_placement.h
@@ -22,10 +22,10 @@
   /// A target of the own data centre is chosen if it is expected to answer within this share of the
   /// time left, even if a remote one is faster. The rest covers requests that take longer than
   /// usual.
-  double local_share = 0.75;
+  double local_share = 0.9;
   /// Responses of this size or more have the whole local share, smaller ones less of it, because
   /// they cost little between data centres.
-  size_t local_share_bytes = 4096;
+  size_t local_share_bytes = 1024;
   /// Targets of one data centre that are compared for one request. With many callers whose views
   /// are old, comparing all would send them all to the same target (power of d choices).
   std::size_t compared_targets = 4;
