--- a/scripts/lib/soak/record.py
+++ b/scripts/lib/soak/record.py
@@ -66,6 +66,10 @@
     def leaving(self, instance):
         self.left[instance] = time.monotonic()
 
+    def started(self, instance):
+        """A target started, perhaps under the name of one that has left."""
+        self.left.pop(instance, None)
+
     def published(self, version, services):
         self.versions[version] = time.monotonic()
         self.services.update(services)
--- a/scripts/lib/soak/target.py
+++ b/scripts/lib/soak/target.py
@@ -55,6 +55,7 @@
         self.born_ms = int(time.time() * 1000)
         self.draining = False
         self.alive = True
+        self.record.started(self.instance)
         self.beats = asyncio.create_task(self.send_heartbeats())
 
     def crash(self):
