Let targets of the soak serve longer than work may come after their leave

Cause: a node that ignores draining was not caught, because the targets ended two seconds after their leave, before the check's bound. Health endpoints of leaving targets now answer 503, as the users' pages say.

--- a/scripts/lib/soak/target.py
+++ b/scripts/lib/soak/target.py
@@ -12,6 +12,7 @@
 HEARTBEAT_S = 0.5
 SLOTS = 4
 WORK_S = (0.003, 0.03)
+LINGER_S = (2.0, 6.0)
 
 
 def body_of(request_id, path):
@@ -66,14 +67,14 @@
             abort(writer)
 
     async def leave(self, announce_draining):
-        """Leaves as planned: once acknowledged it serves for two seconds more."""
+        """Leaves as planned: once acknowledged it serves for some seconds more, longer than work may come."""
         self.draining = True
         if self.beats:
             self.beats.cancel()
         if not announce_draining or await self.heartbeat():
             if announce_draining or await self.delete():
                 self.record.leaving(self.instance)
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(random.uniform(*LINGER_S))
         if announce_draining:
             await self.delete()
         self.crash()
@@ -130,7 +131,8 @@
         request_id = request.headers.get("x-request-id", "")
         path = request.start[1]
         if path == "/health":
-            writer.write(http.encode_response(200, {"X-Instance-Id": self.instance}))
+            status = 503 if self.draining else 200
+            writer.write(http.encode_response(status, {"X-Instance-Id": self.instance}))
             return True
         refusal = self.refusal(request)
         if refusal:
