--- a/scripts/lib/soak/node.py
+++ b/scripts/lib/soak/node.py
@@ -2,6 +2,7 @@
 store."""
 
 import asyncio
+import contextlib
 import os
 import random
 import signal
@@ -109,7 +110,9 @@
     def signal(self, number):
         self.log(f"{self.name} gets {signal.Signals(number).name}")
         if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
+            # Process.send_signal would reap a process that has just ended, and its exit code with it.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
 
     def kill(self):
         self.record.disturb(self.name)
@@ -152,5 +155,5 @@
         self.target.crash()
         if self.process is not None and self.process.returncode is None:
             self.signal(signal.SIGCONT)
-            self.process.kill()
+            self.signal(signal.SIGKILL)
             await self.process.wait()
--- a/src/cli/request_timeline.cc
+++ b/src/cli/request_timeline.cc
@@ -34,7 +34,7 @@
   std::string text;
   for (const auto& [name, value] : line.fields) {
     if (name != "request" && name != "level") {
-      text += (text.empty() ? "" : " ") + name + "=" + value;
+      text.append(text.empty() ? "" : " ").append(name).append("=").append(value);
     }
   }
   return text;
