Count requests that a planned stop ends without an error in the soak

A connection that closed in order, without the answer to a request that had run, was checked only against the limit for nodes in touch; around a planned stop it now breaks the promise like a reset does. A kill during the stop excuses it. The fields paused and unexpected_ends, which nothing read, go.

--- a/scripts/lib/soak/client.py
+++ b/scripts/lib/soak/client.py
@@ -61,7 +61,7 @@
                 http.read_message(self.reader), DEADLINE_MS / 1000 + PATIENCE_S
             )
         except (OSError, http.HttpError):
-            self.record.closed(request_id, self.node.stopping)
+            self.record.closed(request_id, self.node.ends_as_planned())
             raise
         except TimeoutError:
             self.record.outcomes["no answer"] += 1
@@ -69,8 +69,7 @@
                 self.record.fail("CONFIG", f"{request_id} has no answer after its time-out")
             raise
         if response is None:
-            # A request that crosses the close of an idle connection has not been read.
-            self.record.closed(request_id, False)
+            self.record.closed(request_id, self.node.ends_as_planned())
             self.drop()
             return
         self.record.answered(request_id, response)
--- a/scripts/lib/soak/node.py
+++ b/scripts/lib/soak/node.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import socket
+import time
 
 from soak import http
 from soak.proxy import Proxy
@@ -14,6 +15,8 @@
 
 GRACE_S = 6.0
 RESTART_DELAY_S = 0.3
+# Within this time callers notice that a process has ended.
+NOTICE_S = 0.3
 
 
 # Below the ports that the system gives to outgoing connections, which could take one while its node restarts.
@@ -51,8 +54,9 @@
         self.store = Proxy()
         self.process = None
         self.stopping = False
-        self.paused = False
-        self.unexpected_ends = 0
+        # When the last planned stop ended; callers may notice the end of the process a little later.
+        self.stopped_at = 0.0
+        self.killed_at = 0.0
         ports = [free_port() for _ in range(5)]
         self.outbound, self.readiness, self.announcements, self.listen, self.metrics = ports
         self.keeper = None
@@ -101,10 +105,10 @@
             # A signal that the soak sent, or an orderly end after SIGTERM.
             expected = code == -signal.SIGKILL or (self.stopping and code == 0)
             if not expected:
-                self.unexpected_ends += 1
                 self.record.fail("Fault", f"{self.name} ended by itself with {code}")
+            if self.stopping:
+                self.stopped_at = time.monotonic()
             self.stopping = False
-            self.paused = False
             await asyncio.sleep(RESTART_DELAY_S)
 
     def signal(self, number):
@@ -114,8 +118,15 @@
             with contextlib.suppress(ProcessLookupError):
                 os.kill(self.process.pid, number)
 
+    def ends_as_planned(self):
+        """Whether a connection that ends now ends by a planned stop, which must cut no request."""
+        now = time.monotonic()
+        planned = self.stopping or now < self.stopped_at + NOTICE_S
+        return planned and now > self.killed_at + GRACE_S
+
     def kill(self):
         self.record.disturb(self.name)
+        self.killed_at = time.monotonic()
         self.signal(signal.SIGKILL)
 
     async def pause(self, seconds):
