Serve routes of kind upload and of kinds that are not known

Now `upload` is a kind of its own, not idempotent. A peer's route of an unknown kind is read the same way, so that a rolling upgrade does not stop the configuration. A configuration that cannot be used is counted in config_malformed. Ruled out: leaving out routes of unknown kinds, because their callers would get 404. Tests: platform/codec_test.cc and routing/config_holder_test.cc; each fails on the code before (DecodeError).

--- a/include/limpet/edge/coordination.h
+++ b/include/limpet/edge/coordination.h
@@ -2,6 +2,7 @@
 #define LIMPET_EDGE_COORDINATION_H_
 
 #include <functional>
+#include <string>
 #include <vector>
 
 #include "limpet/routing/mesh_config.h"
@@ -14,6 +15,8 @@
 class Coordination {
  public:
   using ConfigCallback = std::function<void(MeshConfig)>;
+  /// Called with the cause when a configuration in the store cannot be used.
+  using UnusableConfigCallback = std::function<void(const std::string& problem)>;
   using NodesCallback = std::function<void(std::vector<wire::NodeAddress>)>;
 
   virtual ~Coordination() = default;
@@ -21,7 +24,7 @@
   /// Delivers the current configuration and each later one while polling is on. Versions that are
   /// replaced before they are read may be skipped; an older version or the same one may be
   /// delivered again. Continues after store outages.
-  virtual void WatchConfig(ConfigCallback on_config) = 0;
+  virtual void WatchConfig(ConfigCallback on_config, UnusableConfigCallback on_unusable) = 0;
   /// Stops or resumes reading the configuration from the store. A node may stop when other nodes
   /// read it and send it the changes.
   virtual void SetPolling(bool polling) = 0;
--- a/include/limpet/routing/mesh_config.h
+++ b/include/limpet/routing/mesh_config.h
@@ -11,20 +11,26 @@
 
 namespace limpet {
 
-/// Whether the requests of a route may be executed more than once, and whether their responses are
-/// large.
+/// Whether the requests of a route may be executed more than once, and whether their bodies or
+/// responses are large.
 enum class RequestKind {
   kIdempotent,
   kNonIdempotent,
   kDownload,  // idempotent with a large response
+  kUpload,    // non-idempotent with a large request body
 };
 
-inline constexpr EnumNames<RequestKind, 3> kRequestKindNames = {{
+inline constexpr EnumNames<RequestKind, 4> kRequestKindNames = {{
     {RequestKind::kIdempotent, "idempotent"},
     {RequestKind::kNonIdempotent, "non_idempotent"},
     {RequestKind::kDownload, "download"},
+    {RequestKind::kUpload, "upload"},
 }};
 
+/// Kind of routes whose kind this version does not know: requests of any kind may be treated as
+/// non-idempotent.
+inline constexpr RequestKind kStrictestRequestKind = RequestKind::kNonIdempotent;
+
 /// One service of a route and the weight that determines its share of the requests.
 struct WeightedService {
   std::string service;
@@ -50,7 +56,9 @@
   int max_attempts = 1;
   std::vector<WeightedService> weighted_services;
 
-  bool IsIdempotent() const { return kind != RequestKind::kNonIdempotent; }
+  bool IsIdempotent() const {
+    return kind == RequestKind::kIdempotent || kind == RequestKind::kDownload;
+  }
   bool operator==(const MeshRoute&) const = default;
 };
 
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -191,7 +191,9 @@
       executor_, PeerAddress{settings_.host, LinkListenPort(settings_)},
       [this](TcpSocket socket) { link_server_->Accept(std::move(socket)); }));
   serve(settings_.outbound, caller_sessions_);
-  coordination_.WatchConfig([this](MeshConfig config) { OnStoreConfig(std::move(config)); });
+  coordination_.WatchConfig(
+      [this](MeshConfig config) { OnStoreConfig(std::move(config)); },
+      [this](const std::string& /*problem*/) { counters_.Get("config_malformed").Add(); });
   coordination_.RegisterNode(MakeNodeAddress(settings_),
                              [this](const std::vector<wire::NodeAddress>& nodes) {
                                joined_ = true;
--- a/src/routing/mesh_delta.cc
+++ b/src/routing/mesh_delta.cc
@@ -27,17 +27,18 @@
 }
 
 MeshRoute FromRecord(const wire::MeshRouteRecord& record) {
-  const bool known_kind =
-      record.kind >= 0 && record.kind < static_cast<int>(kRequestKindNames.size());
-  if (!known_kind || record.services.size() != record.weights.size()) {
+  if (record.services.size() != record.weights.size()) {
     throw DecodeError("route " + record.name +
-                      " from another node: unknown kind, or services and weights differ in number");
+                      " from another node: services and weights differ in number");
   }
+  // A node of a later version may know more kinds.
+  const bool known_kind =
+      record.kind >= 0 && record.kind < static_cast<int>(kRequestKindNames.size());
   MeshRoute route;
   route.name = record.name;
   route.host = record.host;
   route.path_prefix = record.path_prefix;
-  route.kind = static_cast<RequestKind>(record.kind);
+  route.kind = known_kind ? static_cast<RequestKind>(record.kind) : kStrictestRequestKind;
   route.timeout = Duration(record.timeout_us);
   route.target_latency = Duration(record.target_latency_us);
   route.priority = record.priority;
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -22,7 +22,9 @@
     R"("max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}]})";
 
 TEST_CASE("the operator's configuration is decoded into the project's types") {
-  const MeshConfig config = DecodeOperatorConfig(kConfig);
+  const DecodedConfig decoded = DecodeOperatorConfig(kConfig);
+  CHECK(decoded.unknown_items.empty());
+  const MeshConfig& config = decoded.config;
   CHECK(config.version == 7);
   REQUIRE(config.routes.size() == 2);
   CHECK(config.routes[0].kind == RequestKind::kNonIdempotent);
@@ -34,6 +36,34 @@
   CHECK(config.limits.max_body_bytes == 1000);
 }
 
+std::string Replace(std::string text, const std::string& from, const std::string& to) {
+  const std::size_t start = text.find(from);
+  REQUIRE(start != std::string::npos);
+  return text.replace(start, from.size(), to);
+}
+
+TEST_CASE("requests with large bodies are not idempotent") {
+  const MeshConfig config = DecodeOperatorConfig(Replace(kConfig, "download", "upload")).config;
+  CHECK(config.routes[1].kind == RequestKind::kUpload);
+  CHECK_FALSE(config.routes[1].IsIdempotent());
+}
+
+// Guards against a mesh that serves nothing because one word of the configuration is newer than the
+// nodes.
+TEST_CASE("a configuration with kinds and resource types that are not known is used") {
+  std::string text =
+      Replace(kConfig, "\"kind\":\"download\"", "\"kind\":\"teleport\",\"extra\":[1]");
+  text = Replace(text, R"({"resource_type":"limits")",
+                 R"({"resource_type":"zones","metadata":{"name":"z"},"specification":{}},)"
+                 R"({"resource_type":"limits")");
+  const DecodedConfig decoded = DecodeOperatorConfig(text);
+  REQUIRE(decoded.config.routes.size() == 2);
+  CHECK_FALSE(decoded.config.routes[1].IsIdempotent());
+  CHECK(decoded.config.routes[0].kind == RequestKind::kNonIdempotent);
+  CHECK(decoded.config.limits.max_body_bytes == 1000);
+  CHECK(decoded.unknown_items == std::set<std::string>{"kind teleport", "resource type zones"});
+}
+
 TEST_CASE("an invalid configuration throws DecodeError") {
   const std::string whole = kConfig;
   CHECK_THROWS_AS(DecodeOperatorConfig(whole.substr(0, whole.size() / 2)), DecodeError);
--- a/tests/routing/config_holder_test.cc
+++ b/tests/routing/config_holder_test.cc
@@ -40,6 +40,19 @@
   CHECK(holder.routes()->Match("desk.example", "/lots/1") != nullptr);
 }
 
+// Guards against a rolling upgrade in which older nodes refuse the configuration of newer ones.
+TEST_CASE("a route whose kind only a later version knows is not idempotent") {
+  MeshRoute download = MakeRoute("lots", 800);
+  download.kind = RequestKind::kDownload;
+  ConfigHolder reader;
+  reader.Update(MakeConfig(1, {download}));
+  wire::LinkConfig change = *reader.FullUpdate();
+  change.set_routes[0].kind = 1000;
+  ConfigHolder peer;
+  CHECK(peer.Update(change) == ConfigUpdateResult::kApplied);
+  CHECK_FALSE(peer.routes()->Match("desk.example", "/lots/1")->IsIdempotent());
+}
+
 TEST_CASE("a change is applied only to the version that it is based on") {
   const MeshConfig first = MakeConfig(1, {MakeRoute("lots", 800)});
   const MeshConfig second = MakeConfig(2, {MakeRoute("lots", 900), MakeRoute("slots", 100)});
