--- a/idl/limpet.thrift
+++ b/idl/limpet.thrift
@@ -358,6 +358,8 @@
   // Service time of recent requests at this target in thousandths of the typical service time of their
   // routes; 0 if there are no recent requests.
   10: i32 slowdown_permille
+  // Queueing delay of a large request body at the network link of the target's VM.
+  11: i32 ingress_wait_us
 }
 
 struct NodeAddress {
@@ -376,6 +378,9 @@
   3: i64 config_version
   4: TargetStatus target
   5: list<NodeAddress> known_nodes
+  // The sender asks for large request bodies with LinkBodyRequest. Nodes of earlier versions get the
+  // body with the call.
+  6: bool requests_bodies
 }
 
 struct LinkCall {
@@ -404,6 +409,21 @@
   15: i32 usual_run_us
   // 0 if unknown.
   16: i32 expected_response_bytes
+  // Size of a large request body, which is sent when the receiver asks for it; 0 if the body is in the
+  // frame of the call.
+  17: i32 body_bytes
+}
+
+// Asks for the next bytes of the request body of a call. The receiver of the call decides when, so
+// that it gets no body of a call that it refuses, and no more bytes than its network link can take.
+struct LinkBodyRequest {
+  1: i64 call_id
+  2: i32 bytes
+}
+
+// The body of this frame is the next part of the request body of a call.
+struct LinkBodyPart {
+  1: i64 call_id
 }
 
 struct LinkReply {
@@ -485,6 +505,18 @@
   3: i64 call_id
 }
 
+// The sender of this message promises to the receiver that it sends at least one message per interval
+// on this link, so that its failure is detected without calls. 0 withdraws the promise.
+struct LinkKeepalive {
+  1: i32 interval_ms
+}
+
+// The sender has not received anything from a node that promised keepalives. The receiver checks its own
+// link to that node.
+struct LinkSilence {
+  1: string node
+}
+
 struct LinkMessage {
   1: optional LinkHello hello
   2: optional TargetStatus status
@@ -495,4 +527,8 @@
   7: optional LinkConfigRequest config_request
   8: optional LinkProbe probe
   9: optional LinkChunk chunk
+  10: optional LinkBodyRequest body_request
+  11: optional LinkBodyPart body_part
+  12: optional LinkKeepalive keepalive
+  13: optional LinkSilence silence
 }
--- a/include/limpet/edge/inbound_proxy.h
+++ b/include/limpet/edge/inbound_proxy.h
@@ -4,14 +4,15 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "limpet/core/counters.h"
 #include "limpet/core/latency_buckets.h"
-#include "limpet/edge/egress_pacer.h"
 #include "limpet/edge/http_connection.h"
 #include "limpet/edge/http_header_names.h"
+#include "limpet/edge/link_pacer.h"
 #include "limpet/traffic/target_gate.h"
 
 namespace limpet::edge {
@@ -27,23 +28,35 @@
 
 using ReplySinkPtr = std::shared_ptr<ReplySink>;
 
+/// Pacers of the VM's network link; null if the link is too fast to need one.
+struct LinkPacers {
+  std::shared_ptr<LinkPacer> egress;
+  std::shared_ptr<LinkPacer> ingress;
+};
+
 /// Forwards calls of nodes to the local target once the `TargetGate` admits them. If the link of a
 /// call is lost, its reply is kept for a while, and the calling node gets it when it sends the call
 /// again with the same key.
 class InboundProxy {
  public:
-  /// The references must outlive the proxy. `pacer` may be null. `on_status` is called when the
-  /// state, the instance or, by a considerable amount, the load of the target has changed.
+  /// The references must outlive the proxy. `on_status` is called when the state, the instance or,
+  /// by a considerable amount, the load of the target has changed.
   InboundProxy(const Executor& executor,
                const HttpHeaderNames& header_names,
                TargetGate& gate,
                Counters& counters,
-               std::shared_ptr<const EgressPacer> pacer,
+               LinkPacers pacers,
                std::function<void()> on_status);
   ~InboundProxy();
 
-  /// `key` is unique among the calls of all nodes; a resent call has the same key.
+  /// `key` is unique among the calls of all nodes; a resent call has the same key. If the call
+  /// announces a body (`body_bytes`) and is not refused, it waits for `AddBody`.
   void Call(const std::string& key, wire::LinkCall call, std::string body, ReplySinkPtr sink);
+  /// Whether the body of this call is still to be received.
+  bool IsAwaitingBody(const std::string& key) const;
+  /// Adds received bytes to the body of a call that waits for it. More bytes than announced end the
+  /// call; bytes for any other call are dropped.
+  void AddBody(const std::string& key, std::string_view bytes);
   /// Cancels a call whose reply is no longer needed. A non-idempotent request that has been sent to
   /// the target is not interrupted.
   void Cancel(const std::string& key);
@@ -69,6 +82,7 @@
     TimePoint started{};
     TimePoint deadline{};
     HttpConnectionPtr connection;
+    bool awaiting_body = false;
     bool reused_connection = false;
     bool resent = false;
     /// Time at which the sink was first found closed; zero while it is open.
@@ -107,7 +121,7 @@
   const HttpHeaderNames& header_names_;
   TargetGate& gate_;
   Counters& counters_;
-  std::shared_ptr<const EgressPacer> pacer_;
+  LinkPacers pacers_;
   std::function<void()> on_status_;
   PendingCallMap pending_;
   /// Total expected size of the paced responses of `pending_`, in bytes.
--- a/include/limpet/edge/link.h
+++ b/include/limpet/edge/link.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "limpet/core/time.h"
-#include "limpet/edge/egress_pacer.h"
+#include "limpet/edge/link_pacer.h"
 #include "limpet_types.h"
 
 namespace limpet::edge {
@@ -27,7 +27,7 @@
   };
 
   /// Large bodies are sent in chunks at the rate of `pacer`; without a pacer they are sent at once.
-  explicit Link(TcpSocket socket, std::shared_ptr<EgressPacer> pacer = nullptr);
+  explicit Link(TcpSocket socket, std::shared_ptr<LinkPacer> pacer = nullptr);
 
   void Start(Handlers handlers);
   /// `due` is the time by which a large body should be sent; the pacer orders transfers by it.
@@ -62,7 +62,7 @@
   TcpSocket socket_;
   /// Shared, so that a handler that is running survives when it closes the link.
   std::shared_ptr<const Handlers> handlers_;
-  std::shared_ptr<EgressPacer> pacer_;
+  std::shared_ptr<LinkPacer> pacer_;
   /// Outgoing transfers by the id that the pacer returned.
   std::map<int64_t, Transfer> transfers_;
   /// Received chunks of incomplete bodies, by transfer id.
--- a/include/limpet/edge/link_server.h
+++ b/include/limpet/edge/link_server.h
@@ -29,8 +29,7 @@
 /// pushes target status and configuration changes to them.
 class LinkServer {
  public:
-  /// `pacer` may be null.
-  LinkServer(InboundProxy& inbound, LinkServerHooks hooks, std::shared_ptr<EgressPacer> pacer);
+  LinkServer(InboundProxy& inbound, LinkServerHooks hooks, LinkPacers pacers);
   ~LinkServer();
 
   void Accept(TcpSocket socket);
@@ -49,7 +48,7 @@
 
   InboundProxy& inbound_;
   LinkServerHooks hooks_;
-  std::shared_ptr<EgressPacer> pacer_;
+  LinkPacers pacers_;
   std::map<Session*, std::shared_ptr<Session>> sessions_;
 };
 
--- a/include/limpet/edge/outbound_proxy.h
+++ b/include/limpet/edge/outbound_proxy.h
@@ -56,9 +56,7 @@
   class ActiveCall;
 
   void Respond(const HttpSessionPtr& session, int status, std::string_view reason, Duration retry);
-  MeshCallOptions MakeCallOptions(const MeshRoute& route,
-                                  std::string_view deadline_ms,
-                                  TimePoint now);
+  MeshCallOptions MakeCallOptions(const MeshRoute& route, const HttpRequest& request);
 
   Executor executor_;
   OutboundProxyOptions options_;
--- a/include/limpet/edge/peer_links.h
+++ b/include/limpet/edge/peer_links.h
@@ -11,6 +11,7 @@
 
 #include "limpet/core/counters.h"
 #include "limpet/core/random.h"
+#include "limpet/edge/inbound_proxy.h"
 #include "limpet/edge/link.h"
 
 namespace limpet::edge {
@@ -42,8 +43,12 @@
   wire::NodeAddress self;
   /// Random id of this process start.
   int64_t incarnation = 0;
+  LinkPacers pacers;
 };
 
+/// A request body, shared by the attempts of its request.
+using SharedBody = std::shared_ptr<const std::string>;
+
 /// The links that this node opens to other nodes: one each, opened when the node becomes known and
 /// reopened when it is lost. Pending calls survive a lost link if the same process of the peer is
 /// reached again in time: they are sent again with the same key, and the peer runs each of them
@@ -70,7 +75,7 @@
   /// Sends a call. The handlers are never called from within `Call`. Returns the id of the call.
   int64_t Call(const std::string& node,
                wire::LinkCall call,
-               std::string body,
+               SharedBody body,
                CallHandlers handlers);
   void Cancel(const std::string& node, int64_t call_id);
   void RequestConfig(const std::string& node, int64_t have);
@@ -90,7 +95,9 @@
  private:
   struct PendingCall {
     wire::LinkCall call;
-    std::string body;
+    SharedBody body;
+    /// Bytes of `body` that were sent because the peer asked for them.
+    std::size_t body_sent = 0;
     CallHandlers handlers;
   };
   struct Peer {
@@ -100,6 +107,8 @@
     bool ready = false;
     bool connect_attempted = false;
     int64_t incarnation = 0;
+    /// Large request bodies are sent when the peer asks for them, otherwise with their call.
+    bool requests_bodies = false;
     Duration backoff{0};
     std::unique_ptr<Timer> retry_timer;
     TimePoint lost_at{};
@@ -116,9 +125,10 @@
   void OnHello(Peer& peer, const wire::LinkHello& hello);
   void OnReply(Peer& peer, wire::LinkReply reply, std::string body);
   void OnTransfer(const std::string& name, int64_t call_id);
+  void OnBodyRequest(Peer& peer, const wire::LinkBodyRequest& request);
   void OnClosed(const std::string& name, ErrorCode error);
   void FailCalls(Peer& peer, bool idempotent_only);
-  void SendCall(Peer& peer, const PendingCall& call);
+  void SendCall(Peer& peer, PendingCall& call);
   std::vector<Peer*> SampleReadyPeers(int count);
   void CheckResponsiveness(const std::string& name, Peer& peer, TimePoint now);
 
--- a/include/limpet/traffic/egress_schedule.h
+++ b/include/limpet/traffic/link_schedule.h
@@ -1,5 +1,5 @@
-#ifndef LIMPET_TRAFFIC_EGRESS_SCHEDULE_H_
-#define LIMPET_TRAFFIC_EGRESS_SCHEDULE_H_
+#ifndef LIMPET_TRAFFIC_LINK_SCHEDULE_H_
+#define LIMPET_TRAFFIC_LINK_SCHEDULE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -11,19 +11,20 @@
 
 namespace limpet {
 
-/// Responses of at least this size in bytes are queued for the VM's network link; smaller ones are
+/// Bodies of at least this size in bytes are queued for the VM's network link; smaller ones are
 /// sent between their chunks.
-inline constexpr std::size_t kLargeResponseBytes = 8192;
+inline constexpr std::size_t kLargeBodyBytes = 8192;
 
-/// Decides when the next chunk of a large body may be sent over the VM's network link and to which
-/// transfer it belongs: earliest due time first among the transfers that can still be on time. Late
-/// transfers get a quarter of the rate while others can be on time, and the whole rate otherwise.
-/// All sent bytes count towards the rate, so that the queue of the link stays short and small
-/// messages are not delayed. Free of I/O; not safe for concurrent use.
-class EgressSchedule {
+/// Decides when the next chunk of a large body may pass the VM's network link and to which transfer
+/// it belongs. Each direction of the link has a schedule of its own: earliest due time first among
+/// the transfers that can still be on time. Late transfers get a quarter of the rate while others
+/// can be on time, and the whole rate otherwise. All sent bytes count towards the rate, so that the
+/// queue of the link stays short and small messages are not delayed. Free of I/O; not safe for
+/// concurrent use.
+class LinkSchedule {
  public:
   /// Rate of the link in Mbit/s.
-  explicit EgressSchedule(double link_mbps);
+  explicit LinkSchedule(double link_mbps);
 
   /// Adds a body of `bytes` that should be sent by `due`. Returns the id of the transfer.
   int64_t Add(std::size_t bytes, TimePoint due);
@@ -62,4 +63,4 @@
 
 }  // namespace limpet
 
-#endif  // LIMPET_TRAFFIC_EGRESS_SCHEDULE_H_
+#endif  // LIMPET_TRAFFIC_LINK_SCHEDULE_H_
--- a/include/limpet/traffic/mesh_call.h
+++ b/include/limpet/traffic/mesh_call.h
@@ -21,6 +21,7 @@
   TimePoint deadline{};
   /// A response after this time is late and has less value for the caller.
   TimePoint latency_target{};
+  size_t request_bytes = 0;
   size_t expected_response_bytes = 0;
   /// Moving average of the latency of one attempt on this route; 0 if unknown.
   Duration typical_latency{0};
--- a/include/limpet/traffic/target_gate.h
+++ b/include/limpet/traffic/target_gate.h
@@ -55,6 +55,10 @@
   Duration link_transmission_time{0};
   /// Immediate-only attempt: refused if no slot is free, because another target may have one.
   bool free_slot_only = false;
+  /// The request body is still to be received. The call waits without a slot until `OnBody`.
+  bool body_pending = false;
+  /// Expected time until the request body has been received.
+  Duration body_delay{0};
 };
 
 enum class GateVerdict {
@@ -114,6 +118,9 @@
   /// Ends a running call; does nothing for any other. Returns the queued calls that start or are
   /// refused now.
   std::vector<GateEvent> Finish(TimePoint now, const std::string& key, TargetResult result);
+  /// The body of a call that was admitted with `body_pending` has been received. Returns the queued
+  /// calls that start or are refused now.
+  std::vector<GateEvent> OnBody(TimePoint now, const std::string& key);
   /// Removes a call from the queue. Returns false if it is not queued.
   bool RemoveQueued(const std::string& key);
   /// Refuses queued calls whose deadline has passed and starts queued calls in free slots. Returns
@@ -166,6 +173,11 @@
   /// Whether the target counts as down. While it does, returns false once per `trial_interval`, so
   /// that one request is admitted as a trial.
   bool IsDown(TimePoint now) const;
+  using Queue = std::map<QueueKey, GateCall>;
+  /// Removes an entry of the queue. Returns the position after it.
+  Queue::iterator Dequeue(Queue::iterator entry);
+  /// True if a queued call could start in a free slot now.
+  bool HasStartable() const { return static_cast<int>(queue_.size()) > bodies_pending_; }
   std::vector<GateEvent> RefuseAll(wire::RefusalReason::type reason);
   void StartQueued(TimePoint now, std::vector<GateEvent>& events);
 
@@ -175,7 +187,9 @@
   std::optional<TargetAnnouncement> target_;
   TimePoint cold_until_{};
   bool draining_ = false;
-  std::map<QueueKey, GateCall> queue_;
+  Queue queue_;
+  /// Number of queued calls whose body is still to be received.
+  int bodies_pending_ = 0;
   std::unordered_map<std::string, QueueKey> queued_keys_;
   std::unordered_map<std::string, Running> running_;
   uint64_t next_sequence_ = 0;
--- a/include/limpet/traffic/target_placement.h
+++ b/include/limpet/traffic/target_placement.h
@@ -42,6 +42,7 @@
   Duration remaining_latency{0};
   /// Moving average of the service time of the route over all targets.
   Duration typical_service_time = kAssumedServiceTime;
+  size_t request_bytes = 0;
 };
 
 struct PlacedTarget {
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -97,9 +97,9 @@
 /// may be late.
 constexpr double kMinUnpacedMbps = 200;
 
-std::shared_ptr<EgressPacer> MakePacer(const Executor& executor, const NodeSettings& settings) {
+std::shared_ptr<LinkPacer> MakePacer(const Executor& executor, const NodeSettings& settings) {
   return settings.link_mbps < kMinUnpacedMbps
-             ? std::make_shared<EgressPacer>(executor, settings.link_mbps)
+             ? std::make_shared<LinkPacer>(executor, settings.link_mbps)
              : nullptr;
 }
 
@@ -128,17 +128,17 @@
       tick_timer_(executor),
       target_probe_(executor, header_names_) {
   PeerLinksObserver& observer = *this;
-  links_ = std::make_unique<PeerLinks>(executor_,
-                                       PeerLinksOptions{MakeNodeAddress(settings_), incarnation_},
-                                       observer, counters_, Random(GenerateSeed()));
-  const auto pacer = MakePacer(executor_, settings_);
-  inbound_ = std::make_unique<InboundProxy>(executor_, header_names_, gate_, counters_, pacer,
+  const LinkPacers pacers{MakePacer(executor_, settings_), MakePacer(executor_, settings_)};
+  links_ = std::make_unique<PeerLinks>(
+      executor_, PeerLinksOptions{MakeNodeAddress(settings_), incarnation_, pacers}, observer,
+      counters_, Random(GenerateSeed()));
+  inbound_ = std::make_unique<InboundProxy>(executor_, header_names_, gate_, counters_, pacers,
                                             [this] { OnStatusChanged(); });
   outbound_ = std::make_unique<OutboundProxy>(
       executor_, OutboundProxyOptions{settings_.name, settings_.data_centre, settings_.service},
       header_names_, [this] { return config_.routes(); }, placement_, budget_, *links_, *inbound_,
       counters_, Random(GenerateSeed()));
-  link_server_ = std::make_unique<LinkServer>(*inbound_, MakeLinkHooks(), pacer);
+  link_server_ = std::make_unique<LinkServer>(*inbound_, MakeLinkHooks(), pacers);
 }
 
 EdgeNode::~EdgeNode() = default;
@@ -152,6 +152,7 @@
     hello.config_version = config_.version();
     hello.target = inbound_->Status();
     hello.known_nodes = links_->SampleNodes(kNodesPerHandshake);
+    hello.requests_bodies = true;
     return hello;
   };
   hooks.on_node = [this](const wire::NodeAddress& node) { links_->Add(node); };
--- a/src/edge/inbound_proxy.cc
+++ b/src/edge/inbound_proxy.cc
@@ -50,13 +50,13 @@
                            const HttpHeaderNames& header_names,
                            TargetGate& gate,
                            Counters& counters,
-                           std::shared_ptr<const EgressPacer> pacer,
+                           LinkPacers pacers,
                            std::function<void()> on_status)
     : executor_(executor),
       header_names_(header_names),
       gate_(gate),
       counters_(counters),
-      pacer_(std::move(pacer)),
+      pacers_(std::move(pacers)),
       on_status_(std::move(on_status)) {}
 
 InboundProxy::~InboundProxy() {
@@ -97,19 +97,31 @@
   const std::size_t paced_bytes = PacedBytes(call);
   if (paced_bytes > 0) {
     gate_call.link_queueing_delay =
-        pacer_->QueueingDelay() + pacer_->TransmissionTime(admitted_bytes_);
-    gate_call.link_transmission_time = pacer_->TransmissionTime(paced_bytes);
+        pacers_.egress->QueueingDelay() + pacers_.egress->TransmissionTime(admitted_bytes_);
+    gate_call.link_transmission_time = pacers_.egress->TransmissionTime(paced_bytes);
+  }
+  const bool awaiting_body = body.empty() && call.body_bytes > 0;
+  gate_call.body_pending = awaiting_body;
+  if (awaiting_body && pacers_.ingress) {
+    gate_call.body_delay =
+        pacers_.ingress->QueueingDelay() +
+        pacers_.ingress->TransmissionTime(static_cast<std::size_t>(call.body_bytes));
   }
   const GateDecision decision = gate_.Admit(now, gate_call);
   if (decision.verdict == GateVerdict::kAttach) {
     PendingCall& pending = pending_.at(key);
     pending.sink = std::move(sink);
     pending.orphaned_since = {};
+    if (pending.awaiting_body) {
+      // The new link sends the body from its start.
+      pending.body.clear();
+    }
     return;
   }
   PendingCall pending;
   pending.call = std::move(call);
   pending.body = std::move(body);
+  pending.awaiting_body = awaiting_body;
   pending.sink = std::move(sink);
   pending.arrived = now;
   pending.deadline = gate_call.deadline;
@@ -123,9 +135,35 @@
   ReportStatusChange();
 }
 
+bool InboundProxy::IsAwaitingBody(const std::string& key) const {
+  const auto found = pending_.find(key);
+  return found != pending_.end() && found->second.awaiting_body;
+}
+
+void InboundProxy::AddBody(const std::string& key, std::string_view bytes) {
+  const auto found = pending_.find(key);
+  if (found == pending_.end() || !found->second.awaiting_body) {
+    return;
+  }
+  PendingCall& pending = found->second;
+  const auto expected = static_cast<std::size_t>(pending.call.body_bytes);
+  pending.body += bytes;
+  if (pending.body.size() < expected) {
+    return;
+  }
+  if (pending.body.size() > expected) {
+    gate_.RemoveQueued(key);
+    Refuse(key, {.reason = Reason::kTargetUnavailable});
+    return;
+  }
+  pending.awaiting_body = false;
+  HandleGateEvents(gate_.OnBody(MonotonicNow(), key));
+  ReportStatusChange();
+}
+
 std::size_t InboundProxy::PacedBytes(const wire::LinkCall& call) const {
   const auto bytes = static_cast<std::size_t>(std::max(0, call.expected_response_bytes));
-  return pacer_ && bytes >= kLargeResponseBytes ? bytes : 0;
+  return pacers_.egress && bytes >= kLargeBodyBytes ? bytes : 0;
 }
 
 InboundProxy::PendingCall InboundProxy::TakePending(PendingCallMap::iterator call) {
@@ -404,9 +442,12 @@
 
 wire::TargetStatus InboundProxy::Status() const {
   wire::TargetStatus status = gate_.Status(MonotonicNow());
-  if (pacer_) {
-    status.egress_wait_us = static_cast<int32_t>(pacer_->QueueingDelay().count());
-    status.egress_us_per_kib = static_cast<int32_t>(pacer_->TransmissionTime(1024).count());
+  if (pacers_.egress) {
+    status.egress_wait_us = static_cast<int32_t>(pacers_.egress->QueueingDelay().count());
+    status.egress_us_per_kib = static_cast<int32_t>(pacers_.egress->TransmissionTime(1024).count());
+  }
+  if (pacers_.ingress) {
+    status.ingress_wait_us = static_cast<int32_t>(pacers_.ingress->QueueingDelay().count());
   }
   return status;
 }
--- a/src/edge/link.cc
+++ b/src/edge/link.cc
@@ -20,7 +20,7 @@
 constexpr std::size_t kReadBytes = std::size_t{16} << 10;
 /// Larger bodies are sent in chunks of this size. One chunk takes 10 ms on the slowest link
 /// (7 Mbit/s), which limits how long a small message waits behind it.
-constexpr std::size_t kChunkBytes = kLargeResponseBytes;
+constexpr std::size_t kChunkBytes = kLargeBodyBytes;
 /// Size assumed for the Thrift message of a frame, with the headers of a response and the load
 /// report.
 constexpr std::size_t kSmallMessageBytes = 500;
@@ -45,7 +45,7 @@
 
 }  // namespace
 
-Link::Link(TcpSocket socket, std::shared_ptr<EgressPacer> pacer)
+Link::Link(TcpSocket socket, std::shared_ptr<LinkPacer> pacer)
     : socket_(std::move(socket)), pacer_(std::move(pacer)), last_received_(MonotonicNow()) {
   SetConnectionOptions(socket_, kPeerTimeout);
 }
--- a/src/edge/egress_pacer.cc
+++ b/src/edge/link_pacer.cc
@@ -1,4 +1,4 @@
-#include "limpet/edge/egress_pacer.h"
+#include "limpet/edge/link_pacer.h"
 
 #include <algorithm>
 
@@ -6,14 +6,12 @@
 
 namespace limpet::edge {
 
-EgressPacer::EgressPacer(const Executor& executor, double link_mbps)
+LinkPacer::LinkPacer(const Executor& executor, double link_mbps)
     : timer_(executor), schedule_(link_mbps) {}
 
-EgressPacer::~EgressPacer() = default;
+LinkPacer::~LinkPacer() = default;
 
-int64_t EgressPacer::Add(const std::weak_ptr<PacedSender>& sender,
-                         std::size_t bytes,
-                         TimePoint due) {
+int64_t LinkPacer::Add(const std::weak_ptr<PacedSender>& sender, std::size_t bytes, TimePoint due) {
   const int64_t transfer = schedule_.Add(bytes, due);
   senders_.emplace(transfer, sender);
   if (!timer_pending_) {
@@ -22,16 +20,16 @@
   return transfer;
 }
 
-void EgressPacer::Remove(int64_t transfer) {
+void LinkPacer::Remove(int64_t transfer) {
   schedule_.Remove(transfer);
   senders_.erase(transfer);
 }
 
-void EgressPacer::OnSent(std::size_t bytes) {
+void LinkPacer::OnSent(std::size_t bytes) {
   schedule_.OnSent(MonotonicNow(), bytes);
 }
 
-void EgressPacer::SendDueChunks() {
+void LinkPacer::SendDueChunks() {
   const TimePoint now = MonotonicNow();
   while (const auto transfer = schedule_.Next(now)) {
     const auto sender = senders_[*transfer].lock();
@@ -49,7 +47,7 @@
   }
 }
 
-void EgressPacer::ScheduleSend(Duration delay) {
+void LinkPacer::ScheduleSend(Duration delay) {
   timer_pending_ = true;
   timer_.expires_after(std::max(Duration(0), delay));
   timer_.async_wait([this](ErrorCode error) {
--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -1,5 +1,6 @@
 #include "limpet/edge/link_server.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -14,11 +15,12 @@
 
 }  // namespace
 
-/// A link that was accepted from another node.
-class LinkServer::Session : public std::enable_shared_from_this<Session> {
+/// A link that was accepted from another node. Asks for the request bodies of calls at the rate of
+/// the VM's network link.
+class LinkServer::Session : public PacedSender, public std::enable_shared_from_this<Session> {
  public:
   Session(LinkServer& server, TcpSocket socket)
-      : server_(server), link_(std::make_shared<Link>(std::move(socket), server.pacer_)) {}
+      : server_(server), link_(std::make_shared<Link>(std::move(socket), server.pacers_.egress)) {}
 
   void Start() {
     link_->Start({[self = weak_from_this()](wire::LinkMessage message, std::string body) {
@@ -41,7 +43,32 @@
   bool HasHandshake() const { return !key_prefix_.empty(); }
   void Close() { link_->Close(); }
 
+  std::size_t SendChunk(int64_t transfer) override {
+    const auto found = body_transfers_.find(transfer);
+    if (found == body_transfers_.end()) {
+      return 0;
+    }
+    BodyTransfer& body = found->second;
+    const int64_t call_id = body.call_id;
+    if (!server_.inbound_.IsAwaitingBody(MakeCallKey(call_id))) {
+      body_transfers_.erase(found);
+      return 0;
+    }
+    const std::size_t bytes = std::min(body.not_requested, kLargeBodyBytes);
+    body.not_requested -= bytes;
+    if (body.not_requested == 0) {
+      body_transfers_.erase(found);
+    }
+    RequestBody(call_id, bytes);
+    return bytes;
+  }
+
  private:
+  /// The request body of a call, which the peer sends when this node asks for it.
+  struct BodyTransfer {
+    int64_t call_id = 0;
+    std::size_t not_requested = 0;
+  };
   class LinkReplySink final : public ReplySink {
    public:
     /// `due` is the latency target of the call, by which the response should be sent.
@@ -72,11 +99,10 @@
       return;
     }
     if (message.__isset.call) {
-      const std::string key = MakeCallKey(message.call.call_id);
-      const TimePoint due =
-          MonotonicNow() + std::chrono::milliseconds(message.call.latency_target_ms);
-      server_.inbound_.Call(key, std::move(message.call), std::move(body),
-                            std::make_shared<LinkReplySink>(link_, due));
+      OnCall(std::move(message.call), std::move(body));
+    }
+    if (message.__isset.body_part) {
+      server_.inbound_.AddBody(MakeCallKey(message.body_part.call_id), body);
     }
     if (message.__isset.cancel) {
       server_.inbound_.Cancel(MakeCallKey(message.cancel.call_id));
@@ -90,6 +116,32 @@
     }
   }
 
+  void OnCall(wire::LinkCall call, std::string body) {
+    const int64_t call_id = call.call_id;
+    const std::string key = MakeCallKey(call_id);
+    const auto body_bytes = static_cast<std::size_t>(std::max(0, call.body_bytes));
+    const TimePoint due = MonotonicNow() + std::chrono::milliseconds(call.latency_target_ms);
+    server_.inbound_.Call(key, std::move(call), std::move(body),
+                          std::make_shared<LinkReplySink>(link_, due));
+    if (!server_.inbound_.IsAwaitingBody(key)) {
+      return;
+    }
+    const auto& ingress = server_.pacers_.ingress;
+    if (!ingress) {
+      RequestBody(call_id, body_bytes);
+      return;
+    }
+    body_transfers_[ingress->Add(weak_from_this(), body_bytes, due)] = {call_id, body_bytes};
+  }
+
+  void RequestBody(int64_t call_id, std::size_t bytes) {
+    wire::LinkMessage message;
+    message.__isset.body_request = true;
+    message.body_request.call_id = call_id;
+    message.body_request.bytes = static_cast<int32_t>(bytes);
+    link_->Send(message);
+  }
+
   void OnHello(const wire::LinkHello& hello) {
     name_ = hello.node.name;
     data_centre_ = hello.node.data_centre;
@@ -128,12 +180,12 @@
   std::string name_;
   std::string data_centre_;
   std::string key_prefix_;
+  /// By the id of the transfer that the ingress pacer returned.
+  std::map<int64_t, BodyTransfer> body_transfers_;
 };
 
-LinkServer::LinkServer(InboundProxy& inbound,
-                       LinkServerHooks hooks,
-                       std::shared_ptr<EgressPacer> pacer)
-    : inbound_(inbound), hooks_(std::move(hooks)), pacer_(std::move(pacer)) {}
+LinkServer::LinkServer(InboundProxy& inbound, LinkServerHooks hooks, LinkPacers pacers)
+    : inbound_(inbound), hooks_(std::move(hooks)), pacers_(std::move(pacers)) {}
 
 LinkServer::~LinkServer() {
   for (const auto& [key, session] : sessions_) {
--- a/src/edge/outbound_proxy.cc
+++ b/src/edge/outbound_proxy.cc
@@ -62,7 +62,7 @@
       headers_.push_back(header);
     }
     SetHeader(headers_, proxy_.header_names_.caller_service, proxy_.options_.service);
-    body_ = session_->TakeBody();
+    body_ = std::make_shared<const std::string>(session_->TakeBody());
     session_->SetDisconnectHandler([self = shared_from_this()] { self->OnCallerDisconnected(); });
     deadline_timer_.expires_after(call_.options().deadline - started_);
     deadline_timer_.async_wait([self = weak_from_this()](ErrorCode error) {
@@ -159,7 +159,7 @@
     attempt.started = now;
     if (node == proxy_.options_.node) {
       attempt.local_key = "local/" + std::to_string(proxy_.next_local_call_++);
-      proxy_.inbound_.Call(attempt.local_key, std::move(call), body_,
+      proxy_.inbound_.Call(attempt.local_key, std::move(call), *body_,
                            std::make_shared<LocalReplySink>(weak_from_this(), send.attempt));
       return;
     }
@@ -306,7 +306,7 @@
   std::string path_;
   std::string request_id_;
   HttpHeaders headers_;
-  std::string body_;
+  SharedBody body_;
   std::map<int, Attempt> attempts_;
   std::string last_node_;
   bool finished_ = false;
@@ -358,11 +358,10 @@
   Respond(session, 503, reason, retry_after);
 }
 
-MeshCallOptions OutboundProxy::MakeCallOptions(const MeshRoute& route,
-                                               std::string_view deadline_ms,
-                                               TimePoint now) {
-  const Duration caller_timeout =
-      std::chrono::milliseconds(ParseNonNegative(deadline_ms, kDefaultDeadlineMs));
+MeshCallOptions OutboundProxy::MakeCallOptions(const MeshRoute& route, const HttpRequest& request) {
+  const TimePoint now = MonotonicNow();
+  const Duration caller_timeout = std::chrono::milliseconds(
+      ParseNonNegative(request.Header(header_names_.deadline_ms), kDefaultDeadlineMs));
   MeshCallOptions options;
   options.service = traffic_splitter_.Pick(route);
   options.idempotent = route.IsIdempotent();
@@ -372,6 +371,7 @@
       route.target_latency > Duration(0) ? route.target_latency : route.timeout;
   options.latency_target = std::min(options.deadline, now + target_latency);
   const auto bytes = response_bytes_.find(route.name);
+  options.request_bytes = request.body.size();
   options.expected_response_bytes =
       bytes == response_bytes_.end() ? 0 : static_cast<size_t>(bytes->second);
   options.typical_latency = route_latencies_.Estimate(route.name);
@@ -392,9 +392,8 @@
     Respond(session, 404, "no route", Duration(0));
     return;
   }
-  const auto call = std::make_shared<ActiveCall>(
-      *this, session, *route,
-      MakeCallOptions(*route, request.Header(header_names_.deadline_ms), MonotonicNow()));
+  const auto call =
+      std::make_shared<ActiveCall>(*this, session, *route, MakeCallOptions(*route, request));
   calls_.insert(call);
   call->Start();
 }
--- a/src/edge/peer_links.cc
+++ b/src/edge/peer_links.cc
@@ -116,7 +116,7 @@
     ScheduleReconnect(name);
     return;
   }
-  peer.link = std::make_shared<Link>(std::move(*socket));
+  peer.link = std::make_shared<Link>(std::move(*socket), options_.pacers.egress);
   peer.link->Start({[this, alive = alive_, name](wire::LinkMessage message, std::string body) {
                       if (*alive) {
                         OnMessage(name, std::move(message), std::move(body));
@@ -168,6 +168,9 @@
   if (message.__isset.config) {
     observer_.OnPeerConfig(name, message.config);
   }
+  if (message.__isset.body_request) {
+    OnBodyRequest(peer, message.body_request);
+  }
 }
 
 void PeerLinks::OnHello(Peer& peer, const wire::LinkHello& hello) {
@@ -185,11 +188,12 @@
     FailCalls(peer, false);
   }
   peer.incarnation = hello.incarnation;
+  peer.requests_bodies = hello.requests_bodies;
   peer.ready = true;
   peer.backoff = Duration(0);
   peer.probed_at = {};
   LogEvent("peer_reached").Add("peer", peer.address.name).Add("same_process", int{same_process});
-  for (const auto& [id, call] : peer.calls) {
+  for (auto& [id, call] : peer.calls) {
     SendCall(peer, call);
   }
   observer_.OnPeerStatus(peer.address, hello.target);
@@ -200,6 +204,9 @@
 
 void PeerLinks::OnReply(Peer& peer, wire::LinkReply reply, std::string body) {
   observer_.OnPeerStatus(peer.address, reply.target);
+  if (options_.pacers.ingress) {
+    options_.pacers.ingress->OnSent(body.size());
+  }
   const auto found = peer.calls.find(reply.call_id);
   if (found == peer.calls.end()) {
     return;
@@ -249,16 +256,39 @@
   }
 }
 
-void PeerLinks::SendCall(Peer& peer, const PendingCall& call) {
+void PeerLinks::SendCall(Peer& peer, PendingCall& call) {
+  const bool body_on_request = peer.requests_bodies && call.body->size() > kLargeBodyBytes;
+  call.body_sent = 0;
+  call.call.body_bytes = body_on_request ? static_cast<int32_t>(call.body->size()) : 0;
   wire::LinkMessage message;
   message.__isset.call = true;
   message.call = call.call;
-  peer.link->Send(message, call.body);
+  peer.link->Send(message, body_on_request ? std::string() : *call.body);
+}
+
+void PeerLinks::OnBodyRequest(Peer& peer, const wire::LinkBodyRequest& request) {
+  const auto found = peer.calls.find(request.call_id);
+  if (found == peer.calls.end() || request.bytes <= 0) {
+    // The call was cancelled while the request was on its way.
+    return;
+  }
+  PendingCall& call = found->second;
+  std::size_t remaining =
+      std::min(static_cast<std::size_t>(request.bytes), call.body->size() - call.body_sent);
+  while (remaining > 0) {
+    const std::size_t bytes = std::min(remaining, kLargeBodyBytes);
+    wire::LinkMessage message;
+    message.__isset.body_part = true;
+    message.body_part.call_id = request.call_id;
+    peer.link->Send(message, call.body->substr(call.body_sent, bytes));
+    call.body_sent += bytes;
+    remaining -= bytes;
+  }
 }
 
 int64_t PeerLinks::Call(const std::string& node,
                         wire::LinkCall call,
-                        std::string body,
+                        SharedBody body,
                         CallHandlers handlers) {
   call.call_id = next_call_id_++;
   const int64_t id = call.call_id;
@@ -270,9 +300,10 @@
     return id;
   }
   Peer& peer = found->second;
-  PendingCall pending{std::move(call), std::move(body), std::move(handlers)};
+  PendingCall& pending =
+      peer.calls.emplace(id, PendingCall{std::move(call), std::move(body), 0, std::move(handlers)})
+          .first->second;
   SendCall(peer, pending);
-  peer.calls.emplace(id, std::move(pending));
   return id;
 }
 
--- a/src/gen/limpet_types.cpp
+++ b/src/gen/limpet_types.cpp
@@ -7313,6 +7313,10 @@
 void TargetStatus::__set_slowdown_permille(const int32_t val) {
   this->slowdown_permille = val;
 }
+
+void TargetStatus::__set_ingress_wait_us(const int32_t val) {
+  this->ingress_wait_us = val;
+}
 std::ostream& operator<<(std::ostream& out, const TargetStatus& obj)
 {
   obj.printTo(out);
@@ -7423,6 +7427,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ingress_wait_us);
+          this->__isset.ingress_wait_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7480,6 +7492,10 @@
   xfer += oprot->writeI32(this->slowdown_permille);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ingress_wait_us", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->ingress_wait_us);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7497,6 +7513,7 @@
   swap(a.egress_wait_us, b.egress_wait_us);
   swap(a.egress_us_per_kib, b.egress_us_per_kib);
   swap(a.slowdown_permille, b.slowdown_permille);
+  swap(a.ingress_wait_us, b.ingress_wait_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -7511,6 +7528,7 @@
   egress_wait_us = other331.egress_wait_us;
   egress_us_per_kib = other331.egress_us_per_kib;
   slowdown_permille = other331.slowdown_permille;
+  ingress_wait_us = other331.ingress_wait_us;
   __isset = other331.__isset;
 }
 TargetStatus::TargetStatus(TargetStatus&& other332) noexcept {
@@ -7524,6 +7542,7 @@
   egress_wait_us = other332.egress_wait_us;
   egress_us_per_kib = other332.egress_us_per_kib;
   slowdown_permille = other332.slowdown_permille;
+  ingress_wait_us = other332.ingress_wait_us;
   __isset = other332.__isset;
 }
 TargetStatus& TargetStatus::operator=(const TargetStatus& other333) {
@@ -7537,6 +7556,7 @@
   egress_wait_us = other333.egress_wait_us;
   egress_us_per_kib = other333.egress_us_per_kib;
   slowdown_permille = other333.slowdown_permille;
+  ingress_wait_us = other333.ingress_wait_us;
   __isset = other333.__isset;
   return *this;
 }
@@ -7551,6 +7571,7 @@
   egress_wait_us = other334.egress_wait_us;
   egress_us_per_kib = other334.egress_us_per_kib;
   slowdown_permille = other334.slowdown_permille;
+  ingress_wait_us = other334.ingress_wait_us;
   __isset = other334.__isset;
   return *this;
 }
@@ -7567,6 +7588,7 @@
   out << ", " << "egress_wait_us=" << to_string(egress_wait_us);
   out << ", " << "egress_us_per_kib=" << to_string(egress_us_per_kib);
   out << ", " << "slowdown_permille=" << to_string(slowdown_permille);
+  out << ", " << "ingress_wait_us=" << to_string(ingress_wait_us);
   out << ")";
 }
 
@@ -7783,6 +7805,10 @@
 void LinkHello::__set_known_nodes(const std::vector<NodeAddress> & val) {
   this->known_nodes = val;
 }
+
+void LinkHello::__set_requests_bodies(const bool val) {
+  this->requests_bodies = val;
+}
 std::ostream& operator<<(std::ostream& out, const LinkHello& obj)
 {
   obj.printTo(out);
@@ -7863,6 +7889,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->requests_bodies);
+          this->__isset.requests_bodies = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7908,6 +7942,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("requests_bodies", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->requests_bodies);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7920,6 +7958,7 @@
   swap(a.config_version, b.config_version);
   swap(a.target, b.target);
   swap(a.known_nodes, b.known_nodes);
+  swap(a.requests_bodies, b.requests_bodies);
   swap(a.__isset, b.__isset);
 }
 
@@ -7929,6 +7968,7 @@
   config_version = other345.config_version;
   target = other345.target;
   known_nodes = other345.known_nodes;
+  requests_bodies = other345.requests_bodies;
   __isset = other345.__isset;
 }
 LinkHello::LinkHello(LinkHello&& other346) noexcept {
@@ -7937,6 +7977,7 @@
   config_version = other346.config_version;
   target = std::move(other346.target);
   known_nodes = std::move(other346.known_nodes);
+  requests_bodies = other346.requests_bodies;
   __isset = other346.__isset;
 }
 LinkHello& LinkHello::operator=(const LinkHello& other347) {
@@ -7945,6 +7986,7 @@
   config_version = other347.config_version;
   target = other347.target;
   known_nodes = other347.known_nodes;
+  requests_bodies = other347.requests_bodies;
   __isset = other347.__isset;
   return *this;
 }
@@ -7954,6 +7996,7 @@
   config_version = other348.config_version;
   target = std::move(other348.target);
   known_nodes = std::move(other348.known_nodes);
+  requests_bodies = other348.requests_bodies;
   __isset = other348.__isset;
   return *this;
 }
@@ -7965,6 +8008,7 @@
   out << ", " << "config_version=" << to_string(config_version);
   out << ", " << "target=" << to_string(target);
   out << ", " << "known_nodes=" << to_string(known_nodes);
+  out << ", " << "requests_bodies=" << to_string(requests_bodies);
   out << ")";
 }
 
@@ -8036,6 +8080,10 @@
 void LinkCall::__set_expected_response_bytes(const int32_t val) {
   this->expected_response_bytes = val;
 }
+
+void LinkCall::__set_body_bytes(const int32_t val) {
+  this->body_bytes = val;
+}
 std::ostream& operator<<(std::ostream& out, const LinkCall& obj)
 {
   obj.printTo(out);
@@ -8204,6 +8252,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->body_bytes);
+          this->__isset.body_bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8293,6 +8349,10 @@
   xfer += oprot->writeI32(this->expected_response_bytes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("body_bytes", ::apache::thrift::protocol::T_I32, 17);
+  xfer += oprot->writeI32(this->body_bytes);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8316,6 +8376,7 @@
   swap(a.free_slot_only, b.free_slot_only);
   swap(a.usual_run_us, b.usual_run_us);
   swap(a.expected_response_bytes, b.expected_response_bytes);
+  swap(a.body_bytes, b.body_bytes);
   swap(a.__isset, b.__isset);
 }
 
@@ -8336,6 +8397,7 @@
   free_slot_only = other355.free_slot_only;
   usual_run_us = other355.usual_run_us;
   expected_response_bytes = other355.expected_response_bytes;
+  body_bytes = other355.body_bytes;
   __isset = other355.__isset;
 }
 LinkCall::LinkCall(LinkCall&& other356) noexcept {
@@ -8355,6 +8417,7 @@
   free_slot_only = other356.free_slot_only;
   usual_run_us = other356.usual_run_us;
   expected_response_bytes = other356.expected_response_bytes;
+  body_bytes = other356.body_bytes;
   __isset = other356.__isset;
 }
 LinkCall& LinkCall::operator=(const LinkCall& other357) {
@@ -8374,6 +8437,7 @@
   free_slot_only = other357.free_slot_only;
   usual_run_us = other357.usual_run_us;
   expected_response_bytes = other357.expected_response_bytes;
+  body_bytes = other357.body_bytes;
   __isset = other357.__isset;
   return *this;
 }
@@ -8394,6 +8458,7 @@
   free_slot_only = other358.free_slot_only;
   usual_run_us = other358.usual_run_us;
   expected_response_bytes = other358.expected_response_bytes;
+  body_bytes = other358.body_bytes;
   __isset = other358.__isset;
   return *this;
 }
@@ -8416,6 +8481,231 @@
   out << ", " << "free_slot_only=" << to_string(free_slot_only);
   out << ", " << "usual_run_us=" << to_string(usual_run_us);
   out << ", " << "expected_response_bytes=" << to_string(expected_response_bytes);
+  out << ", " << "body_bytes=" << to_string(body_bytes);
+  out << ")";
+}
+
+
+LinkBodyRequest::~LinkBodyRequest() noexcept {
+}
+
+
+void LinkBodyRequest::__set_call_id(const int64_t val) {
+  this->call_id = val;
+}
+
+void LinkBodyRequest::__set_bytes(const int32_t val) {
+  this->bytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const LinkBodyRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkBodyRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call_id);
+          this->__isset.call_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->bytes);
+          this->__isset.bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkBodyRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkBodyRequest");
+
+  xfer += oprot->writeFieldBegin("call_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->call_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkBodyRequest &a, LinkBodyRequest &b) {
+  using ::std::swap;
+  swap(a.call_id, b.call_id);
+  swap(a.bytes, b.bytes);
+  swap(a.__isset, b.__isset);
+}
+
+LinkBodyRequest::LinkBodyRequest(const LinkBodyRequest& other359) noexcept {
+  call_id = other359.call_id;
+  bytes = other359.bytes;
+  __isset = other359.__isset;
+}
+LinkBodyRequest::LinkBodyRequest(LinkBodyRequest&& other360) noexcept {
+  call_id = other360.call_id;
+  bytes = other360.bytes;
+  __isset = other360.__isset;
+}
+LinkBodyRequest& LinkBodyRequest::operator=(const LinkBodyRequest& other361) noexcept {
+  call_id = other361.call_id;
+  bytes = other361.bytes;
+  __isset = other361.__isset;
+  return *this;
+}
+LinkBodyRequest& LinkBodyRequest::operator=(LinkBodyRequest&& other362) noexcept {
+  call_id = other362.call_id;
+  bytes = other362.bytes;
+  __isset = other362.__isset;
+  return *this;
+}
+void LinkBodyRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkBodyRequest(";
+  out << "call_id=" << to_string(call_id);
+  out << ", " << "bytes=" << to_string(bytes);
+  out << ")";
+}
+
+
+LinkBodyPart::~LinkBodyPart() noexcept {
+}
+
+
+void LinkBodyPart::__set_call_id(const int64_t val) {
+  this->call_id = val;
+}
+std::ostream& operator<<(std::ostream& out, const LinkBodyPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkBodyPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call_id);
+          this->__isset.call_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkBodyPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkBodyPart");
+
+  xfer += oprot->writeFieldBegin("call_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->call_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkBodyPart &a, LinkBodyPart &b) {
+  using ::std::swap;
+  swap(a.call_id, b.call_id);
+  swap(a.__isset, b.__isset);
+}
+
+LinkBodyPart::LinkBodyPart(const LinkBodyPart& other363) noexcept {
+  call_id = other363.call_id;
+  __isset = other363.__isset;
+}
+LinkBodyPart::LinkBodyPart(LinkBodyPart&& other364) noexcept {
+  call_id = other364.call_id;
+  __isset = other364.__isset;
+}
+LinkBodyPart& LinkBodyPart::operator=(const LinkBodyPart& other365) noexcept {
+  call_id = other365.call_id;
+  __isset = other365.__isset;
+  return *this;
+}
+LinkBodyPart& LinkBodyPart::operator=(LinkBodyPart&& other366) noexcept {
+  call_id = other366.call_id;
+  __isset = other366.__isset;
+  return *this;
+}
+void LinkBodyPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkBodyPart(";
+  out << "call_id=" << to_string(call_id);
   out << ")";
 }
 
@@ -8497,9 +8787,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast359;
-          xfer += iprot->readI32(ecast359);
-          this->outcome = static_cast<Outcome::type>(ecast359);
+          int32_t ecast367;
+          xfer += iprot->readI32(ecast367);
+          this->outcome = static_cast<Outcome::type>(ecast367);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8507,9 +8797,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast360;
-          xfer += iprot->readI32(ecast360);
-          this->reason = static_cast<RefusalReason::type>(ecast360);
+          int32_t ecast368;
+          xfer += iprot->readI32(ecast368);
+          this->reason = static_cast<RefusalReason::type>(ecast368);
           this->__isset.reason = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8535,14 +8825,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size361;
-            ::apache::thrift::protocol::TType _etype364;
-            xfer += iprot->readListBegin(_etype364, _size361);
-            this->headers.resize(_size361);
-            uint32_t _i365;
-            for (_i365 = 0; _i365 < _size361; ++_i365)
+            uint32_t _size369;
+            ::apache::thrift::protocol::TType _etype372;
+            xfer += iprot->readListBegin(_etype372, _size369);
+            this->headers.resize(_size369);
+            uint32_t _i373;
+            for (_i373 = 0; _i373 < _size369; ++_i373)
             {
-              xfer += this->headers[_i365].read(iprot);
+              xfer += this->headers[_i373].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8615,10 +8905,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter366;
-    for (_iter366 = this->headers.begin(); _iter366 != this->headers.end(); ++_iter366)
+    std::vector<Header> ::const_iterator _iter374;
+    for (_iter374 = this->headers.begin(); _iter374 != this->headers.end(); ++_iter374)
     {
-      xfer += (*_iter366).write(oprot);
+      xfer += (*_iter374).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8655,54 +8945,54 @@
   swap(a.__isset, b.__isset);
 }
 
-LinkReply::LinkReply(const LinkReply& other367) {
-  call_id = other367.call_id;
-  outcome = other367.outcome;
-  reason = other367.reason;
-  reached_target = other367.reached_target;
-  http_status = other367.http_status;
-  headers = other367.headers;
-  retry_after_ms = other367.retry_after_ms;
-  target = other367.target;
-  run_us = other367.run_us;
-  __isset = other367.__isset;
-}
-LinkReply::LinkReply(LinkReply&& other368) noexcept {
-  call_id = other368.call_id;
-  outcome = other368.outcome;
-  reason = other368.reason;
-  reached_target = other368.reached_target;
-  http_status = other368.http_status;
-  headers = std::move(other368.headers);
-  retry_after_ms = other368.retry_after_ms;
-  target = std::move(other368.target);
-  run_us = other368.run_us;
-  __isset = other368.__isset;
-}
-LinkReply& LinkReply::operator=(const LinkReply& other369) {
-  call_id = other369.call_id;
-  outcome = other369.outcome;
-  reason = other369.reason;
-  reached_target = other369.reached_target;
-  http_status = other369.http_status;
-  headers = other369.headers;
-  retry_after_ms = other369.retry_after_ms;
-  target = other369.target;
-  run_us = other369.run_us;
-  __isset = other369.__isset;
+LinkReply::LinkReply(const LinkReply& other375) {
+  call_id = other375.call_id;
+  outcome = other375.outcome;
+  reason = other375.reason;
+  reached_target = other375.reached_target;
+  http_status = other375.http_status;
+  headers = other375.headers;
+  retry_after_ms = other375.retry_after_ms;
+  target = other375.target;
+  run_us = other375.run_us;
+  __isset = other375.__isset;
+}
+LinkReply::LinkReply(LinkReply&& other376) noexcept {
+  call_id = other376.call_id;
+  outcome = other376.outcome;
+  reason = other376.reason;
+  reached_target = other376.reached_target;
+  http_status = other376.http_status;
+  headers = std::move(other376.headers);
+  retry_after_ms = other376.retry_after_ms;
+  target = std::move(other376.target);
+  run_us = other376.run_us;
+  __isset = other376.__isset;
+}
+LinkReply& LinkReply::operator=(const LinkReply& other377) {
+  call_id = other377.call_id;
+  outcome = other377.outcome;
+  reason = other377.reason;
+  reached_target = other377.reached_target;
+  http_status = other377.http_status;
+  headers = other377.headers;
+  retry_after_ms = other377.retry_after_ms;
+  target = other377.target;
+  run_us = other377.run_us;
+  __isset = other377.__isset;
   return *this;
 }
-LinkReply& LinkReply::operator=(LinkReply&& other370) noexcept {
-  call_id = other370.call_id;
-  outcome = other370.outcome;
-  reason = other370.reason;
-  reached_target = other370.reached_target;
-  http_status = other370.http_status;
-  headers = std::move(other370.headers);
-  retry_after_ms = other370.retry_after_ms;
-  target = std::move(other370.target);
-  run_us = other370.run_us;
-  __isset = other370.__isset;
+LinkReply& LinkReply::operator=(LinkReply&& other378) noexcept {
+  call_id = other378.call_id;
+  outcome = other378.outcome;
+  reason = other378.reason;
+  reached_target = other378.reached_target;
+  http_status = other378.http_status;
+  headers = std::move(other378.headers);
+  retry_after_ms = other378.retry_after_ms;
+  target = std::move(other378.target);
+  run_us = other378.run_us;
+  __isset = other378.__isset;
   return *this;
 }
 void LinkReply::printTo(std::ostream& out) const {
@@ -8796,22 +9086,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LinkCancel::LinkCancel(const LinkCancel& other371) noexcept {
-  call_id = other371.call_id;
-  __isset = other371.__isset;
+LinkCancel::LinkCancel(const LinkCancel& other379) noexcept {
+  call_id = other379.call_id;
+  __isset = other379.__isset;
 }
-LinkCancel::LinkCancel(LinkCancel&& other372) noexcept {
-  call_id = other372.call_id;
-  __isset = other372.__isset;
+LinkCancel::LinkCancel(LinkCancel&& other380) noexcept {
+  call_id = other380.call_id;
+  __isset = other380.__isset;
 }
-LinkCancel& LinkCancel::operator=(const LinkCancel& other373) noexcept {
-  call_id = other373.call_id;
-  __isset = other373.__isset;
+LinkCancel& LinkCancel::operator=(const LinkCancel& other381) noexcept {
+  call_id = other381.call_id;
+  __isset = other381.__isset;
   return *this;
 }
-LinkCancel& LinkCancel::operator=(LinkCancel&& other374) noexcept {
-  call_id = other374.call_id;
-  __isset = other374.__isset;
+LinkCancel& LinkCancel::operator=(LinkCancel&& other382) noexcept {
+  call_id = other382.call_id;
+  __isset = other382.__isset;
   return *this;
 }
 void LinkCancel::printTo(std::ostream& out) const {
@@ -8961,14 +9251,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size375;
-            ::apache::thrift::protocol::TType _etype378;
-            xfer += iprot->readListBegin(_etype378, _size375);
-            this->services.resize(_size375);
-            uint32_t _i379;
-            for (_i379 = 0; _i379 < _size375; ++_i379)
+            uint32_t _size383;
+            ::apache::thrift::protocol::TType _etype386;
+            xfer += iprot->readListBegin(_etype386, _size383);
+            this->services.resize(_size383);
+            uint32_t _i387;
+            for (_i387 = 0; _i387 < _size383; ++_i387)
             {
-              xfer += iprot->readString(this->services[_i379]);
+              xfer += iprot->readString(this->services[_i387]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8981,14 +9271,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->weights.clear();
-            uint32_t _size380;
-            ::apache::thrift::protocol::TType _etype383;
-            xfer += iprot->readListBegin(_etype383, _size380);
-            this->weights.resize(_size380);
-            uint32_t _i384;
-            for (_i384 = 0; _i384 < _size380; ++_i384)
+            uint32_t _size388;
+            ::apache::thrift::protocol::TType _etype391;
+            xfer += iprot->readListBegin(_etype391, _size388);
+            this->weights.resize(_size388);
+            uint32_t _i392;
+            for (_i392 = 0; _i392 < _size388; ++_i392)
             {
-              xfer += iprot->readI32(this->weights[_i384]);
+              xfer += iprot->readI32(this->weights[_i392]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9049,10 +9339,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->services.size()));
-    std::vector<std::string> ::const_iterator _iter385;
-    for (_iter385 = this->services.begin(); _iter385 != this->services.end(); ++_iter385)
+    std::vector<std::string> ::const_iterator _iter393;
+    for (_iter393 = this->services.begin(); _iter393 != this->services.end(); ++_iter393)
     {
-      xfer += oprot->writeString((*_iter385));
+      xfer += oprot->writeString((*_iter393));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9061,10 +9351,10 @@
   xfer += oprot->writeFieldBegin("weights", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->weights.size()));
-    std::vector<int32_t> ::const_iterator _iter386;
-    for (_iter386 = this->weights.begin(); _iter386 != this->weights.end(); ++_iter386)
+    std::vector<int32_t> ::const_iterator _iter394;
+    for (_iter394 = this->weights.begin(); _iter394 != this->weights.end(); ++_iter394)
     {
-      xfer += oprot->writeI32((*_iter386));
+      xfer += oprot->writeI32((*_iter394));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9090,58 +9380,58 @@
   swap(a.__isset, b.__isset);
 }
 
-MeshRouteRecord::MeshRouteRecord(const MeshRouteRecord& other387) {
-  name = other387.name;
-  host = other387.host;
-  path_prefix = other387.path_prefix;
-  kind = other387.kind;
-  timeout_us = other387.timeout_us;
-  target_latency_us = other387.target_latency_us;
-  priority = other387.priority;
-  max_attempts = other387.max_attempts;
-  services = other387.services;
-  weights = other387.weights;
-  __isset = other387.__isset;
-}
-MeshRouteRecord::MeshRouteRecord(MeshRouteRecord&& other388) noexcept {
-  name = std::move(other388.name);
-  host = std::move(other388.host);
-  path_prefix = std::move(other388.path_prefix);
-  kind = other388.kind;
-  timeout_us = other388.timeout_us;
-  target_latency_us = other388.target_latency_us;
-  priority = other388.priority;
-  max_attempts = other388.max_attempts;
-  services = std::move(other388.services);
-  weights = std::move(other388.weights);
-  __isset = other388.__isset;
-}
-MeshRouteRecord& MeshRouteRecord::operator=(const MeshRouteRecord& other389) {
-  name = other389.name;
-  host = other389.host;
-  path_prefix = other389.path_prefix;
-  kind = other389.kind;
-  timeout_us = other389.timeout_us;
-  target_latency_us = other389.target_latency_us;
-  priority = other389.priority;
-  max_attempts = other389.max_attempts;
-  services = other389.services;
-  weights = other389.weights;
-  __isset = other389.__isset;
+MeshRouteRecord::MeshRouteRecord(const MeshRouteRecord& other395) {
+  name = other395.name;
+  host = other395.host;
+  path_prefix = other395.path_prefix;
+  kind = other395.kind;
+  timeout_us = other395.timeout_us;
+  target_latency_us = other395.target_latency_us;
+  priority = other395.priority;
+  max_attempts = other395.max_attempts;
+  services = other395.services;
+  weights = other395.weights;
+  __isset = other395.__isset;
+}
+MeshRouteRecord::MeshRouteRecord(MeshRouteRecord&& other396) noexcept {
+  name = std::move(other396.name);
+  host = std::move(other396.host);
+  path_prefix = std::move(other396.path_prefix);
+  kind = other396.kind;
+  timeout_us = other396.timeout_us;
+  target_latency_us = other396.target_latency_us;
+  priority = other396.priority;
+  max_attempts = other396.max_attempts;
+  services = std::move(other396.services);
+  weights = std::move(other396.weights);
+  __isset = other396.__isset;
+}
+MeshRouteRecord& MeshRouteRecord::operator=(const MeshRouteRecord& other397) {
+  name = other397.name;
+  host = other397.host;
+  path_prefix = other397.path_prefix;
+  kind = other397.kind;
+  timeout_us = other397.timeout_us;
+  target_latency_us = other397.target_latency_us;
+  priority = other397.priority;
+  max_attempts = other397.max_attempts;
+  services = other397.services;
+  weights = other397.weights;
+  __isset = other397.__isset;
   return *this;
 }
-MeshRouteRecord& MeshRouteRecord::operator=(MeshRouteRecord&& other390) noexcept {
-  name = std::move(other390.name);
-  host = std::move(other390.host);
-  path_prefix = std::move(other390.path_prefix);
-  kind = other390.kind;
-  timeout_us = other390.timeout_us;
-  target_latency_us = other390.target_latency_us;
-  priority = other390.priority;
-  max_attempts = other390.max_attempts;
-  services = std::move(other390.services);
-  weights = std::move(other390.weights);
-  __isset = other390.__isset;
+MeshRouteRecord& MeshRouteRecord::operator=(MeshRouteRecord&& other398) noexcept {
+  name = std::move(other398.name);
+  host = std::move(other398.host);
+  path_prefix = std::move(other398.path_prefix);
+  kind = other398.kind;
+  timeout_us = other398.timeout_us;
+  target_latency_us = other398.target_latency_us;
+  priority = other398.priority;
+  max_attempts = other398.max_attempts;
+  services = std::move(other398.services);
+  weights = std::move(other398.weights);
+  __isset = other398.__isset;
   return *this;
 }
 void MeshRouteRecord::printTo(std::ostream& out) const {
@@ -9270,30 +9560,30 @@
   swap(a.__isset, b.__isset);
 }
 
-MeshServiceRecord::MeshServiceRecord(const MeshServiceRecord& other391) {
-  name = other391.name;
-  health_path = other391.health_path;
-  max_connections = other391.max_connections;
-  __isset = other391.__isset;
+MeshServiceRecord::MeshServiceRecord(const MeshServiceRecord& other399) {
+  name = other399.name;
+  health_path = other399.health_path;
+  max_connections = other399.max_connections;
+  __isset = other399.__isset;
 }
-MeshServiceRecord::MeshServiceRecord(MeshServiceRecord&& other392) noexcept {
-  name = std::move(other392.name);
-  health_path = std::move(other392.health_path);
-  max_connections = other392.max_connections;
-  __isset = other392.__isset;
+MeshServiceRecord::MeshServiceRecord(MeshServiceRecord&& other400) noexcept {
+  name = std::move(other400.name);
+  health_path = std::move(other400.health_path);
+  max_connections = other400.max_connections;
+  __isset = other400.__isset;
 }
-MeshServiceRecord& MeshServiceRecord::operator=(const MeshServiceRecord& other393) {
-  name = other393.name;
-  health_path = other393.health_path;
-  max_connections = other393.max_connections;
-  __isset = other393.__isset;
+MeshServiceRecord& MeshServiceRecord::operator=(const MeshServiceRecord& other401) {
+  name = other401.name;
+  health_path = other401.health_path;
+  max_connections = other401.max_connections;
+  __isset = other401.__isset;
   return *this;
 }
-MeshServiceRecord& MeshServiceRecord::operator=(MeshServiceRecord&& other394) noexcept {
-  name = std::move(other394.name);
-  health_path = std::move(other394.health_path);
-  max_connections = other394.max_connections;
-  __isset = other394.__isset;
+MeshServiceRecord& MeshServiceRecord::operator=(MeshServiceRecord&& other402) noexcept {
+  name = std::move(other402.name);
+  health_path = std::move(other402.health_path);
+  max_connections = other402.max_connections;
+  __isset = other402.__isset;
   return *this;
 }
 void MeshServiceRecord::printTo(std::ostream& out) const {
@@ -9432,34 +9722,34 @@
   swap(a.__isset, b.__isset);
 }
 
-CallerLimitsRecord::CallerLimitsRecord(const CallerLimitsRecord& other395) noexcept {
-  max_header_bytes = other395.max_header_bytes;
-  max_body_bytes = other395.max_body_bytes;
-  header_timeout_us = other395.header_timeout_us;
-  idle_timeout_us = other395.idle_timeout_us;
-  __isset = other395.__isset;
-}
-CallerLimitsRecord::CallerLimitsRecord(CallerLimitsRecord&& other396) noexcept {
-  max_header_bytes = other396.max_header_bytes;
-  max_body_bytes = other396.max_body_bytes;
-  header_timeout_us = other396.header_timeout_us;
-  idle_timeout_us = other396.idle_timeout_us;
-  __isset = other396.__isset;
-}
-CallerLimitsRecord& CallerLimitsRecord::operator=(const CallerLimitsRecord& other397) noexcept {
-  max_header_bytes = other397.max_header_bytes;
-  max_body_bytes = other397.max_body_bytes;
-  header_timeout_us = other397.header_timeout_us;
-  idle_timeout_us = other397.idle_timeout_us;
-  __isset = other397.__isset;
+CallerLimitsRecord::CallerLimitsRecord(const CallerLimitsRecord& other403) noexcept {
+  max_header_bytes = other403.max_header_bytes;
+  max_body_bytes = other403.max_body_bytes;
+  header_timeout_us = other403.header_timeout_us;
+  idle_timeout_us = other403.idle_timeout_us;
+  __isset = other403.__isset;
+}
+CallerLimitsRecord::CallerLimitsRecord(CallerLimitsRecord&& other404) noexcept {
+  max_header_bytes = other404.max_header_bytes;
+  max_body_bytes = other404.max_body_bytes;
+  header_timeout_us = other404.header_timeout_us;
+  idle_timeout_us = other404.idle_timeout_us;
+  __isset = other404.__isset;
+}
+CallerLimitsRecord& CallerLimitsRecord::operator=(const CallerLimitsRecord& other405) noexcept {
+  max_header_bytes = other405.max_header_bytes;
+  max_body_bytes = other405.max_body_bytes;
+  header_timeout_us = other405.header_timeout_us;
+  idle_timeout_us = other405.idle_timeout_us;
+  __isset = other405.__isset;
   return *this;
 }
-CallerLimitsRecord& CallerLimitsRecord::operator=(CallerLimitsRecord&& other398) noexcept {
-  max_header_bytes = other398.max_header_bytes;
-  max_body_bytes = other398.max_body_bytes;
-  header_timeout_us = other398.header_timeout_us;
-  idle_timeout_us = other398.idle_timeout_us;
-  __isset = other398.__isset;
+CallerLimitsRecord& CallerLimitsRecord::operator=(CallerLimitsRecord&& other406) noexcept {
+  max_header_bytes = other406.max_header_bytes;
+  max_body_bytes = other406.max_body_bytes;
+  header_timeout_us = other406.header_timeout_us;
+  idle_timeout_us = other406.idle_timeout_us;
+  __isset = other406.__isset;
   return *this;
 }
 void CallerLimitsRecord::printTo(std::ostream& out) const {
@@ -9552,14 +9842,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->set_routes.clear();
-            uint32_t _size399;
-            ::apache::thrift::protocol::TType _etype402;
-            xfer += iprot->readListBegin(_etype402, _size399);
-            this->set_routes.resize(_size399);
-            uint32_t _i403;
-            for (_i403 = 0; _i403 < _size399; ++_i403)
+            uint32_t _size407;
+            ::apache::thrift::protocol::TType _etype410;
+            xfer += iprot->readListBegin(_etype410, _size407);
+            this->set_routes.resize(_size407);
+            uint32_t _i411;
+            for (_i411 = 0; _i411 < _size407; ++_i411)
             {
-              xfer += this->set_routes[_i403].read(iprot);
+              xfer += this->set_routes[_i411].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9572,14 +9862,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed_routes.clear();
-            uint32_t _size404;
-            ::apache::thrift::protocol::TType _etype407;
-            xfer += iprot->readListBegin(_etype407, _size404);
-            this->removed_routes.resize(_size404);
-            uint32_t _i408;
-            for (_i408 = 0; _i408 < _size404; ++_i408)
+            uint32_t _size412;
+            ::apache::thrift::protocol::TType _etype415;
+            xfer += iprot->readListBegin(_etype415, _size412);
+            this->removed_routes.resize(_size412);
+            uint32_t _i416;
+            for (_i416 = 0; _i416 < _size412; ++_i416)
             {
-              xfer += iprot->readString(this->removed_routes[_i408]);
+              xfer += iprot->readString(this->removed_routes[_i416]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9592,14 +9882,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->set_services.clear();
-            uint32_t _size409;
-            ::apache::thrift::protocol::TType _etype412;
-            xfer += iprot->readListBegin(_etype412, _size409);
-            this->set_services.resize(_size409);
-            uint32_t _i413;
-            for (_i413 = 0; _i413 < _size409; ++_i413)
+            uint32_t _size417;
+            ::apache::thrift::protocol::TType _etype420;
+            xfer += iprot->readListBegin(_etype420, _size417);
+            this->set_services.resize(_size417);
+            uint32_t _i421;
+            for (_i421 = 0; _i421 < _size417; ++_i421)
             {
-              xfer += this->set_services[_i413].read(iprot);
+              xfer += this->set_services[_i421].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9612,14 +9902,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed_services.clear();
-            uint32_t _size414;
-            ::apache::thrift::protocol::TType _etype417;
-            xfer += iprot->readListBegin(_etype417, _size414);
-            this->removed_services.resize(_size414);
-            uint32_t _i418;
-            for (_i418 = 0; _i418 < _size414; ++_i418)
+            uint32_t _size422;
+            ::apache::thrift::protocol::TType _etype425;
+            xfer += iprot->readListBegin(_etype425, _size422);
+            this->removed_services.resize(_size422);
+            uint32_t _i426;
+            for (_i426 = 0; _i426 < _size422; ++_i426)
             {
-              xfer += iprot->readString(this->removed_services[_i418]);
+              xfer += iprot->readString(this->removed_services[_i426]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9664,10 +9954,10 @@
   xfer += oprot->writeFieldBegin("set_routes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->set_routes.size()));
-    std::vector<MeshRouteRecord> ::const_iterator _iter419;
-    for (_iter419 = this->set_routes.begin(); _iter419 != this->set_routes.end(); ++_iter419)
+    std::vector<MeshRouteRecord> ::const_iterator _iter427;
+    for (_iter427 = this->set_routes.begin(); _iter427 != this->set_routes.end(); ++_iter427)
     {
-      xfer += (*_iter419).write(oprot);
+      xfer += (*_iter427).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9676,10 +9966,10 @@
   xfer += oprot->writeFieldBegin("removed_routes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed_routes.size()));
-    std::vector<std::string> ::const_iterator _iter420;
-    for (_iter420 = this->removed_routes.begin(); _iter420 != this->removed_routes.end(); ++_iter420)
+    std::vector<std::string> ::const_iterator _iter428;
+    for (_iter428 = this->removed_routes.begin(); _iter428 != this->removed_routes.end(); ++_iter428)
     {
-      xfer += oprot->writeString((*_iter420));
+      xfer += oprot->writeString((*_iter428));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9688,10 +9978,10 @@
   xfer += oprot->writeFieldBegin("set_services", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->set_services.size()));
-    std::vector<MeshServiceRecord> ::const_iterator _iter421;
-    for (_iter421 = this->set_services.begin(); _iter421 != this->set_services.end(); ++_iter421)
+    std::vector<MeshServiceRecord> ::const_iterator _iter429;
+    for (_iter429 = this->set_services.begin(); _iter429 != this->set_services.end(); ++_iter429)
     {
-      xfer += (*_iter421).write(oprot);
+      xfer += (*_iter429).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9700,10 +9990,10 @@
   xfer += oprot->writeFieldBegin("removed_services", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed_services.size()));
-    std::vector<std::string> ::const_iterator _iter422;
-    for (_iter422 = this->removed_services.begin(); _iter422 != this->removed_services.end(); ++_iter422)
+    std::vector<std::string> ::const_iterator _iter430;
+    for (_iter430 = this->removed_services.begin(); _iter430 != this->removed_services.end(); ++_iter430)
     {
-      xfer += oprot->writeString((*_iter422));
+      xfer += oprot->writeString((*_iter430));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9730,46 +10020,46 @@
   swap(a.__isset, b.__isset);
 }
 
-LinkConfig::LinkConfig(const LinkConfig& other423) {
-  base = other423.base;
-  version = other423.version;
-  set_routes = other423.set_routes;
-  removed_routes = other423.removed_routes;
-  set_services = other423.set_services;
-  removed_services = other423.removed_services;
-  limits = other423.limits;
-  __isset = other423.__isset;
-}
-LinkConfig::LinkConfig(LinkConfig&& other424) noexcept {
-  base = other424.base;
-  version = other424.version;
-  set_routes = std::move(other424.set_routes);
-  removed_routes = std::move(other424.removed_routes);
-  set_services = std::move(other424.set_services);
-  removed_services = std::move(other424.removed_services);
-  limits = std::move(other424.limits);
-  __isset = other424.__isset;
-}
-LinkConfig& LinkConfig::operator=(const LinkConfig& other425) {
-  base = other425.base;
-  version = other425.version;
-  set_routes = other425.set_routes;
-  removed_routes = other425.removed_routes;
-  set_services = other425.set_services;
-  removed_services = other425.removed_services;
-  limits = other425.limits;
-  __isset = other425.__isset;
+LinkConfig::LinkConfig(const LinkConfig& other431) {
+  base = other431.base;
+  version = other431.version;
+  set_routes = other431.set_routes;
+  removed_routes = other431.removed_routes;
+  set_services = other431.set_services;
+  removed_services = other431.removed_services;
+  limits = other431.limits;
+  __isset = other431.__isset;
+}
+LinkConfig::LinkConfig(LinkConfig&& other432) noexcept {
+  base = other432.base;
+  version = other432.version;
+  set_routes = std::move(other432.set_routes);
+  removed_routes = std::move(other432.removed_routes);
+  set_services = std::move(other432.set_services);
+  removed_services = std::move(other432.removed_services);
+  limits = std::move(other432.limits);
+  __isset = other432.__isset;
+}
+LinkConfig& LinkConfig::operator=(const LinkConfig& other433) {
+  base = other433.base;
+  version = other433.version;
+  set_routes = other433.set_routes;
+  removed_routes = other433.removed_routes;
+  set_services = other433.set_services;
+  removed_services = other433.removed_services;
+  limits = other433.limits;
+  __isset = other433.__isset;
   return *this;
 }
-LinkConfig& LinkConfig::operator=(LinkConfig&& other426) noexcept {
-  base = other426.base;
-  version = other426.version;
-  set_routes = std::move(other426.set_routes);
-  removed_routes = std::move(other426.removed_routes);
-  set_services = std::move(other426.set_services);
-  removed_services = std::move(other426.removed_services);
-  limits = std::move(other426.limits);
-  __isset = other426.__isset;
+LinkConfig& LinkConfig::operator=(LinkConfig&& other434) noexcept {
+  base = other434.base;
+  version = other434.version;
+  set_routes = std::move(other434.set_routes);
+  removed_routes = std::move(other434.removed_routes);
+  set_services = std::move(other434.set_services);
+  removed_services = std::move(other434.removed_services);
+  limits = std::move(other434.limits);
+  __isset = other434.__isset;
   return *this;
 }
 void LinkConfig::printTo(std::ostream& out) const {
@@ -9861,22 +10151,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LinkConfigRequest::LinkConfigRequest(const LinkConfigRequest& other427) noexcept {
-  have = other427.have;
-  __isset = other427.__isset;
+LinkConfigRequest::LinkConfigRequest(const LinkConfigRequest& other435) noexcept {
+  have = other435.have;
+  __isset = other435.__isset;
 }
-LinkConfigRequest::LinkConfigRequest(LinkConfigRequest&& other428) noexcept {
-  have = other428.have;
-  __isset = other428.__isset;
+LinkConfigRequest::LinkConfigRequest(LinkConfigRequest&& other436) noexcept {
+  have = other436.have;
+  __isset = other436.__isset;
 }
-LinkConfigRequest& LinkConfigRequest::operator=(const LinkConfigRequest& other429) noexcept {
-  have = other429.have;
-  __isset = other429.__isset;
+LinkConfigRequest& LinkConfigRequest::operator=(const LinkConfigRequest& other437) noexcept {
+  have = other437.have;
+  __isset = other437.__isset;
   return *this;
 }
-LinkConfigRequest& LinkConfigRequest::operator=(LinkConfigRequest&& other430) noexcept {
-  have = other430.have;
-  __isset = other430.__isset;
+LinkConfigRequest& LinkConfigRequest::operator=(LinkConfigRequest&& other438) noexcept {
+  have = other438.have;
+  __isset = other438.__isset;
   return *this;
 }
 void LinkConfigRequest::printTo(std::ostream& out) const {
@@ -10013,34 +10303,34 @@
   swap(a.__isset, b.__isset);
 }
 
-LinkProbe::LinkProbe(const LinkProbe& other431) noexcept {
-  nonce = other431.nonce;
-  answer = other431.answer;
-  config_version = other431.config_version;
-  store_fails = other431.store_fails;
-  __isset = other431.__isset;
+LinkProbe::LinkProbe(const LinkProbe& other439) noexcept {
+  nonce = other439.nonce;
+  answer = other439.answer;
+  config_version = other439.config_version;
+  store_fails = other439.store_fails;
+  __isset = other439.__isset;
 }
-LinkProbe::LinkProbe(LinkProbe&& other432) noexcept {
-  nonce = other432.nonce;
-  answer = other432.answer;
-  config_version = other432.config_version;
-  store_fails = other432.store_fails;
-  __isset = other432.__isset;
+LinkProbe::LinkProbe(LinkProbe&& other440) noexcept {
+  nonce = other440.nonce;
+  answer = other440.answer;
+  config_version = other440.config_version;
+  store_fails = other440.store_fails;
+  __isset = other440.__isset;
 }
-LinkProbe& LinkProbe::operator=(const LinkProbe& other433) noexcept {
-  nonce = other433.nonce;
-  answer = other433.answer;
-  config_version = other433.config_version;
-  store_fails = other433.store_fails;
-  __isset = other433.__isset;
+LinkProbe& LinkProbe::operator=(const LinkProbe& other441) noexcept {
+  nonce = other441.nonce;
+  answer = other441.answer;
+  config_version = other441.config_version;
+  store_fails = other441.store_fails;
+  __isset = other441.__isset;
   return *this;
 }
-LinkProbe& LinkProbe::operator=(LinkProbe&& other434) noexcept {
-  nonce = other434.nonce;
-  answer = other434.answer;
-  config_version = other434.config_version;
-  store_fails = other434.store_fails;
-  __isset = other434.__isset;
+LinkProbe& LinkProbe::operator=(LinkProbe&& other442) noexcept {
+  nonce = other442.nonce;
+  answer = other442.answer;
+  config_version = other442.config_version;
+  store_fails = other442.store_fails;
+  __isset = other442.__isset;
   return *this;
 }
 void LinkProbe::printTo(std::ostream& out) const {
@@ -10163,30 +10453,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LinkChunk::LinkChunk(const LinkChunk& other435) noexcept {
-  transfer_id = other435.transfer_id;
-  last = other435.last;
-  call_id = other435.call_id;
-  __isset = other435.__isset;
+LinkChunk::LinkChunk(const LinkChunk& other443) noexcept {
+  transfer_id = other443.transfer_id;
+  last = other443.last;
+  call_id = other443.call_id;
+  __isset = other443.__isset;
 }
-LinkChunk::LinkChunk(LinkChunk&& other436) noexcept {
-  transfer_id = other436.transfer_id;
-  last = other436.last;
-  call_id = other436.call_id;
-  __isset = other436.__isset;
+LinkChunk::LinkChunk(LinkChunk&& other444) noexcept {
+  transfer_id = other444.transfer_id;
+  last = other444.last;
+  call_id = other444.call_id;
+  __isset = other444.__isset;
 }
-LinkChunk& LinkChunk::operator=(const LinkChunk& other437) noexcept {
-  transfer_id = other437.transfer_id;
-  last = other437.last;
-  call_id = other437.call_id;
-  __isset = other437.__isset;
+LinkChunk& LinkChunk::operator=(const LinkChunk& other445) noexcept {
+  transfer_id = other445.transfer_id;
+  last = other445.last;
+  call_id = other445.call_id;
+  __isset = other445.__isset;
   return *this;
 }
-LinkChunk& LinkChunk::operator=(LinkChunk&& other438) noexcept {
-  transfer_id = other438.transfer_id;
-  last = other438.last;
-  call_id = other438.call_id;
-  __isset = other438.__isset;
+LinkChunk& LinkChunk::operator=(LinkChunk&& other446) noexcept {
+  transfer_id = other446.transfer_id;
+  last = other446.last;
+  call_id = other446.call_id;
+  __isset = other446.__isset;
   return *this;
 }
 void LinkChunk::printTo(std::ostream& out) const {
@@ -10199,6 +10489,208 @@
 }
 
 
+LinkKeepalive::~LinkKeepalive() noexcept {
+}
+
+
+void LinkKeepalive::__set_interval_ms(const int32_t val) {
+  this->interval_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const LinkKeepalive& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkKeepalive::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->interval_ms);
+          this->__isset.interval_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkKeepalive::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkKeepalive");
+
+  xfer += oprot->writeFieldBegin("interval_ms", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->interval_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkKeepalive &a, LinkKeepalive &b) {
+  using ::std::swap;
+  swap(a.interval_ms, b.interval_ms);
+  swap(a.__isset, b.__isset);
+}
+
+LinkKeepalive::LinkKeepalive(const LinkKeepalive& other447) noexcept {
+  interval_ms = other447.interval_ms;
+  __isset = other447.__isset;
+}
+LinkKeepalive::LinkKeepalive(LinkKeepalive&& other448) noexcept {
+  interval_ms = other448.interval_ms;
+  __isset = other448.__isset;
+}
+LinkKeepalive& LinkKeepalive::operator=(const LinkKeepalive& other449) noexcept {
+  interval_ms = other449.interval_ms;
+  __isset = other449.__isset;
+  return *this;
+}
+LinkKeepalive& LinkKeepalive::operator=(LinkKeepalive&& other450) noexcept {
+  interval_ms = other450.interval_ms;
+  __isset = other450.__isset;
+  return *this;
+}
+void LinkKeepalive::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkKeepalive(";
+  out << "interval_ms=" << to_string(interval_ms);
+  out << ")";
+}
+
+
+LinkSilence::~LinkSilence() noexcept {
+}
+
+
+void LinkSilence::__set_node(const std::string& val) {
+  this->node = val;
+}
+std::ostream& operator<<(std::ostream& out, const LinkSilence& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkSilence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkSilence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkSilence");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkSilence &a, LinkSilence &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.__isset, b.__isset);
+}
+
+LinkSilence::LinkSilence(const LinkSilence& other451) {
+  node = other451.node;
+  __isset = other451.__isset;
+}
+LinkSilence::LinkSilence(LinkSilence&& other452) noexcept {
+  node = std::move(other452.node);
+  __isset = other452.__isset;
+}
+LinkSilence& LinkSilence::operator=(const LinkSilence& other453) {
+  node = other453.node;
+  __isset = other453.__isset;
+  return *this;
+}
+LinkSilence& LinkSilence::operator=(LinkSilence&& other454) noexcept {
+  node = std::move(other454.node);
+  __isset = other454.__isset;
+  return *this;
+}
+void LinkSilence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkSilence(";
+  out << "node=" << to_string(node);
+  out << ")";
+}
+
+
 LinkMessage::~LinkMessage() noexcept {
 }
 
@@ -10247,6 +10739,26 @@
   this->chunk = val;
 __isset.chunk = true;
 }
+
+void LinkMessage::__set_body_request(const LinkBodyRequest& val) {
+  this->body_request = val;
+__isset.body_request = true;
+}
+
+void LinkMessage::__set_body_part(const LinkBodyPart& val) {
+  this->body_part = val;
+__isset.body_part = true;
+}
+
+void LinkMessage::__set_keepalive(const LinkKeepalive& val) {
+  this->keepalive = val;
+__isset.keepalive = true;
+}
+
+void LinkMessage::__set_silence(const LinkSilence& val) {
+  this->silence = val;
+__isset.silence = true;
+}
 std::ostream& operator<<(std::ostream& out, const LinkMessage& obj)
 {
   obj.printTo(out);
@@ -10347,6 +10859,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->body_request.read(iprot);
+          this->__isset.body_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->body_part.read(iprot);
+          this->__isset.body_part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->keepalive.read(iprot);
+          this->__isset.keepalive = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->silence.read(iprot);
+          this->__isset.silence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10409,6 +10953,26 @@
     xfer += this->chunk.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.body_request) {
+    xfer += oprot->writeFieldBegin("body_request", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->body_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.body_part) {
+    xfer += oprot->writeFieldBegin("body_part", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->body_part.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.keepalive) {
+    xfer += oprot->writeFieldBegin("keepalive", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->keepalive.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.silence) {
+    xfer += oprot->writeFieldBegin("silence", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->silence.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10425,57 +10989,77 @@
   swap(a.config_request, b.config_request);
   swap(a.probe, b.probe);
   swap(a.chunk, b.chunk);
+  swap(a.body_request, b.body_request);
+  swap(a.body_part, b.body_part);
+  swap(a.keepalive, b.keepalive);
+  swap(a.silence, b.silence);
   swap(a.__isset, b.__isset);
 }
 
-LinkMessage::LinkMessage(const LinkMessage& other439) {
-  hello = other439.hello;
-  status = other439.status;
-  call = other439.call;
-  reply = other439.reply;
-  cancel = other439.cancel;
-  config = other439.config;
-  config_request = other439.config_request;
-  probe = other439.probe;
-  chunk = other439.chunk;
-  __isset = other439.__isset;
-}
-LinkMessage::LinkMessage(LinkMessage&& other440) noexcept {
-  hello = std::move(other440.hello);
-  status = std::move(other440.status);
-  call = std::move(other440.call);
-  reply = std::move(other440.reply);
-  cancel = std::move(other440.cancel);
-  config = std::move(other440.config);
-  config_request = std::move(other440.config_request);
-  probe = std::move(other440.probe);
-  chunk = std::move(other440.chunk);
-  __isset = other440.__isset;
-}
-LinkMessage& LinkMessage::operator=(const LinkMessage& other441) {
-  hello = other441.hello;
-  status = other441.status;
-  call = other441.call;
-  reply = other441.reply;
-  cancel = other441.cancel;
-  config = other441.config;
-  config_request = other441.config_request;
-  probe = other441.probe;
-  chunk = other441.chunk;
-  __isset = other441.__isset;
+LinkMessage::LinkMessage(const LinkMessage& other455) {
+  hello = other455.hello;
+  status = other455.status;
+  call = other455.call;
+  reply = other455.reply;
+  cancel = other455.cancel;
+  config = other455.config;
+  config_request = other455.config_request;
+  probe = other455.probe;
+  chunk = other455.chunk;
+  body_request = other455.body_request;
+  body_part = other455.body_part;
+  keepalive = other455.keepalive;
+  silence = other455.silence;
+  __isset = other455.__isset;
+}
+LinkMessage::LinkMessage(LinkMessage&& other456) noexcept {
+  hello = std::move(other456.hello);
+  status = std::move(other456.status);
+  call = std::move(other456.call);
+  reply = std::move(other456.reply);
+  cancel = std::move(other456.cancel);
+  config = std::move(other456.config);
+  config_request = std::move(other456.config_request);
+  probe = std::move(other456.probe);
+  chunk = std::move(other456.chunk);
+  body_request = std::move(other456.body_request);
+  body_part = std::move(other456.body_part);
+  keepalive = std::move(other456.keepalive);
+  silence = std::move(other456.silence);
+  __isset = other456.__isset;
+}
+LinkMessage& LinkMessage::operator=(const LinkMessage& other457) {
+  hello = other457.hello;
+  status = other457.status;
+  call = other457.call;
+  reply = other457.reply;
+  cancel = other457.cancel;
+  config = other457.config;
+  config_request = other457.config_request;
+  probe = other457.probe;
+  chunk = other457.chunk;
+  body_request = other457.body_request;
+  body_part = other457.body_part;
+  keepalive = other457.keepalive;
+  silence = other457.silence;
+  __isset = other457.__isset;
   return *this;
 }
-LinkMessage& LinkMessage::operator=(LinkMessage&& other442) noexcept {
-  hello = std::move(other442.hello);
-  status = std::move(other442.status);
-  call = std::move(other442.call);
-  reply = std::move(other442.reply);
-  cancel = std::move(other442.cancel);
-  config = std::move(other442.config);
-  config_request = std::move(other442.config_request);
-  probe = std::move(other442.probe);
-  chunk = std::move(other442.chunk);
-  __isset = other442.__isset;
+LinkMessage& LinkMessage::operator=(LinkMessage&& other458) noexcept {
+  hello = std::move(other458.hello);
+  status = std::move(other458.status);
+  call = std::move(other458.call);
+  reply = std::move(other458.reply);
+  cancel = std::move(other458.cancel);
+  config = std::move(other458.config);
+  config_request = std::move(other458.config_request);
+  probe = std::move(other458.probe);
+  chunk = std::move(other458.chunk);
+  body_request = std::move(other458.body_request);
+  body_part = std::move(other458.body_part);
+  keepalive = std::move(other458.keepalive);
+  silence = std::move(other458.silence);
+  __isset = other458.__isset;
   return *this;
 }
 void LinkMessage::printTo(std::ostream& out) const {
@@ -10490,6 +11074,10 @@
   out << ", " << "config_request="; (__isset.config_request ? (out << to_string(config_request)) : (out << "<null>"));
   out << ", " << "probe="; (__isset.probe ? (out << to_string(probe)) : (out << "<null>"));
   out << ", " << "chunk="; (__isset.chunk ? (out << to_string(chunk)) : (out << "<null>"));
+  out << ", " << "body_request="; (__isset.body_request ? (out << to_string(body_request)) : (out << "<null>"));
+  out << ", " << "body_part="; (__isset.body_part ? (out << to_string(body_part)) : (out << "<null>"));
+  out << ", " << "keepalive="; (__isset.keepalive ? (out << to_string(keepalive)) : (out << "<null>"));
+  out << ", " << "silence="; (__isset.silence ? (out << to_string(silence)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/limpet_types.h
+++ b/src/gen/limpet_types.h
@@ -176,6 +176,10 @@
 
 class LinkCall;
 
+class LinkBodyRequest;
+
+class LinkBodyPart;
+
 class LinkReply;
 
 class LinkCancel;
@@ -194,6 +198,10 @@
 
 class LinkChunk;
 
+class LinkKeepalive;
+
+class LinkSilence;
+
 class LinkMessage;
 
 typedef struct _Service__isset {
@@ -2745,7 +2753,7 @@
 std::ostream& operator<<(std::ostream& out, const CallReply& obj);
 
 typedef struct _TargetStatus__isset {
-  _TargetStatus__isset() : instance(false), service_name(false), state(false), slots(false), cold_ms(false), load(false), failure_permille(false), egress_wait_us(false), egress_us_per_kib(false), slowdown_permille(false) {}
+  _TargetStatus__isset() : instance(false), service_name(false), state(false), slots(false), cold_ms(false), load(false), failure_permille(false), egress_wait_us(false), egress_us_per_kib(false), slowdown_permille(false), ingress_wait_us(false) {}
   bool instance :1;
   bool service_name :1;
   bool state :1;
@@ -2756,6 +2764,7 @@
   bool egress_wait_us :1;
   bool egress_us_per_kib :1;
   bool slowdown_permille :1;
+  bool ingress_wait_us :1;
 } _TargetStatus__isset;
 
 class TargetStatus : public virtual ::apache::thrift::TBase {
@@ -2774,7 +2783,8 @@
                  failure_permille(0),
                  egress_wait_us(0),
                  egress_us_per_kib(0),
-                 slowdown_permille(0) {
+                 slowdown_permille(0),
+                 ingress_wait_us(0) {
   }
 
   virtual ~TargetStatus() noexcept;
@@ -2792,6 +2802,7 @@
   int32_t egress_wait_us;
   int32_t egress_us_per_kib;
   int32_t slowdown_permille;
+  int32_t ingress_wait_us;
 
   _TargetStatus__isset __isset;
 
@@ -2815,6 +2826,8 @@
 
   void __set_slowdown_permille(const int32_t val);
 
+  void __set_ingress_wait_us(const int32_t val);
+
   bool operator == (const TargetStatus & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -2837,6 +2850,8 @@
       return false;
     if (!(slowdown_permille == rhs.slowdown_permille))
       return false;
+    if (!(ingress_wait_us == rhs.ingress_wait_us))
+      return false;
     return true;
   }
   bool operator != (const TargetStatus &rhs) const {
@@ -2929,12 +2944,13 @@
 std::ostream& operator<<(std::ostream& out, const NodeAddress& obj);
 
 typedef struct _LinkHello__isset {
-  _LinkHello__isset() : node(false), incarnation(false), config_version(false), target(false), known_nodes(false) {}
+  _LinkHello__isset() : node(false), incarnation(false), config_version(false), target(false), known_nodes(false), requests_bodies(false) {}
   bool node :1;
   bool incarnation :1;
   bool config_version :1;
   bool target :1;
   bool known_nodes :1;
+  bool requests_bodies :1;
 } _LinkHello__isset;
 
 class LinkHello : public virtual ::apache::thrift::TBase {
@@ -2946,7 +2962,8 @@
   LinkHello& operator=(LinkHello&&) noexcept;
   LinkHello() noexcept
             : incarnation(0),
-              config_version(0) {
+              config_version(0),
+              requests_bodies(0) {
   }
 
   virtual ~LinkHello() noexcept;
@@ -2955,6 +2972,7 @@
   int64_t config_version;
   TargetStatus target;
   std::vector<NodeAddress>  known_nodes;
+  bool requests_bodies;
 
   _LinkHello__isset __isset;
 
@@ -2968,6 +2986,8 @@
 
   void __set_known_nodes(const std::vector<NodeAddress> & val);
 
+  void __set_requests_bodies(const bool val);
+
   bool operator == (const LinkHello & rhs) const
   {
     if (!(node == rhs.node))
@@ -2980,6 +3000,8 @@
       return false;
     if (!(known_nodes == rhs.known_nodes))
       return false;
+    if (!(requests_bodies == rhs.requests_bodies))
+      return false;
     return true;
   }
   bool operator != (const LinkHello &rhs) const {
@@ -2999,7 +3021,7 @@
 std::ostream& operator<<(std::ostream& out, const LinkHello& obj);
 
 typedef struct _LinkCall__isset {
-  _LinkCall__isset() : call_id(false), request_id(false), service_name(false), instance(false), method(false), path(false), headers(false), idempotent(false), priority(false), deadline_ms(false), latency_target_ms(false), route(false), accepts_late(false), free_slot_only(false), usual_run_us(false), expected_response_bytes(false) {}
+  _LinkCall__isset() : call_id(false), request_id(false), service_name(false), instance(false), method(false), path(false), headers(false), idempotent(false), priority(false), deadline_ms(false), latency_target_ms(false), route(false), accepts_late(false), free_slot_only(false), usual_run_us(false), expected_response_bytes(false), body_bytes(false) {}
   bool call_id :1;
   bool request_id :1;
   bool service_name :1;
@@ -3016,6 +3038,7 @@
   bool free_slot_only :1;
   bool usual_run_us :1;
   bool expected_response_bytes :1;
+  bool body_bytes :1;
 } _LinkCall__isset;
 
 class LinkCall : public virtual ::apache::thrift::TBase {
@@ -3040,7 +3063,8 @@
              accepts_late(0),
              free_slot_only(0),
              usual_run_us(0),
-             expected_response_bytes(0) {
+             expected_response_bytes(0),
+             body_bytes(0) {
   }
 
   virtual ~LinkCall() noexcept;
@@ -3060,6 +3084,7 @@
   bool free_slot_only;
   int32_t usual_run_us;
   int32_t expected_response_bytes;
+  int32_t body_bytes;
 
   _LinkCall__isset __isset;
 
@@ -3095,6 +3120,8 @@
 
   void __set_expected_response_bytes(const int32_t val);
 
+  void __set_body_bytes(const int32_t val);
+
   bool operator == (const LinkCall & rhs) const
   {
     if (!(call_id == rhs.call_id))
@@ -3129,6 +3156,8 @@
       return false;
     if (!(expected_response_bytes == rhs.expected_response_bytes))
       return false;
+    if (!(body_bytes == rhs.body_bytes))
+      return false;
     return true;
   }
   bool operator != (const LinkCall &rhs) const {
@@ -3147,6 +3176,103 @@
 
 std::ostream& operator<<(std::ostream& out, const LinkCall& obj);
 
+typedef struct _LinkBodyRequest__isset {
+  _LinkBodyRequest__isset() : call_id(false), bytes(false) {}
+  bool call_id :1;
+  bool bytes :1;
+} _LinkBodyRequest__isset;
+
+class LinkBodyRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  LinkBodyRequest(const LinkBodyRequest&) noexcept;
+  LinkBodyRequest(LinkBodyRequest&&) noexcept;
+  LinkBodyRequest& operator=(const LinkBodyRequest&) noexcept;
+  LinkBodyRequest& operator=(LinkBodyRequest&&) noexcept;
+  LinkBodyRequest() noexcept
+                  : call_id(0),
+                    bytes(0) {
+  }
+
+  virtual ~LinkBodyRequest() noexcept;
+  int64_t call_id;
+  int32_t bytes;
+
+  _LinkBodyRequest__isset __isset;
+
+  void __set_call_id(const int64_t val);
+
+  void __set_bytes(const int32_t val);
+
+  bool operator == (const LinkBodyRequest & rhs) const
+  {
+    if (!(call_id == rhs.call_id))
+      return false;
+    if (!(bytes == rhs.bytes))
+      return false;
+    return true;
+  }
+  bool operator != (const LinkBodyRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LinkBodyRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LinkBodyRequest &a, LinkBodyRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const LinkBodyRequest& obj);
+
+typedef struct _LinkBodyPart__isset {
+  _LinkBodyPart__isset() : call_id(false) {}
+  bool call_id :1;
+} _LinkBodyPart__isset;
+
+class LinkBodyPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  LinkBodyPart(const LinkBodyPart&) noexcept;
+  LinkBodyPart(LinkBodyPart&&) noexcept;
+  LinkBodyPart& operator=(const LinkBodyPart&) noexcept;
+  LinkBodyPart& operator=(LinkBodyPart&&) noexcept;
+  LinkBodyPart() noexcept
+               : call_id(0) {
+  }
+
+  virtual ~LinkBodyPart() noexcept;
+  int64_t call_id;
+
+  _LinkBodyPart__isset __isset;
+
+  void __set_call_id(const int64_t val);
+
+  bool operator == (const LinkBodyPart & rhs) const
+  {
+    if (!(call_id == rhs.call_id))
+      return false;
+    return true;
+  }
+  bool operator != (const LinkBodyPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LinkBodyPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LinkBodyPart &a, LinkBodyPart &b);
+
+std::ostream& operator<<(std::ostream& out, const LinkBodyPart& obj);
+
 typedef struct _LinkReply__isset {
   _LinkReply__isset() : call_id(false), outcome(false), reason(false), reached_target(false), http_status(false), headers(false), retry_after_ms(false), target(false), run_us(false) {}
   bool call_id :1;
@@ -3782,8 +3908,98 @@
 
 std::ostream& operator<<(std::ostream& out, const LinkChunk& obj);
 
+typedef struct _LinkKeepalive__isset {
+  _LinkKeepalive__isset() : interval_ms(false) {}
+  bool interval_ms :1;
+} _LinkKeepalive__isset;
+
+class LinkKeepalive : public virtual ::apache::thrift::TBase {
+ public:
+
+  LinkKeepalive(const LinkKeepalive&) noexcept;
+  LinkKeepalive(LinkKeepalive&&) noexcept;
+  LinkKeepalive& operator=(const LinkKeepalive&) noexcept;
+  LinkKeepalive& operator=(LinkKeepalive&&) noexcept;
+  LinkKeepalive() noexcept
+                : interval_ms(0) {
+  }
+
+  virtual ~LinkKeepalive() noexcept;
+  int32_t interval_ms;
+
+  _LinkKeepalive__isset __isset;
+
+  void __set_interval_ms(const int32_t val);
+
+  bool operator == (const LinkKeepalive & rhs) const
+  {
+    if (!(interval_ms == rhs.interval_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const LinkKeepalive &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LinkKeepalive & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LinkKeepalive &a, LinkKeepalive &b);
+
+std::ostream& operator<<(std::ostream& out, const LinkKeepalive& obj);
+
+typedef struct _LinkSilence__isset {
+  _LinkSilence__isset() : node(false) {}
+  bool node :1;
+} _LinkSilence__isset;
+
+class LinkSilence : public virtual ::apache::thrift::TBase {
+ public:
+
+  LinkSilence(const LinkSilence&);
+  LinkSilence(LinkSilence&&) noexcept;
+  LinkSilence& operator=(const LinkSilence&);
+  LinkSilence& operator=(LinkSilence&&) noexcept;
+  LinkSilence() noexcept
+              : node() {
+  }
+
+  virtual ~LinkSilence() noexcept;
+  std::string node;
+
+  _LinkSilence__isset __isset;
+
+  void __set_node(const std::string& val);
+
+  bool operator == (const LinkSilence & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    return true;
+  }
+  bool operator != (const LinkSilence &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LinkSilence & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LinkSilence &a, LinkSilence &b);
+
+std::ostream& operator<<(std::ostream& out, const LinkSilence& obj);
+
 typedef struct _LinkMessage__isset {
-  _LinkMessage__isset() : hello(false), status(false), call(false), reply(false), cancel(false), config(false), config_request(false), probe(false), chunk(false) {}
+  _LinkMessage__isset() : hello(false), status(false), call(false), reply(false), cancel(false), config(false), config_request(false), probe(false), chunk(false), body_request(false), body_part(false), keepalive(false), silence(false) {}
   bool hello :1;
   bool status :1;
   bool call :1;
@@ -3793,6 +4009,10 @@
   bool config_request :1;
   bool probe :1;
   bool chunk :1;
+  bool body_request :1;
+  bool body_part :1;
+  bool keepalive :1;
+  bool silence :1;
 } _LinkMessage__isset;
 
 class LinkMessage : public virtual ::apache::thrift::TBase {
@@ -3815,6 +4035,10 @@
   LinkConfigRequest config_request;
   LinkProbe probe;
   LinkChunk chunk;
+  LinkBodyRequest body_request;
+  LinkBodyPart body_part;
+  LinkKeepalive keepalive;
+  LinkSilence silence;
 
   _LinkMessage__isset __isset;
 
@@ -3836,6 +4060,14 @@
 
   void __set_chunk(const LinkChunk& val);
 
+  void __set_body_request(const LinkBodyRequest& val);
+
+  void __set_body_part(const LinkBodyPart& val);
+
+  void __set_keepalive(const LinkKeepalive& val);
+
+  void __set_silence(const LinkSilence& val);
+
   bool operator == (const LinkMessage & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -3874,6 +4106,22 @@
       return false;
     else if (__isset.chunk && !(chunk == rhs.chunk))
       return false;
+    if (__isset.body_request != rhs.__isset.body_request)
+      return false;
+    else if (__isset.body_request && !(body_request == rhs.body_request))
+      return false;
+    if (__isset.body_part != rhs.__isset.body_part)
+      return false;
+    else if (__isset.body_part && !(body_part == rhs.body_part))
+      return false;
+    if (__isset.keepalive != rhs.__isset.keepalive)
+      return false;
+    else if (__isset.keepalive && !(keepalive == rhs.keepalive))
+      return false;
+    if (__isset.silence != rhs.__isset.silence)
+      return false;
+    else if (__isset.silence && !(silence == rhs.silence))
+      return false;
     return true;
   }
   bool operator != (const LinkMessage &rhs) const {
--- a/src/traffic/egress_schedule.cc
+++ b/src/traffic/link_schedule.cc
@@ -1,4 +1,4 @@
-#include "limpet/traffic/egress_schedule.h"
+#include "limpet/traffic/link_schedule.h"
 
 #include <algorithm>
 
@@ -21,10 +21,10 @@
 
 }  // namespace
 
-EgressSchedule::EgressSchedule(double link_mbps)
+LinkSchedule::LinkSchedule(double link_mbps)
     : bytes_per_us_(std::max(kMinLinkMbps, link_mbps) * kUsableLinkShare / kBitsPerByte) {}
 
-int64_t EgressSchedule::Add(std::size_t bytes, TimePoint due) {
+int64_t LinkSchedule::Add(std::size_t bytes, TimePoint due) {
   const int64_t transfer = ++last_transfer_id_;
   transfers_.emplace(TransferKey{due, transfer}, bytes);
   due_.emplace(transfer, due);
@@ -32,7 +32,7 @@
   return transfer;
 }
 
-void EgressSchedule::Remove(int64_t transfer) {
+void LinkSchedule::Remove(int64_t transfer) {
   const auto due = due_.find(transfer);
   if (due == due_.end()) {
     return;
@@ -43,7 +43,7 @@
   due_.erase(due);
 }
 
-std::optional<int64_t> EgressSchedule::Next(TimePoint now) {
+std::optional<int64_t> LinkSchedule::Next(TimePoint now) {
   idle_at_ = std::max(idle_at_, now - kMaxBurst);
   if (transfers_.empty() || idle_at_ > now) {
     return std::nullopt;
@@ -56,7 +56,7 @@
   return next->first.second;
 }
 
-bool EgressSchedule::OnChunkSent(TimePoint now, int64_t transfer, std::size_t bytes) {
+bool LinkSchedule::OnChunkSent(TimePoint now, int64_t transfer, std::size_t bytes) {
   OnSent(now, bytes);
   const auto due = due_.find(transfer);
   if (due == due_.end()) {
@@ -72,11 +72,11 @@
   return true;
 }
 
-void EgressSchedule::OnSent(TimePoint now, std::size_t bytes) {
+void LinkSchedule::OnSent(TimePoint now, std::size_t bytes) {
   idle_at_ = std::max(idle_at_, now - kMaxBurst) + TransmissionTime(bytes);
 }
 
-Duration EgressSchedule::TransmissionTime(std::size_t bytes) const {
+Duration LinkSchedule::TransmissionTime(std::size_t bytes) const {
   return Duration(static_cast<int64_t>(static_cast<double>(bytes) / bytes_per_us_));
 }
 
--- a/src/traffic/mesh_call.cc
+++ b/src/traffic/mesh_call.cc
@@ -48,6 +48,7 @@
 std::optional<PlacedTarget> MeshCall::Choose(TimePoint now, bool free_slot_only) const {
   PlacementRequest request{options_.service, options_.expected_response_bytes,
                            std::max(Duration(0), options_.latency_target - now)};
+  request.request_bytes = options_.request_bytes;
   if (options_.typical_service_time > Duration(0)) {
     request.typical_service_time = options_.typical_service_time;
   }
--- a/src/traffic/target_gate.cc
+++ b/src/traffic/target_gate.cc
@@ -69,9 +69,16 @@
   }
   queue_.clear();
   queued_keys_.clear();
+  bodies_pending_ = 0;
   return events;
 }
 
+TargetGate::Queue::iterator TargetGate::Dequeue(Queue::iterator entry) {
+  bodies_pending_ -= entry->second.body_pending ? 1 : 0;
+  queued_keys_.erase(entry->second.key);
+  return queue_.erase(entry);
+}
+
 bool TargetGate::IsDown(TimePoint now) const {
   if (consecutive_failures_ < options_.failures_until_down) {
     return false;
@@ -182,17 +189,22 @@
   const QueueKey position{call.priority, call.latency_target, next_sequence_++};
   const Duration service_time = EstimateServiceTime(now, call);
   const Duration wait = PredictWait(position, service_time);
-  const Duration lateness = PredictLateness(now, call, wait, service_time);
+  const Duration lateness =
+      PredictLateness(now, call, std::max(wait, call.body_delay), service_time);
   const bool link_too_busy = call.link_transmission_time > Duration(0) && lateness > Duration(0);
-  if (wait == Duration(0) && queue_.empty() && !link_too_busy) {
+  // Calls whose bodies are still to be received do not need their slots yet.
+  const bool slot_is_free = running() < target_->slots && !HasStartable();
+  if (slot_is_free && !call.body_pending && !link_too_busy) {
     Start(now, call);
     return {.verdict = GateVerdict::kStart};
   }
-  if (call.free_slot_only || lateness > Duration(0) || queue_.size() >= options_.queue_capacity) {
+  const bool must_not_wait = call.free_slot_only && (wait > Duration(0) || !call.body_pending);
+  if (must_not_wait || lateness > Duration(0) || queue_.size() >= options_.queue_capacity) {
     return {.reason = Reason::kOverloaded, .retry_after = std::max(wait, lateness)};
   }
   queue_.emplace(position, call);
   queued_keys_.emplace(call.key, position);
+  bodies_pending_ += call.body_pending ? 1 : 0;
   return {.verdict = GateVerdict::kQueue};
 }
 
@@ -245,18 +257,27 @@
   if (found == queued_keys_.end()) {
     return false;
   }
-  queue_.erase(found->second);
-  queued_keys_.erase(found);
+  Dequeue(queue_.find(found->second));
   return true;
 }
 
+std::vector<GateEvent> TargetGate::OnBody(TimePoint now, const std::string& key) {
+  const auto found = queued_keys_.find(key);
+  if (found == queued_keys_.end()) {
+    return {};
+  }
+  GateCall& call = queue_.at(found->second);
+  bodies_pending_ -= call.body_pending ? 1 : 0;
+  call.body_pending = false;
+  return Tick(now);
+}
+
 std::vector<GateEvent> TargetGate::Tick(TimePoint now) {
   std::vector<GateEvent> events;
   for (auto it = queue_.begin(); it != queue_.end();) {
     if (now >= it->second.deadline) {
       events.push_back({it->second.key, false, Reason::kQueueTimeout});
-      queued_keys_.erase(it->second.key);
-      it = queue_.erase(it);
+      it = Dequeue(it);
     } else {
       ++it;
     }
@@ -266,11 +287,11 @@
 }
 
 void TargetGate::StartQueued(TimePoint now, std::vector<GateEvent>& events) {
-  while (target_ && !queue_.empty() && running() < target_->slots) {
-    const auto first = queue_.begin();
-    const GateCall call = std::move(first->second);
-    queue_.erase(first);
-    queued_keys_.erase(call.key);
+  while (target_ && HasStartable() && running() < target_->slots) {
+    const auto first =
+        std::ranges::find_if(queue_, [](const auto& entry) { return !entry.second.body_pending; });
+    const GateCall call = first->second;
+    Dequeue(first);
     Start(now, call);
     events.push_back({call.key, true, Reason::kNone});
   }
--- a/src/traffic/target_placement.cc
+++ b/src/traffic/target_placement.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "limpet/traffic/egress_schedule.h"
+#include "limpet/traffic/link_schedule.h"
 
 namespace limpet {
 
@@ -79,11 +79,17 @@
       1 + kOccupancyCostShare * std::min(1.0, static_cast<double>(total) / entry.status.slots);
   expected += std::max(service_time, kMinFailureServiceTimeUs) * kFailureCostFactor *
               entry.status.failure_permille / 1000.0;
-  if (request.expected_response_bytes >= kLargeResponseBytes) {
+  if (request.expected_response_bytes >= kLargeBodyBytes) {
     expected += entry.status.egress_wait_us +
                 static_cast<double>(entry.status.egress_us_per_kib) *
                     static_cast<double>(request.expected_response_bytes) / 1024;
   }
+  if (request.request_bytes >= kLargeBodyBytes) {
+    // Both directions of the link have the same rate.
+    expected += entry.status.ingress_wait_us + static_cast<double>(entry.status.egress_us_per_kib) *
+                                                   static_cast<double>(request.request_bytes) /
+                                                   1024;
+  }
   return now < entry.unresponsive_until ? expected * kUnresponsiveFactor : expected;
 }
 
@@ -122,19 +128,19 @@
   }
   const Candidate local = SelectBest(now, local_candidates, request);
   const Candidate remote = SelectBest(now, remote_candidates, request);
-  const double size_share = std::min(1.0, static_cast<double>(request.expected_response_bytes) /
-                                              static_cast<double>(options_.full_local_share_bytes));
+  const std::size_t bytes = request.request_bytes + request.expected_response_bytes;
+  const double size_share = std::min(
+      1.0, static_cast<double>(bytes) / static_cast<double>(options_.full_local_share_bytes));
   const double limit_us = options_.local_latency_share * size_share *
                           static_cast<double>(request.remaining_latency.count());
   const bool use_local =
-      local.node != nullptr &&
-      (remote.node == nullptr || local.expected_us <= limit_us ||
-       local.expected_us <= remote.expected_us + RemotePenaltyUs(request.expected_response_bytes));
+      local.node != nullptr && (remote.node == nullptr || local.expected_us <= limit_us ||
+                                local.expected_us <= remote.expected_us + RemotePenaltyUs(bytes));
   const Candidate& best = use_local ? local : remote;
   if (best.node == nullptr) {
     return std::nullopt;
   }
-  const double penalty_us = RemotePenaltyUs(request.expected_response_bytes);
+  const double penalty_us = RemotePenaltyUs(bytes);
   const bool may_wait =
       use_local && penalty_us > static_cast<double>(request.remaining_latency.count());
   return PlacedTarget{*best.node, best.entry->status.instance, use_local, may_wait};
--- a/tests/edge/link_test.cc
+++ b/tests/edge/link_test.cc
@@ -52,7 +52,7 @@
       TcpSocket socket(loop.executor());
       socket.connect({asio::ip::make_address("127.0.0.1"), static_cast<uint16_t>(port)});
       sender = std::make_shared<Link>(std::move(socket),
-                                      std::make_shared<EgressPacer>(loop.executor(), link_mbps));
+                                      std::make_shared<LinkPacer>(loop.executor(), link_mbps));
       sender->Start({[](wire::LinkMessage, std::string) {}, [](ErrorCode) {}, nullptr});
     });
     accepted.get_future().get();
--- a/tests/edge/peer_links_test.cc
+++ b/tests/edge/peer_links_test.cc
@@ -88,14 +88,14 @@
                   "a peer without calls that sends keepalives is not reported as unresponsive") {
   HttpHeaderNames header_names;
   TargetGate gate{TargetGateOptions{}};
-  InboundProxy inbound(loop.executor(), header_names, gate, counters, nullptr, [] {});
+  InboundProxy inbound(loop.executor(), header_names, gate, counters, {}, [] {});
   LinkServerHooks hooks;
   hooks.make_hello = [this] { return MakeHello(); };
   hooks.on_node = [](const wire::NodeAddress&) {};
   hooks.on_peer_version = [](const std::string&, int64_t) {};
   hooks.config_version = [] { return int64_t{0}; };
   hooks.store_unreachable = [] { return false; };
-  LinkServer server(inbound, std::move(hooks), nullptr);
+  LinkServer server(inbound, std::move(hooks), {});
   const auto listener = Listen([&](TcpSocket socket) { server.Accept(std::move(socket)); });
   ConnectLinks();
   TickFor(milliseconds(1800), &server);
--- a/tests/platform/mesh_test.cc
+++ b/tests/platform/mesh_test.cc
@@ -37,9 +37,11 @@
   TestNode(edge::LoopThread& loop,
            PeerAddress store,
            const std::string& name,
-           const std::string& service)
+           const std::string& service,
+           double link_mbps = 1000)
       : loop_(loop), name_(name), service_(service) {
     settings_.name = name;
+    settings_.link_mbps = link_mbps;
     settings_.data_centre = "a";
     settings_.service = service;
     settings_.outbound = {"127.0.0.1", FreePort()};
@@ -73,6 +75,9 @@
   std::string Call(const std::string& path) {
     return Send(settings_.outbound.port, "GET " + path, "");
   }
+  std::string Upload(const std::string& path, const std::string& body) {
+    return Send(settings_.outbound.port, "POST " + path, body);
+  }
   /// Repeats the call every 50 ms until the response has this status; false after 100 calls.
   bool CallUntil(const std::string& path, const std::string& status) {
     for (int i = 0; i < 100; ++i) {
@@ -96,6 +101,8 @@
   /// Whether the health endpoint responds with 200.
   std::atomic<bool> healthy{false};
   std::atomic<bool> unresponsive{false};
+  /// Body of the request that the target received last.
+  std::string seen_body;
   std::string seen_caller;
   std::string seen_instance;
 
@@ -117,6 +124,7 @@
       return;
     }
     ++executions;
+    seen_body = request.body;
     seen_caller = std::string(request.Header("X-Caller-Service"));
     seen_instance = std::string(request.Header("X-Expected-Instance"));
     if (unresponsive) {
@@ -171,6 +179,46 @@
   CHECK(metrics.find("outbound_call_seconds_bucket{le=\"+Inf\"}") != std::string::npos);
 }
 
+std::string MakeBody(std::size_t bytes) {
+  std::string body;
+  for (std::size_t i = 0; body.size() < bytes; ++i) {
+    body += std::to_string(i) + ",";
+  }
+  return body;
+}
+
+TEST_CASE_FIXTURE(Fixture, "a large request body reaches the target of another node unchanged") {
+  StartMesh();
+  const std::string body = MakeBody(300'000);
+  CHECK(caller.Upload("/lots/1", body).starts_with("HTTP/1.1 200"));
+  CHECK(desk.seen_body == body);
+}
+
+// Large request bodies beside small urgent requests on a narrow link.
+TEST_CASE(
+    "large request bodies arrive at the rate of the receiving link, small requests do not wait") {
+  Fixture mesh;
+  TestNode narrow(mesh.loop, mesh.store.address(), "narrow-node", "desk", 8);
+  Fixture::Stopper stopper{mesh.loop};
+  mesh.store.Put("keyed.op", "config", ConfigText(1, "/lots/"));
+  CHECK(narrow.Announce("ready", 1).starts_with("HTTP/1.1 200"));
+  REQUIRE(mesh.caller.CallUntil("/lots/1", "200"));
+  const std::string body = MakeBody(300'000);
+  std::atomic<bool> uploaded{false};
+  const auto start = std::chrono::steady_clock::now();
+  std::thread upload([&] {
+    CHECK(mesh.caller.Upload("/lots/1", body).starts_with("HTTP/1.1 200"));
+    uploaded = true;
+  });
+  std::this_thread::sleep_for(milliseconds(50));
+  CHECK(mesh.caller.Call("/lots/1").starts_with("HTTP/1.1 200"));
+  CHECK_FALSE(uploaded);
+  upload.join();
+  // 300 kB at 8 Mbit/s take 0.3 s.
+  CHECK(std::chrono::steady_clock::now() - start > milliseconds(250));
+  CHECK(narrow.seen_body == body);
+}
+
 TEST_CASE_FIXTURE(Fixture, "before the first configuration a node refuses and is not ready") {
   CHECK(caller.Call("/lots/1").starts_with("HTTP/1.1 503"));
   CHECK_FALSE(caller.IsReady());
--- a/tests/traffic/egress_schedule_test.cc
+++ b/tests/traffic/link_schedule_test.cc
@@ -1,4 +1,4 @@
-#include "limpet/traffic/egress_schedule.h"
+#include "limpet/traffic/link_schedule.h"
 
 #include <doctest/doctest.h>
 
@@ -17,7 +17,7 @@
 constexpr std::size_t kChunkBytes = 8192;
 
 struct Fixture {
-  EgressSchedule schedule{kLinkMbps};
+  LinkSchedule schedule{kLinkMbps};
   TimePoint now = kStart;
   std::map<int64_t, std::size_t> remaining;
 
--- a/tests/traffic/target_gate_test.cc
+++ b/tests/traffic/target_gate_test.cc
@@ -70,6 +70,56 @@
   CHECK(events[0].key == "urgent");
 }
 
+GateCall MakeUpload(const std::string& key, Duration body_delay = milliseconds(50)) {
+  GateCall call = MakeCall(key);
+  call.body_pending = true;
+  call.body_delay = body_delay;
+  return call;
+}
+
+// Large request bodies on a narrow link: a slot that waits for a body would serve nobody.
+TEST_CASE_FIXTURE(Fixture, "a call whose body is still to be received holds no slot") {
+  CHECK(gate.Admit(kStart, MakeUpload("upload1")).verdict == GateVerdict::kQueue);
+  CHECK(gate.Admit(kStart, MakeUpload("upload2")).verdict == GateVerdict::kQueue);
+  CHECK(gate.Admit(kStart, MakeCall("small")).verdict == GateVerdict::kStart);
+  CHECK(gate.Tick(kStart).empty());
+  const auto events = gate.OnBody(kStart + milliseconds(50), "upload2");
+  REQUIRE(events.size() == 1);
+  CHECK(events[0].key == "upload2");
+  CHECK(events[0].starts);
+  CHECK(gate.running() == 2);
+  CHECK(gate.OnBody(kStart + milliseconds(60), "upload1").empty());
+  const auto next = gate.Finish(kStart + milliseconds(70), "small", TargetResult::kSucceeded);
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].key == "upload1");
+}
+
+// Guards against bodies that are sent to a target that refuses their request.
+TEST_CASE_FIXTURE(Fixture, "an upload without a free slot or in time is refused before its body") {
+  GateCall immediate = MakeUpload("immediate");
+  immediate.free_slot_only = true;
+  CHECK(gate.Admit(kStart, immediate).verdict == GateVerdict::kQueue);
+  CHECK(gate.Admit(kStart, MakeUpload("second")).verdict == GateVerdict::kQueue);
+  immediate.key = "third";
+  CHECK(gate.Admit(kStart, immediate).verdict == GateVerdict::kRefuse);
+  const GateDecision late = gate.Admit(kStart, MakeUpload("late", milliseconds(500)));
+  CHECK(late.verdict == GateVerdict::kRefuse);
+  CHECK(late.outcome == wire::Outcome::kNotRun);
+  CHECK(late.retry_after > Duration(0));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a call whose body does not arrive is refused at its deadline") {
+  GateCall upload = MakeUpload("upload");
+  upload.idempotent = false;
+  gate.Admit(kStart, upload);
+  const auto events = gate.Tick(upload.deadline);
+  REQUIRE(events.size() == 1);
+  CHECK_FALSE(events[0].starts);
+  CHECK(gate.OnBody(upload.deadline, "upload").empty());
+  CHECK(gate.running() == 0);
+  CHECK(gate.Admit(upload.deadline, MakeCall("next")).reason == Reason::kDeadlinePassed);
+}
+
 // Guards against a reported slowdown that depends on which routes the target happens to serve.
 TEST_CASE_FIXTURE(Fixture,
                   "the reported slowdown is relative to the typical service time of each route") {
--- a/tests/traffic/target_placement_test.cc
+++ b/tests/traffic/target_placement_test.cc
@@ -139,6 +139,25 @@
   CHECK(SendRequests(1, 1000, milliseconds(1000))["fast"] == 1);
 }
 
+TEST_CASE_FIXTURE(Fixture, "large request bodies avoid a VM whose link receives others") {
+  AddTarget("fast", 0, 80);
+  AddTarget("slow", 0, 120);
+  wire::TargetStatus busy;
+  busy.instance = "i-fast";
+  busy.service_name = "desk";
+  busy.state = wire::TargetState::kUp;
+  busy.slots = 10;
+  busy.load.service_time_us = 80'000;
+  busy.slowdown_permille = 800;
+  busy.ingress_wait_us = 300'000;
+  placement.Update(kStart, "fast", "a", busy);
+  PlacementRequest upload{"desk", 0, milliseconds(1000)};
+  upload.request_bytes = 60 * 1024;
+  CHECK(placement.Choose(kStart, upload, {})->node == "slow");
+  upload.request_bytes = 1000;
+  CHECK(placement.Choose(kStart, upload, {})->node == "fast");
+}
+
 TEST_CASE_FIXTURE(Fixture, "an unresponsive node is avoided until it reports again") {
   AddTarget("a", 0, 100);
   AddTarget("b", 0, 100);
