Accept fractions for the retry extra and the grace period

Cause: the platform gives bounds as whole numbers or fractions. The template also made "6.5000" of a grace period of 6.5 s. Test: settings/node_settings_test.cc "bounds of the platform may be fractions" (did not parse before).

--- a/include/limpet/settings/node_settings.h
+++ b/include/limpet/settings/node_settings.h
@@ -107,12 +107,12 @@
   /// Retries that all nodes together may send, as a fraction of the requests.
   double retry_ratio = 0.2;
   /// Further retries that all nodes together may send in one window.
-  int retry_extra = 10;
+  double retry_extra = 10;
   int retry_window_ms = 10'000;
 
   // [stop]
   /// Time from the request to stop until the process is killed.
-  int grace_period_ms = 6000;
+  double grace_period_ms = 6000;
 
   // [control]
   DistributionMode distribution = DistributionMode::kTree;
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -1,6 +1,7 @@
 #include "limpet/edge/edge_node.h"
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 #include <utility>
 
@@ -106,6 +107,10 @@
 CallerLimits AdminLimits() {
   return {};
 }
+Duration GracePeriod(const NodeSettings& settings) {
+  return Duration(std::llround(settings.grace_period_ms * 1000));
+}
+
 
 }  // namespace
 
@@ -466,7 +471,7 @@
   if (stopping_) {
     return;
   }
-  LogEvent("stopping").Add("grace_ms", settings_.grace_period_ms);
+  LogEvent("stopping").Add("grace_ms", GracePeriod(settings_));
   stopping_ = true;
   stopping_since_ = MonotonicNow();
   on_stopped_ = std::move(on_stopped);
@@ -478,7 +483,7 @@
   }
   const TimePoint now = MonotonicNow();
   const Duration elapsed = now - stopping_since_;
-  const Duration grace = std::chrono::milliseconds(settings_.grace_period_ms);
+  const Duration grace = GracePeriod(settings_);
   if (!inbound_stopped_ &&
       elapsed >= std::min(kAcceptInboundAfterStop, Scale(grace, kAcceptInboundGraceShare))) {
     inbound_stopped_ = true;
--- a/tests/settings/node_settings_test.cc
+++ b/tests/settings/node_settings_test.cc
@@ -16,6 +16,16 @@
   return "";
 }
 
+// Guards against nodes that do not start because the platform gives a bound as a fraction.
+TEST_CASE("bounds of the platform may be fractions") {
+  const NodeSettings settings = ParseSettings(
+      "[node]\nname = a\ndata_centre = b\nservice = c\n"
+      "[retries]\nextra = 30.714285714285715\n[stop]\ngrace_period_ms = 6.5e3\n",
+      "node.ini");
+  CHECK(settings.retry_extra == doctest::Approx(30.7142857));
+  CHECK(settings.grace_period_ms == 6500);
+}
+
 TEST_CASE("keys that are not required have defaults") {
   const NodeSettings settings = ParseSettings(kRequired, "node.ini");
   CHECK(settings.name == "n1");
