--- a/src/edge/event_log.cc
+++ b/src/edge/event_log.cc
@@ -81,6 +81,9 @@
   return sink;
 }
 
+/// Longer values are cut: names and texts in messages of other writers may have any length.
+constexpr std::size_t kMaxValueBytes = 512;
+
 bool NeedsQuotes(std::string_view value) {
   return value.empty() || std::ranges::any_of(value, [](char c) {
            return c <= ' ' || c == '"' || c == '=' || c == '\\' || c == 127;
@@ -96,6 +99,7 @@
 }
 
 LogEvent& LogEvent::Add(std::string_view key, std::string_view value) {
+  value = value.substr(0, kMaxValueBytes);
   line_.append(" ").append(key).append("=");
   if (!NeedsQuotes(value)) {
     line_.append(value);
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -94,6 +94,60 @@
   CHECK(message.announcement->start_time_ms == 1700000000000);
 }
 
+std::string Nest(int depth) {
+  const auto count = static_cast<std::size_t>(depth);
+  return std::string(count, '[') + std::string(count, ']');
+}
+
+// Guards against processes that end, or take on a number that depends on the processor, because
+// another writer left an odd entry.
+TEST_CASE("numbers out of range and deep nesting throw DecodeError that names the field") {
+  const PlatformAnnouncementCodec codec;
+  const std::string heartbeat =
+      R"({"service":"desk","address":"10.0.0.1:80","zone":"a","version":"v1","slots":9,)"
+      R"("state":"ready","cold_remaining_ms":0,"sequence":4,"born":1700000000000})";
+  CHECK(codec.Decode(MakeHeartbeat(heartbeat)).announcement);
+  const std::pair<std::string, std::string> odd_heartbeats[] = {
+      {"\"slots\":9", "\"slots\":1e300"},
+      {"\"slots\":9", "\"slots\":4.5"},
+      {"\"slots\":9", "\"slots\":" + Nest(200'000)},
+      {"\"slots\":9", "\"slots\":99999999999999999999999999"},
+      {"\"cold_remaining_ms\":0", "\"cold_remaining_ms\":-1e300"},
+      {"\"sequence\":4", "\"sequence\":1e19"},
+      {"\"born\":1700000000000", "\"born\":1e300"},
+      {"\"born\":1700000000000", "\"born\":\"now\""},
+      {"10.0.0.1:80", "10.0.0.1:70000"},
+      {"10.0.0.1:80", "10.0.0.1"},
+      {"10.0.0.1:80", "10.0.0.1:-1"},
+      {"10.0.0.1:80", ":80"}};
+  for (const auto& [from, to] : odd_heartbeats) {
+    CAPTURE(to.substr(0, 60));
+    CHECK_THROWS_AS(codec.Decode(MakeHeartbeat(Replace(heartbeat, from, to))), DecodeError);
+  }
+  const std::pair<std::string, std::string> odd_configs[] = {
+      {"\"priority\":1", "\"priority\":1e300"},
+      {"\"attempts\":2", "\"attempts\":-3"},
+      {"\"timeout_ms\":1000.5", "\"timeout_ms\":1e300"},
+      {"\"weight\":90", "\"weight\":2147483647"},
+      {"\"max_connections\":130", "\"max_connections\":1e10"},
+      {"\"max_body_bytes\":1000", "\"max_body_bytes\":-1"}};
+  for (const auto& [from, to] : odd_configs) {
+    CAPTURE(to);
+    CHECK_THROWS_AS(DecodeOperatorConfig(Replace(kConfig, from, to)), DecodeError);
+  }
+  const std::string node = R"({"name":"n","data_centre":"a","host":"10.0.0.1","port":7400})";
+  CHECK(DecodeNodeAddress(node).port == 7400);
+  for (const std::string port : {"70000", "0", "-1", "1e300", "\"7400\"", "null"}) {
+    CHECK_THROWS_AS(DecodeNodeAddress(Replace(node, "7400", port)), DecodeError);
+  }
+  try {
+    codec.Decode(MakeHeartbeat(Replace(heartbeat, "\"slots\":9", "\"slots\":1e300")));
+  } catch (const DecodeError& error) {
+    CHECK(error.what() ==
+          std::string("field slots is 1e+300; allowed is a number from 1.0 to 100000.0"));
+  }
+}
+
 TEST_CASE("invalid heartbeats and unknown paths throw DecodeError") {
   const PlatformAnnouncementCodec codec;
   for (const char* body :
