End only the connection on an unexpected error

Cause: report of a process that ended because of one message. limpetd-platform ran the event loop without a guard, so that an exception from any handler ended the process; an exception in the tick would also have stopped all later ticks. Each such error is logged as unexpected_error and counted in unexpected_errors.

--- a/include/limpet/edge/edge_node.h
+++ b/include/limpet/edge/edge_node.h
@@ -90,6 +90,7 @@
   void PushStatus(TimePoint now);
   void Tick();
   void CheckStopped();
+  void RunTick(TimePoint now);
   /// Probes the target's health endpoint while the node has just started and no target is known.
   void DiscoverTarget(TimePoint now);
 
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "limpet/edge/event_log.h"
+#include "limpet/edge/guard.h"
 #include "limpet/net/clock.h"
 
 namespace limpet::edge {
@@ -425,6 +426,7 @@
                                          inbound_->latency().Render("inbound_call_seconds")));
 }
 
+  counters_.Get("unexpected_errors").Set(UnexpectedErrors());
 void EdgeNode::PushStatus(TimePoint now) {
   const wire::TargetStatus status = inbound_->Status();
   const bool state_changed =
@@ -443,7 +445,16 @@
 }
 
 void EdgeNode::Tick() {
-  const TimePoint now = MonotonicNow();
+  RunGuarded("tick", [this] { RunTick(MonotonicNow()); });
+  tick_timer_.expires_after(kTickInterval);
+  tick_timer_.async_wait([this](ErrorCode error) {
+    if (!error) {
+      Tick();
+    }
+  });
+}
+
+void EdgeNode::RunTick(TimePoint now) {
   inbound_->Tick();
   links_->Tick();
   link_server_->Tick(now);
@@ -459,12 +470,6 @@
   if (stopping_) {
     CheckStopped();
   }
-  tick_timer_.expires_after(kTickInterval);
-  tick_timer_.async_wait([this](ErrorCode error) {
-    if (!error) {
-      Tick();
-    }
-  });
 }
 
 void EdgeNode::Stop(std::function<void()> on_stopped) {
--- a/src/edge/http_connection.cc
+++ b/src/edge/http_connection.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
+#include "limpet/edge/guard.h"
 #include "limpet/net/clock.h"
 
 namespace limpet::edge {
@@ -123,10 +124,12 @@
     return;
   }
   reading_ = true;
-  socket_.async_read_some(buffer_.prepare(kReadBytes),
-                          [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
-                            self->OnRead(error, bytes);
-                          });
+  socket_.async_read_some(
+      buffer_.prepare(kReadBytes), [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+        if (!RunGuarded("target_connection", [&] { self->OnRead(error, bytes); })) {
+          self->Fail(ExchangeStatus::kBroken, asio::error::invalid_argument);
+        }
+      });
 }
 
 void HttpConnection::OnRead(ErrorCode error, std::size_t bytes) {
--- a/src/edge/http_session.cc
+++ b/src/edge/http_session.cc
@@ -5,6 +5,7 @@
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
+#include "limpet/edge/guard.h"
 #include "limpet/edge/http_convert.h"
 #include "limpet/net/clock.h"
 
@@ -49,10 +50,12 @@
     return;
   }
   reading_ = true;
-  socket_.async_read_some(buffer_.prepare(kReadBytes),
-                          [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
-                            self->OnRead(error, bytes);
-                          });
+  socket_.async_read_some(
+      buffer_.prepare(kReadBytes), [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+        if (!RunGuarded("caller_connection", [&] { self->OnRead(error, bytes); })) {
+          self->Close();
+        }
+      });
 }
 
 void HttpSession::OnRead(ErrorCode error, std::size_t bytes) {
--- a/src/edge/link.cc
+++ b/src/edge/link.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "limpet/core/error.h"
+#include "limpet/edge/guard.h"
 #include "limpet/net/clock.h"
 #include "limpet/wire/codec.h"
 
@@ -167,8 +168,8 @@
                             self->input_.resize(filled + bytes);
                             if (error) {
                               self->Fail(error);
-                            } else {
-                              self->OnRead(bytes);
+                            } else if (!RunGuarded("link", [&] { self->OnRead(bytes); })) {
+                              self->Fail(asio::error::invalid_argument);
                             }
                           });
 }
