Send keepalives to twelve nodes instead of all, and count link bytes by cause

A node now promises keepalives to six nodes of its data centre and six of the others. The first of these that notices its silence tells all nodes; each checks its own link with a probe before it avoids the node, so that a false report has no effect. A node that restarts is noticed by the process id in its handshake, and links to the earlier process are replaced at once; before, a call was lost on such a link first. A probe for a pending call now counts from the time of the call, because a link without keepalives may have been idle. Ruled out: longer intervals on all links, because the number of calls lost after a power loss grows with the interval. New: log event link_traffic and metrics link_sent_bytes_*, link_sent_remote_bytes_* by kind of frame.

--- a/include/limpet/edge/edge_node.h
+++ b/include/limpet/edge/edge_node.h
@@ -88,9 +88,11 @@
   void OnMetrics(const HttpSessionPtr& session);
   bool IsReady() const;
   void PushStatus(TimePoint now);
+  /// Runs a tick and starts the timer of the next one.
   void Tick();
-  void CheckStopped();
   void RunTick(TimePoint now);
+  void LogTraffic(TimePoint now);
+  void CheckStopped();
   /// Probes the target's health endpoint while the node has just started and no target is known.
   void DiscoverTarget(TimePoint now);
 
@@ -108,6 +110,7 @@
   TargetGate gate_;
   TargetPlacement placement_;
   SharedRetryBudget budget_;
+  std::shared_ptr<LinkTraffic> traffic_;
   std::unique_ptr<PeerLinks> links_;
   std::unique_ptr<InboundProxy> inbound_;
   std::unique_ptr<OutboundProxy> outbound_;
@@ -124,6 +127,7 @@
   bool push_due_ = false;
   /// Status that was last pushed to other nodes.
   wire::TargetStatus last_pushed_status_;
+  TimePoint last_traffic_log_{};
   TimePoint last_probe_{};
   TimePoint last_reader_probe_{};
   TimePoint config_requested_{};
--- a/include/limpet/edge/inbound_proxy.h
+++ b/include/limpet/edge/inbound_proxy.h
@@ -12,7 +12,7 @@
 #include "limpet/core/latency_buckets.h"
 #include "limpet/edge/http_connection.h"
 #include "limpet/edge/http_header_names.h"
-#include "limpet/edge/link_pacer.h"
+#include "limpet/edge/vm_link.h"
 #include "limpet/traffic/target_gate.h"
 
 namespace limpet::edge {
@@ -28,12 +28,6 @@
 
 using ReplySinkPtr = std::shared_ptr<ReplySink>;
 
-/// Pacers of the VM's network link; null if the link is too fast to need one.
-struct LinkPacers {
-  std::shared_ptr<LinkPacer> egress;
-  std::shared_ptr<LinkPacer> ingress;
-};
-
 /// Forwards calls of nodes to the local target once the `TargetGate` admits them. If the link of a
 /// call is lost, its reply is kept for a while, and the calling node gets it when it sends the call
 /// again with the same key.
@@ -45,7 +39,7 @@
                const HttpHeaderNames& header_names,
                TargetGate& gate,
                Counters& counters,
-               LinkPacers pacers,
+               VmLink vm_link,
                std::function<void()> on_status);
   ~InboundProxy();
 
@@ -121,7 +115,7 @@
   const HttpHeaderNames& header_names_;
   TargetGate& gate_;
   Counters& counters_;
-  LinkPacers pacers_;
+  VmLink vm_link_;
   std::function<void()> on_status_;
   PendingCallMap pending_;
   /// Total expected size of the paced responses of `pending_`, in bytes.
--- a/include/limpet/edge/link.h
+++ b/include/limpet/edge/link.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "limpet/core/time.h"
-#include "limpet/edge/link_pacer.h"
+#include "limpet/edge/vm_link.h"
 #include "limpet_types.h"
 
 namespace limpet::edge {
@@ -26,8 +26,9 @@
     std::function<void(int64_t call_id)> on_transfer;
   };
 
-  /// Large bodies are sent in chunks at the rate of `pacer`; without a pacer they are sent at once.
-  explicit Link(TcpSocket socket, std::shared_ptr<LinkPacer> pacer = nullptr);
+  /// Large bodies are sent in chunks at the rate of the VM's network link; without a pacer they are
+  /// sent at once.
+  explicit Link(TcpSocket socket, VmLink vm_link = {});
 
   void Start(Handlers handlers);
   /// `due` is the time by which a large body should be sent; the pacer orders transfers by it.
@@ -35,6 +36,8 @@
   /// Stops sending the large response of a call if it has not been sent completely.
   void DropReply(int64_t call_id);
   void Close();
+  /// The peer is in another data centre; sent bytes are counted accordingly.
+  void set_remote(bool remote) { remote_ = remote; }
 
   std::size_t SendChunk(int64_t transfer) override;
 
@@ -62,7 +65,8 @@
   TcpSocket socket_;
   /// Shared, so that a handler that is running survives when it closes the link.
   std::shared_ptr<const Handlers> handlers_;
-  std::shared_ptr<LinkPacer> pacer_;
+  VmLink vm_link_;
+  bool remote_ = false;
   /// Outgoing transfers by the id that the pacer returned.
   std::map<int64_t, Transfer> transfers_;
   /// Received chunks of incomplete bodies, by transfer id.
--- a/include/limpet/edge/link_server.h
+++ b/include/limpet/edge/link_server.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "limpet/core/random.h"
 #include "limpet/edge/inbound_proxy.h"
 #include "limpet/edge/link.h"
 
@@ -16,8 +17,10 @@
 struct LinkServerHooks {
   /// Makes the response to the handshake of a peer.
   std::function<wire::LinkHello()> make_hello;
-  /// Called when another node has opened a link, with the address of that node.
-  std::function<void(const wire::NodeAddress&)> on_node;
+  /// Called when another node has opened a link, with the address and the process id of that node.
+  std::function<void(const wire::NodeAddress&, int64_t incarnation)> on_node;
+  /// A peer receives nothing from this node.
+  std::function<void(const std::string& node)> on_silence;
   std::function<void(const std::string& node, int64_t version)> on_peer_version;
   std::function<int64_t()> config_version;
   std::function<bool()> store_unreachable;
@@ -29,13 +32,18 @@
 /// pushes target status and configuration changes to them.
 class LinkServer {
  public:
-  LinkServer(InboundProxy& inbound, LinkServerHooks hooks, LinkPacers pacers);
+  LinkServer(InboundProxy& inbound,
+             LinkServerHooks hooks,
+             std::string data_centre,
+             VmLink vm_link,
+             Random random);
   ~LinkServer();
 
   void Accept(TcpSocket socket);
   /// Sends the status to the linked nodes of one data centre; to all if `data_centre` is empty.
   void PushStatus(const wire::TargetStatus& status, const std::string& data_centre);
-  /// Sends keepalives on idle links. Call it about every 50 ms.
+  /// Sends keepalives on the idle links of a few nodes, which report the failure of this node to
+  /// the others. Call it about every 50 ms.
   void Tick(TimePoint now);
   /// Sends a change of the configuration to the linked nodes of one data centre.
   void PushConfig(const wire::LinkConfig& change, const std::string& data_centre);
@@ -45,10 +53,15 @@
   class Session;
 
   void Push(const wire::LinkMessage& message, const std::string& data_centre);
+  /// Selects linked nodes that get keepalives until there are enough in this data centre
+  /// (`remote` is false) or in the others.
+  void SelectKeepaliveReceivers(bool remote);
 
   InboundProxy& inbound_;
   LinkServerHooks hooks_;
-  LinkPacers pacers_;
+  std::string data_centre_;
+  VmLink vm_link_;
+  Random random_;
   std::map<Session*, std::shared_ptr<Session>> sessions_;
 };
 
--- a/include/limpet/edge/peer_links.h
+++ b/include/limpet/edge/peer_links.h
@@ -43,7 +43,7 @@
   wire::NodeAddress self;
   /// Random id of this process start.
   int64_t incarnation = 0;
-  LinkPacers pacers;
+  VmLink vm_link;
 };
 
 /// A request body, shared by the attempts of its request.
@@ -72,6 +72,11 @@
 
   /// Opens a link to this node and keeps it open.
   void Add(const wire::NodeAddress& node);
+  /// A process of this node with this id is running. Replaces a link to an earlier process, on
+  /// which calls would be lost.
+  void OnIncarnation(const std::string& node, int64_t incarnation);
+  /// Another node reports that it receives nothing from `node`. Checks the own link with a probe.
+  void OnSilenceReport(const std::string& node);
   /// Sends a call. The handlers are never called from within `Call`. Returns the id of the call.
   int64_t Call(const std::string& node,
                wire::LinkCall call,
@@ -113,6 +118,15 @@
     std::unique_ptr<Timer> retry_timer;
     TimePoint lost_at{};
     TimePoint probed_at{};
+    /// Time since which a message from the peer is expected: its first pending call was sent, or it
+    /// promised keepalives.
+    TimePoint expecting_since{};
+    /// The peer has promised to send keepalives on this link.
+    bool sends_keepalives = false;
+    /// Maximum time without a message from a peer that sends keepalives.
+    Duration keepalive_limit{0};
+    /// The silence of the peer was reported to or by other nodes since its last message.
+    bool silence_reported = false;
     std::map<int64_t, PendingCall> calls;
   };
 
@@ -131,6 +145,9 @@
   void SendCall(Peer& peer, PendingCall& call);
   std::vector<Peer*> SampleReadyPeers(int count);
   void CheckResponsiveness(const std::string& name, Peer& peer, TimePoint now);
+  void SendProbe(Peer& peer);
+  /// Reports the peer to the observer and, if it is the first to notice, to all other nodes.
+  void OnUnresponsive(const std::string& name, Peer& peer);
 
   Executor executor_;
   PeerLinksOptions options_;
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -21,6 +21,8 @@
 /// Other data centres get every fourth push of the load: few requests go to them, and traffic
 /// between data centres is charged.
 constexpr int kLoadPushesPerRemotePush = 4;
+/// Interval of the log line with the bytes sent on links since the start of the node.
+constexpr Duration kTrafficLogInterval = std::chrono::seconds(10);
 constexpr Duration kMinPushInterval = std::chrono::milliseconds(100);
 /// Interval at which a random peer is asked for its configuration version. This brings a node up to
 /// date when the nodes that read the store for it cannot reach it.
@@ -105,13 +107,13 @@
              : nullptr;
 }
 
-CallerLimits AdminLimits() {
-  return {};
-}
 Duration GracePeriod(const NodeSettings& settings) {
   return Duration(std::llround(settings.grace_period_ms * 1000));
 }
 
+CallerLimits AdminLimits() {
+  return {};
+}
 
 }  // namespace
 
@@ -134,17 +136,19 @@
       tick_timer_(executor),
       target_probe_(executor, header_names_) {
   PeerLinksObserver& observer = *this;
-  const LinkPacers pacers{MakePacer(executor_, settings_), MakePacer(executor_, settings_)};
+  traffic_ = std::make_shared<LinkTraffic>();
+  const VmLink vm_link{MakePacer(executor_, settings_), MakePacer(executor_, settings_), traffic_};
   links_ = std::make_unique<PeerLinks>(
-      executor_, PeerLinksOptions{MakeNodeAddress(settings_), incarnation_, pacers}, observer,
+      executor_, PeerLinksOptions{MakeNodeAddress(settings_), incarnation_, vm_link}, observer,
       counters_, Random(GenerateSeed()));
-  inbound_ = std::make_unique<InboundProxy>(executor_, header_names_, gate_, counters_, pacers,
+  inbound_ = std::make_unique<InboundProxy>(executor_, header_names_, gate_, counters_, vm_link,
                                             [this] { OnStatusChanged(); });
   outbound_ = std::make_unique<OutboundProxy>(
       executor_, OutboundProxyOptions{settings_.name, settings_.data_centre, settings_.service},
       header_names_, [this] { return config_.routes(); }, placement_, budget_, *links_, *inbound_,
       counters_, Random(GenerateSeed()));
-  link_server_ = std::make_unique<LinkServer>(*inbound_, MakeLinkHooks(), pacers);
+  link_server_ = std::make_unique<LinkServer>(*inbound_, MakeLinkHooks(), settings_.data_centre,
+                                              vm_link, Random(GenerateSeed()));
 }
 
 EdgeNode::~EdgeNode() = default;
@@ -161,7 +165,11 @@
     hello.requests_bodies = true;
     return hello;
   };
-  hooks.on_node = [this](const wire::NodeAddress& node) { links_->Add(node); };
+  hooks.on_node = [this](const wire::NodeAddress& node, int64_t incarnation) {
+    links_->OnIncarnation(node.name, incarnation);
+    links_->Add(node);
+  };
+  hooks.on_silence = [this](const std::string& node) { links_->OnSilenceReport(node); };
   hooks.on_peer_version = [this](const std::string& node, int64_t version) {
     RequestNewerConfig(node, version);
   };
@@ -418,15 +426,19 @@
     return;
   }
   counters_.Get("log_lines_dropped").Set(DroppedLogLines());
+  counters_.Get("unexpected_errors").Set(UnexpectedErrors());
   counters_.Get("inbound_running").Set(gate_.running());
   counters_.Get("inbound_queued").Set(static_cast<int64_t>(gate_.queued()));
   counters_.Get("peers_reachable").Set(links_->CountReachable());
+  for (const auto& [kind, name] : kFrameKindNames) {
+    counters_.Get("link_sent_bytes_" + std::string(name)).Set(traffic_->bytes(kind, false));
+    counters_.Get("link_sent_remote_bytes_" + std::string(name)).Set(traffic_->bytes(kind, true));
+  }
   session->Respond(TextResponse(200, counters_.Render() +
                                          outbound_->latency().Render("outbound_call_seconds") +
                                          inbound_->latency().Render("inbound_call_seconds")));
 }
 
-  counters_.Get("unexpected_errors").Set(UnexpectedErrors());
 void EdgeNode::PushStatus(TimePoint now) {
   const wire::TargetStatus status = inbound_->Status();
   const bool state_changed =
@@ -454,7 +466,20 @@
   });
 }
 
+void EdgeNode::LogTraffic(TimePoint now) {
+  if (now - last_traffic_log_ < kTrafficLogInterval) {
+    return;
+  }
+  last_traffic_log_ = now;
+  LogEvent event("link_traffic");
+  for (const auto& [kind, name] : kFrameKindNames) {
+    event.Add(std::string(name) + "_bytes", traffic_->bytes(kind, false));
+    event.Add(std::string(name) + "_remote_bytes", traffic_->bytes(kind, true));
+  }
+}
+
 void EdgeNode::RunTick(TimePoint now) {
+  LogTraffic(now);
   inbound_->Tick();
   links_->Tick();
   link_server_->Tick(now);
--- a/src/edge/inbound_proxy.cc
+++ b/src/edge/inbound_proxy.cc
@@ -50,13 +50,13 @@
                            const HttpHeaderNames& header_names,
                            TargetGate& gate,
                            Counters& counters,
-                           LinkPacers pacers,
+                           VmLink vm_link,
                            std::function<void()> on_status)
     : executor_(executor),
       header_names_(header_names),
       gate_(gate),
       counters_(counters),
-      pacers_(std::move(pacers)),
+      vm_link_(std::move(vm_link)),
       on_status_(std::move(on_status)) {}
 
 InboundProxy::~InboundProxy() {
@@ -97,15 +97,15 @@
   const std::size_t paced_bytes = PacedBytes(call);
   if (paced_bytes > 0) {
     gate_call.link_queueing_delay =
-        pacers_.egress->QueueingDelay() + pacers_.egress->TransmissionTime(admitted_bytes_);
-    gate_call.link_transmission_time = pacers_.egress->TransmissionTime(paced_bytes);
+        vm_link_.egress->QueueingDelay() + vm_link_.egress->TransmissionTime(admitted_bytes_);
+    gate_call.link_transmission_time = vm_link_.egress->TransmissionTime(paced_bytes);
   }
   const bool awaiting_body = body.empty() && call.body_bytes > 0;
   gate_call.body_pending = awaiting_body;
-  if (awaiting_body && pacers_.ingress) {
+  if (awaiting_body && vm_link_.ingress) {
     gate_call.body_delay =
-        pacers_.ingress->QueueingDelay() +
-        pacers_.ingress->TransmissionTime(static_cast<std::size_t>(call.body_bytes));
+        vm_link_.ingress->QueueingDelay() +
+        vm_link_.ingress->TransmissionTime(static_cast<std::size_t>(call.body_bytes));
   }
   const GateDecision decision = gate_.Admit(now, gate_call);
   if (decision.verdict == GateVerdict::kAttach) {
@@ -163,7 +163,7 @@
 
 std::size_t InboundProxy::PacedBytes(const wire::LinkCall& call) const {
   const auto bytes = static_cast<std::size_t>(std::max(0, call.expected_response_bytes));
-  return pacers_.egress && bytes >= kLargeBodyBytes ? bytes : 0;
+  return vm_link_.egress && bytes >= kLargeBodyBytes ? bytes : 0;
 }
 
 InboundProxy::PendingCall InboundProxy::TakePending(PendingCallMap::iterator call) {
@@ -442,12 +442,13 @@
 
 wire::TargetStatus InboundProxy::Status() const {
   wire::TargetStatus status = gate_.Status(MonotonicNow());
-  if (pacers_.egress) {
-    status.egress_wait_us = static_cast<int32_t>(pacers_.egress->QueueingDelay().count());
-    status.egress_us_per_kib = static_cast<int32_t>(pacers_.egress->TransmissionTime(1024).count());
+  if (vm_link_.egress) {
+    status.egress_wait_us = static_cast<int32_t>(vm_link_.egress->QueueingDelay().count());
+    status.egress_us_per_kib =
+        static_cast<int32_t>(vm_link_.egress->TransmissionTime(1024).count());
   }
-  if (pacers_.ingress) {
-    status.ingress_wait_us = static_cast<int32_t>(pacers_.ingress->QueueingDelay().count());
+  if (vm_link_.ingress) {
+    status.ingress_wait_us = static_cast<int32_t>(vm_link_.ingress->QueueingDelay().count());
   }
   return status;
 }
--- a/src/edge/link.cc
+++ b/src/edge/link.cc
@@ -46,8 +46,8 @@
 
 }  // namespace
 
-Link::Link(TcpSocket socket, std::shared_ptr<LinkPacer> pacer)
-    : socket_(std::move(socket)), pacer_(std::move(pacer)), last_received_(MonotonicNow()) {
+Link::Link(TcpSocket socket, VmLink vm_link)
+    : socket_(std::move(socket)), vm_link_(std::move(vm_link)), last_received_(MonotonicNow()) {
   SetConnectionOptions(socket_, kPeerTimeout);
 }
 
@@ -60,16 +60,16 @@
   if (closed_) {
     return;
   }
-  if (!pacer_) {
+  if (!vm_link_.egress) {
     SendFrame(message, std::move(body));
     return;
   }
   if (body.size() <= kChunkBytes) {
-    pacer_->OnSent(body.size() + kSmallMessageBytes);
+    vm_link_.egress->OnSent(body.size() + kSmallMessageBytes);
     SendFrame(message, std::move(body));
     return;
   }
-  const int64_t transfer = pacer_->Add(weak_from_this(), body.size(), due);
+  const int64_t transfer = vm_link_.egress->Add(weak_from_this(), body.size(), due);
   transfers_.emplace(transfer, Transfer{message, std::move(body), 0});
   if (message.__isset.reply) {
     wire::LinkMessage begin;
@@ -115,7 +115,7 @@
     return;
   }
   const int64_t transfer = found->first;
-  pacer_->Remove(transfer);
+  vm_link_.egress->Remove(transfer);
   transfers_.erase(found);
   // Tells the peer to discard the chunks that it has received.
   SendChunkFrame(transfer, {}, true, {});
@@ -126,6 +126,10 @@
   const std::string head = wire::Encode(message);
   std::string frame;
   frame.reserve(kPrefixBytes + head.size());
+  if (vm_link_.traffic) {
+    vm_link_.traffic->Record(ClassifyFrame(message), remote_,
+                             kPrefixBytes + head.size() + body.size());
+  }
   PutLength(frame, head.size() + body.size());
   PutLength(frame, head.size());
   frame += head;
@@ -258,7 +262,7 @@
   socket_.close(ignored);
   outbox_.clear();
   for (const auto& [id, transfer] : transfers_) {
-    pacer_->Remove(id);
+    vm_link_.egress->Remove(id);
   }
   transfers_.clear();
   // The handlers may hold a reference to this link. Reads and writes that complete later check
--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -12,6 +12,9 @@
 
 /// Less than half of the time after which a peer without pending calls counts as unresponsive.
 constexpr Duration kKeepaliveInterval = std::chrono::milliseconds(400);
+/// Number of nodes in the own data centre, and again in the others together, that get keepalives.
+/// Keepalives to all nodes would grow with the square of their number.
+constexpr std::size_t kKeepaliveReceivers = 6;
 
 }  // namespace
 
@@ -20,7 +23,7 @@
 class LinkServer::Session : public PacedSender, public std::enable_shared_from_this<Session> {
  public:
   Session(LinkServer& server, TcpSocket socket)
-      : server_(server), link_(std::make_shared<Link>(std::move(socket), server.pacers_.egress)) {}
+      : server_(server), link_(std::make_shared<Link>(std::move(socket), server.vm_link_)) {}
 
   void Start() {
     link_->Start({[self = weak_from_this()](wire::LinkMessage message, std::string body) {
@@ -40,6 +43,17 @@
   }
   TimePoint last_sent() const { return link_->last_sent(); }
   const std::string& data_centre() const { return data_centre_; }
+  bool is_remote() const { return data_centre_ != server_.data_centre_; }
+  bool gets_keepalives() const { return gets_keepalives_; }
+  /// Promises keepalives on this link.
+  void StartKeepalives() {
+    gets_keepalives_ = true;
+    wire::LinkMessage message;
+    message.__isset.keepalive = true;
+    message.keepalive.interval_ms = static_cast<int32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(kKeepaliveInterval).count());
+    link_->Send(message);
+  }
   bool HasHandshake() const { return !key_prefix_.empty(); }
   void Close() { link_->Close(); }
 
@@ -111,6 +125,9 @@
     if (message.__isset.probe) {
       OnProbe(message.probe);
     }
+    if (message.__isset.silence) {
+      server_.hooks_.on_silence(message.silence.node);
+    }
     if (message.__isset.config_request) {
       OnConfigRequest(message.config_request);
     }
@@ -126,7 +143,7 @@
     if (!server_.inbound_.IsAwaitingBody(key)) {
       return;
     }
-    const auto& ingress = server_.pacers_.ingress;
+    const auto& ingress = server_.vm_link_.ingress;
     if (!ingress) {
       RequestBody(call_id, body_bytes);
       return;
@@ -145,12 +162,13 @@
   void OnHello(const wire::LinkHello& hello) {
     name_ = hello.node.name;
     data_centre_ = hello.node.data_centre;
+    link_->set_remote(is_remote());
     key_prefix_ = name_ + "/" + std::to_string(hello.incarnation) + "/";
     wire::LinkMessage message;
     message.__isset.hello = true;
     message.hello = server_.hooks_.make_hello();
     link_->Send(message);
-    server_.hooks_.on_node(hello.node);
+    server_.hooks_.on_node(hello.node, hello.incarnation);
   }
 
   void OnProbe(const wire::LinkProbe& probe) {
@@ -180,12 +198,21 @@
   std::string name_;
   std::string data_centre_;
   std::string key_prefix_;
+  bool gets_keepalives_ = false;
   /// By the id of the transfer that the ingress pacer returned.
   std::map<int64_t, BodyTransfer> body_transfers_;
 };
 
-LinkServer::LinkServer(InboundProxy& inbound, LinkServerHooks hooks, LinkPacers pacers)
-    : inbound_(inbound), hooks_(std::move(hooks)), pacers_(std::move(pacers)) {}
+LinkServer::LinkServer(InboundProxy& inbound,
+                       LinkServerHooks hooks,
+                       std::string data_centre,
+                       VmLink vm_link,
+                       Random random)
+    : inbound_(inbound),
+      hooks_(std::move(hooks)),
+      data_centre_(std::move(data_centre)),
+      vm_link_(std::move(vm_link)),
+      random_(random) {}
 
 LinkServer::~LinkServer() {
   for (const auto& [key, session] : sessions_) {
@@ -214,9 +241,32 @@
   }
 }
 
+void LinkServer::SelectKeepaliveReceivers(bool remote) {
+  std::size_t receivers = 0;
+  std::vector<Session*> others;
+  for (const auto& [key, session] : sessions_) {
+    if (!session->HasHandshake() || session->is_remote() != remote) {
+      continue;
+    }
+    if (session->gets_keepalives()) {
+      ++receivers;
+    } else {
+      others.push_back(key);
+    }
+  }
+  while (receivers < kKeepaliveReceivers && !others.empty()) {
+    const std::size_t index = random_.NextBelow(others.size());
+    others[index]->StartKeepalives();
+    others.erase(others.begin() + static_cast<std::ptrdiff_t>(index));
+    ++receivers;
+  }
+}
+
 void LinkServer::Tick(TimePoint now) {
+  SelectKeepaliveReceivers(false);
+  SelectKeepaliveReceivers(true);
   for (const auto& [key, session] : sessions_) {
-    if (session->HasHandshake() && now - session->last_sent() >= kKeepaliveInterval) {
+    if (session->gets_keepalives() && now - session->last_sent() >= kKeepaliveInterval) {
       session->Send({});
     }
   }
--- a/src/edge/peer_links.cc
+++ b/src/edge/peer_links.cc
@@ -27,10 +27,12 @@
 /// A node replies to a probe immediately from its event loop, so a missing reply after this time
 /// shows a broken network path or a paused process.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(400);
-/// Peers send a keepalive every 400 ms. If nothing was received for this long, the network path is
-/// broken or the process is paused. A peer without pending calls is probed then, so that the
-/// failure is detected before a call to the peer is lost.
+/// Each peer sends keepalives every 400 ms to a few other nodes. If one of these receives nothing
+/// for this long, the network path is broken or the process is paused. The peer is probed then, and
+/// all nodes are told, so that the failure is detected before calls to the peer are lost.
 constexpr Duration kMaxKeepaliveGap = std::chrono::milliseconds(1000);
+/// Added at random, so that one node reports the silence of a peer before the others notice it.
+constexpr Duration kMaxKeepaliveGapSpread = std::chrono::milliseconds(200);
 /// After a pause of this node, no peer seems to have sent anything; a peer is reported as
 /// unresponsive only if it has not replied to a probe within this time.
 constexpr Duration kProbeRoundTrip = std::chrono::milliseconds(100);
@@ -77,6 +79,27 @@
   Connect(node.name);
 }
 
+void PeerLinks::OnIncarnation(const std::string& node, int64_t incarnation) {
+  const auto found = peers_.find(node);
+  if (found == peers_.end() || !found->second.ready || found->second.incarnation == incarnation) {
+    return;
+  }
+  found->second.link->Close();
+  OnClosed(node, asio::error::connection_reset);
+}
+
+void PeerLinks::OnSilenceReport(const std::string& node) {
+  const auto found = peers_.find(node);
+  if (found == peers_.end() || !found->second.ready) {
+    return;
+  }
+  Peer& peer = found->second;
+  if (!peer.silence_reported && peer.probed_at == TimePoint{}) {
+    peer.silence_reported = true;
+    SendProbe(peer);
+  }
+}
+
 void PeerLinks::Connect(const std::string& name) {
   Peer& peer = peers_.at(name);
   ErrorCode error;
@@ -116,7 +139,8 @@
     ScheduleReconnect(name);
     return;
   }
-  peer.link = std::make_shared<Link>(std::move(*socket), options_.pacers.egress);
+  peer.link = std::make_shared<Link>(std::move(*socket), options_.vm_link);
+  peer.link->set_remote(peer.address.data_centre != options_.self.data_centre);
   peer.link->Start({[this, alive = alive_, name](wire::LinkMessage message, std::string body) {
                       if (*alive) {
                         OnMessage(name, std::move(message), std::move(body));
@@ -168,6 +192,13 @@
   if (message.__isset.config) {
     observer_.OnPeerConfig(name, message.config);
   }
+  if (message.__isset.keepalive) {
+    peer.sends_keepalives = message.keepalive.interval_ms > 0;
+    peer.expecting_since = MonotonicNow();
+    peer.keepalive_limit =
+        kMaxKeepaliveGap +
+        Duration(static_cast<int64_t>(random_.NextBelow(kMaxKeepaliveGapSpread.count())));
+  }
   if (message.__isset.body_request) {
     OnBodyRequest(peer, message.body_request);
   }
@@ -192,6 +223,9 @@
   peer.ready = true;
   peer.backoff = Duration(0);
   peer.probed_at = {};
+  peer.expecting_since = MonotonicNow();
+  peer.sends_keepalives = false;
+  peer.silence_reported = false;
   LogEvent("peer_reached").Add("peer", peer.address.name).Add("same_process", int{same_process});
   for (auto& [id, call] : peer.calls) {
     SendCall(peer, call);
@@ -204,8 +238,8 @@
 
 void PeerLinks::OnReply(Peer& peer, wire::LinkReply reply, std::string body) {
   observer_.OnPeerStatus(peer.address, reply.target);
-  if (options_.pacers.ingress) {
-    options_.pacers.ingress->OnSent(body.size());
+  if (options_.vm_link.ingress) {
+    options_.vm_link.ingress->OnSent(body.size());
   }
   const auto found = peer.calls.find(reply.call_id);
   if (found == peer.calls.end()) {
@@ -300,6 +334,9 @@
     return id;
   }
   Peer& peer = found->second;
+  if (peer.calls.empty()) {
+    peer.expecting_since = MonotonicNow();
+  }
   PendingCall& pending =
       peer.calls.emplace(id, PendingCall{std::move(call), std::move(body), 0, std::move(handlers)})
           .first->second;
@@ -362,32 +399,61 @@
   }
 }
 
+void PeerLinks::SendProbe(Peer& peer) {
+  peer.probed_at = MonotonicNow();
+  wire::LinkMessage message;
+  message.__isset.probe = true;
+  peer.link->Send(message);
+}
+
+void PeerLinks::OnUnresponsive(const std::string& name, Peer& peer) {
+  observer_.OnPeerUnresponsive(name);
+  if (!peer.sends_keepalives || peer.silence_reported) {
+    return;
+  }
+  peer.silence_reported = true;
+  LogEvent("peer_silence_reported").Add("peer", name);
+  wire::LinkMessage message;
+  message.__isset.silence = true;
+  message.silence.node = name;
+  for (const auto& [other_name, other] : peers_) {
+    if (other.ready && other_name != name) {
+      other.link->Send(message);
+    }
+  }
+}
+
 void PeerLinks::CheckResponsiveness(const std::string& name, Peer& peer, TimePoint now) {
   if (!peer.ready) {
     peer.probed_at = {};
     return;
   }
-  const Duration since_received = now - peer.link->last_received();
-  if (since_received < (peer.calls.empty() ? kMaxKeepaliveGap : kProbeWithCallsAfter)) {
+  const TimePoint last_received = peer.link->last_received();
+  if (peer.probed_at != TimePoint{} && last_received >= peer.probed_at) {
     peer.probed_at = {};
-    return;
+    peer.silence_reported = false;
   }
+  const Duration silence = now - std::max(last_received, peer.expecting_since);
   if (peer.probed_at == TimePoint{}) {
-    peer.probed_at = now;
-    wire::LinkMessage message;
-    message.__isset.probe = true;
-    peer.link->Send(message);
+    const bool call_overdue = !peer.calls.empty() && silence >= kProbeWithCallsAfter;
+    const bool keepalive_overdue = peer.sends_keepalives && silence >= peer.keepalive_limit;
+    if (!call_overdue && !keepalive_overdue) {
+      return;
+    }
+    SendProbe(peer);
   }
   const Duration since_probe = now - peer.probed_at;
+  // Without a pending call, the peer was probed because it had been silent for long.
+  const bool silent_for_long = silence >= kMaxKeepaliveGap || peer.silence_reported;
   if (since_probe >= kReopenAfter) {
-    LogEvent("peer_silent").Add("peer", name).Add("silence_ms", since_received);
+    LogEvent("peer_silent").Add("peer", name).Add("silence_ms", silence);
     peer.link->Close();
     OnClosed(name, asio::error::timed_out);
   } else if (since_probe >= kProbeTimeout) {
-    observer_.OnPeerUnresponsive(name);
+    OnUnresponsive(name, peer);
     FailCalls(peer, true);
-  } else if (since_received >= kMaxKeepaliveGap && since_probe >= kProbeRoundTrip) {
-    observer_.OnPeerUnresponsive(name);
+  } else if (silent_for_long && since_probe >= kProbeRoundTrip) {
+    OnUnresponsive(name, peer);
   }
 }
 
