--- a/idl/limpet.thrift
+++ b/idl/limpet.thrift
@@ -381,6 +381,8 @@
   // The sender asks for large request bodies with LinkBodyRequest. Nodes of earlier versions get the
   // body with the call.
   6: bool requests_bodies
+  // The sender could not read the addresses of other nodes from the store yet.
+  7: bool wants_nodes
 }
 
 struct LinkCall {
--- a/include/limpet/distribution/store_readers.h
+++ b/include/limpet/distribution/store_readers.h
@@ -41,8 +41,9 @@
   std::vector<std::string> Readers(TimePoint now) const;
   /// Returns the other nodes to probe, in order of rank: as many as there are readers and standbys.
   std::vector<std::string> NodesToProbe() const;
-  /// Returns true if this node has to read the store: if it is one of the readers or has no
-  /// configuration yet, and for `release_delay` afterwards.
+  /// Returns true if this node has to read the store: if it has no configuration yet, knows no
+  /// other node of the data centre, or is one of the readers, and for `release_delay` after it was
+  /// one.
   bool ShouldRead(TimePoint now, bool has_config);
 
  private:
--- a/include/limpet/edge/edge_node.h
+++ b/include/limpet/edge/edge_node.h
@@ -78,7 +78,7 @@
   LinkServerHooks MakeLinkHooks();
   void OnStoreConfig(MeshConfig config);
   void RecordConfigUpdate(ConfigUpdateResult result, std::string_view source);
-  void RequestNewerConfig(const std::string& node, int64_t version);
+  void RequestNewerConfig(const std::string& node, const std::string& data_centre, int64_t version);
   void ProbeReaders(TimePoint now);
   void OnStatusChanged();
   void OnAnnouncement(const HttpSessionPtr& session);
@@ -123,14 +123,18 @@
   Timer tick_timer_;
   TimePoint started_{};
   TimePoint last_push_{};
-  int load_pushes_ = 0;
   bool push_due_ = false;
   /// Status that was last pushed to other nodes.
   wire::TargetStatus last_pushed_status_;
+  /// Status that was last pushed to other data centres, and when.
+  wire::TargetStatus last_remote_status_;
+  TimePoint last_remote_push_{};
   TimePoint last_traffic_log_{};
   TimePoint last_probe_{};
   TimePoint last_reader_probe_{};
   TimePoint config_requested_{};
+  /// Time at which a newer configuration was first reported; zero if this node is up to date.
+  TimePoint behind_since_{};
   bool joined_ = false;
   TimePoint joined_at_{};
   TargetProbe target_probe_;
--- a/include/limpet/edge/link_server.h
+++ b/include/limpet/edge/link_server.h
@@ -16,12 +16,13 @@
 /// Functions through which the link server reads and updates the state of its node.
 struct LinkServerHooks {
   /// Makes the response to the handshake of a peer.
-  std::function<wire::LinkHello()> make_hello;
+  std::function<wire::LinkHello(bool with_nodes)> make_hello;
   /// Called when another node has opened a link, with the address and the process id of that node.
   std::function<void(const wire::NodeAddress&, int64_t incarnation)> on_node;
   /// A peer receives nothing from this node.
   std::function<void(const std::string& node)> on_silence;
-  std::function<void(const std::string& node, int64_t version)> on_peer_version;
+  std::function<void(const std::string& node, const std::string& data_centre, int64_t version)>
+      on_peer_version;
   std::function<int64_t()> config_version;
   std::function<bool()> store_unreachable;
   /// The complete current configuration; no value if there is none.
@@ -47,7 +48,8 @@
   void Tick(TimePoint now);
   /// Sends a change of the configuration to the linked nodes of one data centre.
   void PushConfig(const wire::LinkConfig& change, const std::string& data_centre);
-  int CountLinks() const { return static_cast<int>(sessions_.size()); }
+  /// Number of linked nodes in the data centre of this node.
+  int CountLocalLinks() const;
 
  private:
   class Session;
--- a/include/limpet/edge/peer_links.h
+++ b/include/limpet/edge/peer_links.h
@@ -70,6 +70,8 @@
             Random random);
   ~PeerLinks();
 
+  /// Whether handshakes ask for the addresses of other nodes; true at first.
+  void set_wants_nodes(bool wants_nodes) { wants_nodes_ = wants_nodes; }
   /// Opens a link to this node and keeps it open.
   void Add(const wire::NodeAddress& node);
   /// A process of this node with this id is running. Replaces a link to an earlier process, on
@@ -156,6 +158,7 @@
   Random random_;
   std::map<std::string, Peer> peers_;
   int64_t next_call_id_ = 1;
+  bool wants_nodes_ = true;
   /// False after destruction; callbacks of timers and sockets that run later check it.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/distribution/store_readers.cc
+++ b/src/distribution/store_readers.cc
@@ -60,8 +60,11 @@
 }
 
 bool StoreReaders::ShouldRead(TimePoint now, bool has_config) {
+  if (!has_config || candidates_.empty()) {
+    return true;
+  }
   const auto readers = Readers(now);
-  if (!has_config || std::ranges::find(readers, self_) != readers.end()) {
+  if (std::ranges::find(readers, self_) != readers.end()) {
     read_until_ = now + options_.release_delay;
   }
   return now < read_until_;
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -16,11 +16,16 @@
 constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 /// Load changes are pushed to other nodes, because a node that sends few calls here gets few
 /// replies and would otherwise use old load values. Limits the messages per second that this node
-/// pushes to all linked nodes together.
-constexpr int kPushesPerSecond = 100;
-/// Other data centres get every fourth push of the load: few requests go to them, and traffic
+/// pushes to the linked nodes of its data centre together.
+constexpr int kPushesPerSecond = 60;
+/// Other data centres get the load only this often, because few requests go to them and traffic
 /// between data centres is charged.
-constexpr int kLoadPushesPerRemotePush = 4;
+constexpr Duration kMaxRemoteStatusAge = std::chrono::seconds(8);
+/// They are told earlier, but not more often than this, if the target has become considerably
+/// faster or slower, or fails considerably more or less.
+constexpr Duration kMinRemotePushInterval = std::chrono::seconds(1);
+constexpr double kConsiderableSlowdownRatio = 1.5;
+constexpr int kConsiderableFailurePermille = 150;
 /// Interval of the log line with the bytes sent on links since the start of the node.
 constexpr Duration kTrafficLogInterval = std::chrono::seconds(10);
 constexpr Duration kMinPushInterval = std::chrono::milliseconds(100);
@@ -33,6 +38,10 @@
 constexpr Duration kReaderProbeInterval = std::chrono::milliseconds(400);
 /// Minimum time between requests for a full configuration.
 constexpr Duration kConfigRequestInterval = std::chrono::milliseconds(200);
+/// A newer configuration is requested from another data centre only if none has arrived within this
+/// time: the readers of the own data centre usually push it, and traffic between data centres is
+/// charged.
+constexpr Duration kRemoteConfigDelay = std::chrono::milliseconds(700);
 /// Number of other nodes whose addresses a handshake contains, for a node that cannot read them
 /// from the store.
 constexpr int kNodesPerHandshake = 5;
@@ -111,6 +120,13 @@
   return Duration(std::llround(settings.grace_period_ms * 1000));
 }
 
+/// Whether `status` is worth a message to other data centres that have `reported`.
+bool DiffersConsiderably(const wire::TargetStatus& status, const wire::TargetStatus& reported) {
+  const auto [low, high] = std::minmax(status.slowdown_permille, reported.slowdown_permille);
+  const int failure_change = std::abs(status.failure_permille - reported.failure_permille);
+  return high > low * kConsiderableSlowdownRatio || failure_change >= kConsiderableFailurePermille;
+}
+
 CallerLimits AdminLimits() {
   return {};
 }
@@ -155,13 +171,15 @@
 
 LinkServerHooks EdgeNode::MakeLinkHooks() {
   LinkServerHooks hooks;
-  hooks.make_hello = [this] {
+  hooks.make_hello = [this](bool with_nodes) {
     wire::LinkHello hello;
     hello.node = MakeNodeAddress(settings_);
     hello.incarnation = incarnation_;
     hello.config_version = config_.version();
     hello.target = inbound_->Status();
-    hello.known_nodes = links_->SampleNodes(kNodesPerHandshake);
+    if (with_nodes) {
+      hello.known_nodes = links_->SampleNodes(kNodesPerHandshake);
+    }
     hello.requests_bodies = true;
     return hello;
   };
@@ -170,8 +188,9 @@
     links_->Add(node);
   };
   hooks.on_silence = [this](const std::string& node) { links_->OnSilenceReport(node); };
-  hooks.on_peer_version = [this](const std::string& node, int64_t version) {
-    RequestNewerConfig(node, version);
+  hooks.on_peer_version = [this](const std::string& node, const std::string& data_centre,
+                                 int64_t version) {
+    RequestNewerConfig(node, data_centre, version);
   };
   hooks.config_version = [this] { return config_.version(); };
   hooks.store_unreachable = [this] { return coordination_.IsStoreUnreachable(); };
@@ -212,6 +231,7 @@
   coordination_.RegisterNode(MakeNodeAddress(settings_),
                              [this](const std::vector<wire::NodeAddress>& nodes) {
                                joined_ = true;
+                               links_->set_wants_nodes(false);
                                joined_at_ = MonotonicNow();
                                OnPeerAddresses(nodes);
                              });
@@ -244,6 +264,9 @@
 }
 
 void EdgeNode::RecordConfigUpdate(ConfigUpdateResult result, std::string_view source) {
+  if (result == ConfigUpdateResult::kApplied) {
+    behind_since_ = {};
+  }
   if (result == ConfigUpdateResult::kNotNewer) {
     return;
   }
@@ -278,12 +301,22 @@
   if (node.data_centre == settings_.data_centre) {
     readers_.OnNodeReport(MonotonicNow(), node.name, node.link_mbps, store_unreachable);
   }
-  RequestNewerConfig(node.name, version);
+  RequestNewerConfig(node.name, node.data_centre, version);
 }
 
-void EdgeNode::RequestNewerConfig(const std::string& node, int64_t version) {
+void EdgeNode::RequestNewerConfig(const std::string& node,
+                                  const std::string& data_centre,
+                                  int64_t version) {
+  if (version <= config_.version()) {
+    return;
+  }
   const TimePoint now = MonotonicNow();
-  if (version > config_.version() && now - config_requested_ >= kConfigRequestInterval) {
+  if (behind_since_ == TimePoint{}) {
+    behind_since_ = now;
+  }
+  const bool must_wait =
+      data_centre != settings_.data_centre && now - behind_since_ < kRemoteConfigDelay;
+  if (!must_wait && now - config_requested_ >= kConfigRequestInterval) {
     config_requested_ = now;
     links_->RequestConfig(node, config_.version());
   }
@@ -293,7 +326,8 @@
   const ConfigUpdateResult result = config_.Update(change);
   RecordConfigUpdate(result, node);
   if (result == ConfigUpdateResult::kWrongBase) {
-    RequestNewerConfig(node, change.version);
+    // Changes are pushed within a data centre only.
+    RequestNewerConfig(node, settings_.data_centre, change.version);
   }
 }
 
@@ -445,14 +479,21 @@
       status.state != last_pushed_status_.state || status.instance != last_pushed_status_.instance;
   const Duration interval =
       std::max(kMinPushInterval,
-               Duration(std::chrono::seconds(link_server_->CountLinks())) / kPushesPerSecond);
+               Duration(std::chrono::seconds(link_server_->CountLocalLinks())) / kPushesPerSecond);
   if (!state_changed && (!push_due_ || now - last_push_ < interval)) {
     return;
   }
   push_due_ = false;
   last_push_ = now;
   last_pushed_status_ = status;
-  const bool to_all_data_centres = state_changed || ++load_pushes_ % kLoadPushesPerRemotePush == 0;
+  const Duration remote_age = now - last_remote_push_;
+  const bool to_all_data_centres =
+      state_changed || remote_age >= kMaxRemoteStatusAge ||
+      (remote_age >= kMinRemotePushInterval && DiffersConsiderably(status, last_remote_status_));
+  if (to_all_data_centres) {
+    last_remote_push_ = now;
+    last_remote_status_ = status;
+  }
   link_server_->PushStatus(status, to_all_data_centres ? "" : settings_.data_centre);
 }
 
--- a/src/edge/link.cc
+++ b/src/edge/link.cc
@@ -18,7 +18,10 @@
 namespace {
 
 constexpr std::size_t kPrefixBytes = 8;
-constexpr std::size_t kReadBytes = std::size_t{16} << 10;
+/// Read size while the rest of a frame is missing, and otherwise. A node has hundreds of links,
+/// most of them idle, and each waits with a buffer of this size.
+constexpr std::size_t kReadBytesWithinFrame = std::size_t{16} << 10;
+constexpr std::size_t kReadBytes = std::size_t{2} << 10;
 /// Larger bodies are sent in chunks of this size. One chunk takes 10 ms on the slowest link
 /// (7 Mbit/s), which limits how long a small message waits behind it.
 constexpr std::size_t kChunkBytes = kLargeBodyBytes;
@@ -166,8 +169,12 @@
     input_start_ = 0;
   }
   const std::size_t filled = input_.size();
-  input_.resize(filled + kReadBytes);
-  socket_.async_read_some(asio::buffer(input_.data() + filled, kReadBytes),
+  if (filled == 0 && input_.capacity() > kReadBytesWithinFrame) {
+    input_.shrink_to_fit();
+  }
+  const std::size_t read_bytes = filled == 0 ? kReadBytes : kReadBytesWithinFrame;
+  input_.resize(filled + read_bytes);
+  socket_.async_read_some(asio::buffer(input_.data() + filled, read_bytes),
                           [self = shared_from_this(), filled](ErrorCode error, std::size_t bytes) {
                             self->input_.resize(filled + bytes);
                             if (error) {
--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -166,7 +166,7 @@
     key_prefix_ = name_ + "/" + std::to_string(hello.incarnation) + "/";
     wire::LinkMessage message;
     message.__isset.hello = true;
-    message.hello = server_.hooks_.make_hello();
+    message.hello = server_.hooks_.make_hello(hello.wants_nodes);
     link_->Send(message);
     server_.hooks_.on_node(hello.node, hello.incarnation);
   }
@@ -178,7 +178,7 @@
     message.probe.config_version = server_.hooks_.config_version();
     message.probe.store_fails = server_.hooks_.store_unreachable();
     link_->Send(message);
-    server_.hooks_.on_peer_version(name_, probe.config_version);
+    server_.hooks_.on_peer_version(name_, data_centre_, probe.config_version);
   }
 
   void OnConfigRequest(const wire::LinkConfigRequest& request) {
@@ -226,6 +226,12 @@
   session->Start();
 }
 
+int LinkServer::CountLocalLinks() const {
+  return static_cast<int>(std::ranges::count_if(sessions_, [](const auto& entry) {
+    return entry.second->HasHandshake() && !entry.second->is_remote();
+  }));
+}
+
 void LinkServer::PushStatus(const wire::TargetStatus& status, const std::string& data_centre) {
   wire::LinkMessage message;
   message.__isset.status = true;
--- a/src/edge/outbound_proxy.cc
+++ b/src/edge/outbound_proxy.cc
@@ -27,6 +27,15 @@
 /// Weight of a new sample in the moving average of response sizes.
 constexpr double kResponseBytesWeight = 0.1;
 
+/// Sizes assumed before the first response of a route. A download that is assumed to be small would
+/// be taken from another data centre, where its bytes are charged.
+constexpr std::size_t kAssumedDownloadBytes = std::size_t{64} << 10;
+constexpr std::size_t kAssumedResponseBytes = 1024;
+
+std::size_t AssumedResponseBytes(RequestKind kind) {
+  return kind == RequestKind::kDownload ? kAssumedDownloadBytes : kAssumedResponseBytes;
+}
+
 /// Formats a Retry-After value in seconds with three decimals, which the callers of this mesh
 /// accept.
 std::string FormatRetryAfter(Duration retry) {
@@ -184,8 +193,9 @@
     if (reply.outcome == wire::Outcome::kRan && reply.http_status < 500) {
       proxy_.route_latencies_.Record(now, route_, now - found->second.started);
       proxy_.service_times_.Record(now, route_, Duration(reply.run_us));
-      double& average = proxy_.response_bytes_[route_];
-      average += kResponseBytesWeight * (static_cast<double>(body.size()) - average);
+      const auto bytes = static_cast<double>(body.size());
+      double& average = proxy_.response_bytes_.try_emplace(route_, bytes).first->second;
+      average += kResponseBytesWeight * (bytes - average);
     }
     attempts_.erase(found);
     CallStep step = call_.OnReply(now, id, reply);
@@ -372,8 +382,9 @@
   options.latency_target = std::min(options.deadline, now + target_latency);
   const auto bytes = response_bytes_.find(route.name);
   options.request_bytes = request.body.size();
-  options.expected_response_bytes =
-      bytes == response_bytes_.end() ? 0 : static_cast<size_t>(bytes->second);
+  options.expected_response_bytes = bytes == response_bytes_.end()
+                                        ? AssumedResponseBytes(route.kind)
+                                        : static_cast<size_t>(bytes->second);
   options.typical_latency = route_latencies_.Estimate(route.name);
   options.typical_service_time = service_times_.AverageOfRoute(route.name);
   return options;
--- a/src/edge/peer_links.cc
+++ b/src/edge/peer_links.cc
@@ -160,6 +160,7 @@
   message.__isset.hello = true;
   message.hello.node = options_.self;
   message.hello.incarnation = options_.incarnation;
+  message.hello.wants_nodes = wants_nodes_;
   peer.link->Send(message);
 }
 
--- a/src/gen/limpet_types.cpp
+++ b/src/gen/limpet_types.cpp
@@ -7809,6 +7809,10 @@
 void LinkHello::__set_requests_bodies(const bool val) {
   this->requests_bodies = val;
 }
+
+void LinkHello::__set_wants_nodes(const bool val) {
+  this->wants_nodes = val;
+}
 std::ostream& operator<<(std::ostream& out, const LinkHello& obj)
 {
   obj.printTo(out);
@@ -7897,6 +7901,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wants_nodes);
+          this->__isset.wants_nodes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7946,6 +7958,10 @@
   xfer += oprot->writeBool(this->requests_bodies);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("wants_nodes", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->wants_nodes);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7959,6 +7975,7 @@
   swap(a.target, b.target);
   swap(a.known_nodes, b.known_nodes);
   swap(a.requests_bodies, b.requests_bodies);
+  swap(a.wants_nodes, b.wants_nodes);
   swap(a.__isset, b.__isset);
 }
 
@@ -7969,6 +7986,7 @@
   target = other345.target;
   known_nodes = other345.known_nodes;
   requests_bodies = other345.requests_bodies;
+  wants_nodes = other345.wants_nodes;
   __isset = other345.__isset;
 }
 LinkHello::LinkHello(LinkHello&& other346) noexcept {
@@ -7978,6 +7996,7 @@
   target = std::move(other346.target);
   known_nodes = std::move(other346.known_nodes);
   requests_bodies = other346.requests_bodies;
+  wants_nodes = other346.wants_nodes;
   __isset = other346.__isset;
 }
 LinkHello& LinkHello::operator=(const LinkHello& other347) {
@@ -7987,6 +8006,7 @@
   target = other347.target;
   known_nodes = other347.known_nodes;
   requests_bodies = other347.requests_bodies;
+  wants_nodes = other347.wants_nodes;
   __isset = other347.__isset;
   return *this;
 }
@@ -7997,6 +8017,7 @@
   target = std::move(other348.target);
   known_nodes = std::move(other348.known_nodes);
   requests_bodies = other348.requests_bodies;
+  wants_nodes = other348.wants_nodes;
   __isset = other348.__isset;
   return *this;
 }
@@ -8009,6 +8030,7 @@
   out << ", " << "target=" << to_string(target);
   out << ", " << "known_nodes=" << to_string(known_nodes);
   out << ", " << "requests_bodies=" << to_string(requests_bodies);
+  out << ", " << "wants_nodes=" << to_string(wants_nodes);
   out << ")";
 }
 
--- a/src/gen/limpet_types.h
+++ b/src/gen/limpet_types.h
@@ -2944,13 +2944,14 @@
 std::ostream& operator<<(std::ostream& out, const NodeAddress& obj);
 
 typedef struct _LinkHello__isset {
-  _LinkHello__isset() : node(false), incarnation(false), config_version(false), target(false), known_nodes(false), requests_bodies(false) {}
+  _LinkHello__isset() : node(false), incarnation(false), config_version(false), target(false), known_nodes(false), requests_bodies(false), wants_nodes(false) {}
   bool node :1;
   bool incarnation :1;
   bool config_version :1;
   bool target :1;
   bool known_nodes :1;
   bool requests_bodies :1;
+  bool wants_nodes :1;
 } _LinkHello__isset;
 
 class LinkHello : public virtual ::apache::thrift::TBase {
@@ -2963,7 +2964,8 @@
   LinkHello() noexcept
             : incarnation(0),
               config_version(0),
-              requests_bodies(0) {
+              requests_bodies(0),
+              wants_nodes(0) {
   }
 
   virtual ~LinkHello() noexcept;
@@ -2973,6 +2975,7 @@
   TargetStatus target;
   std::vector<NodeAddress>  known_nodes;
   bool requests_bodies;
+  bool wants_nodes;
 
   _LinkHello__isset __isset;
 
@@ -2988,6 +2991,8 @@
 
   void __set_requests_bodies(const bool val);
 
+  void __set_wants_nodes(const bool val);
+
   bool operator == (const LinkHello & rhs) const
   {
     if (!(node == rhs.node))
@@ -3002,6 +3007,8 @@
       return false;
     if (!(requests_bodies == rhs.requests_bodies))
       return false;
+    if (!(wants_nodes == rhs.wants_nodes))
+      return false;
     return true;
   }
   bool operator != (const LinkHello &rhs) const {
--- a/tests/edge/peer_links_test.cc
+++ b/tests/edge/peer_links_test.cc
@@ -100,10 +100,10 @@
 
   LinkServerHooks MakeHooks(Fixture& fixture) {
     LinkServerHooks hooks;
-    hooks.make_hello = [&fixture] { return fixture.MakeHello(); };
+    hooks.make_hello = [&fixture](bool) { return fixture.MakeHello(); };
     hooks.on_node = [](const wire::NodeAddress&, int64_t) {};
     hooks.on_silence = [this](const std::string& node) { silence_reports.push_back(node); };
-    hooks.on_peer_version = [](const std::string&, int64_t) {};
+    hooks.on_peer_version = [](const std::string&, const std::string&, int64_t) {};
     hooks.config_version = [] { return int64_t{0}; };
     hooks.store_unreachable = [] { return false; };
     return hooks;
