Bound the memory for request bodies of callers

Sessions now count the bytes of bodies that they hold; beyond a quarter of the process's memory a request gets 503 while it is received, and its connection is closed. Test: edge/http_session_test.cc "request bodies beyond the budget get 503 while they are received".

--- a/include/limpet/edge/http_session.h
+++ b/include/limpet/edge/http_session.h
@@ -19,6 +19,13 @@
 class HttpSession;
 using HttpSessionPtr = std::shared_ptr<HttpSession>;
 
+/// Limits the bytes of request bodies that all sessions of a server hold together, including those
+/// that are still being received.
+struct BodyBudget {
+  std::size_t limit_bytes = std::size_t{64} << 20;
+  std::size_t used_bytes = 0;
+};
+
 /// Handlers and limits that a server passes to its sessions.
 struct HttpSessionOptions {
   /// Called for each complete request. The handler calls `Respond` immediately or later.
@@ -30,11 +37,13 @@
   std::function<HttpResponse(int status, const std::string& reason)> make_refusal = TextResponse;
   /// Number of requests that were read completely and whose responses are not yet written.
   std::shared_ptr<int> pending_requests = std::make_shared<int>(0);
+  std::shared_ptr<BodyBudget> body_budget = std::make_shared<BodyBudget>();
 };
 
 /// One connection of a caller. Serves one request at a time and detects immediately when the caller
 /// disconnects while its request is pending. Malformed requests get 400, oversized headers 431,
-/// oversized bodies 413 and requests that arrive too slowly 408; the connection is then closed.
+/// oversized bodies 413, requests that arrive too slowly 408, and bodies beyond the `BodyBudget`
+/// 503 as soon as they exceed it; the connection is then closed.
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
  public:
   /// `options` must outlive the session.
@@ -65,6 +74,8 @@
   void BeginRequest();
   void Dispatch();
   void RefuseMalformed(const ErrorCode& error);
+  /// Counts the body that was received so far. Returns false if it exceeds the budget.
+  bool ReserveBody(std::size_t bytes);
   void RespondAndClose(int status, const std::string& text);
   void OnWritten(bool keep_alive);
   void BeginClose();
@@ -82,6 +93,8 @@
   State state_ = State::kIdle;
   bool reading_ = false;
   bool keep_alive_ = true;
+  /// Part of the body budget that this session uses.
+  std::size_t reserved_bytes_ = 0;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   HttpRequest request_;
--- a/include/limpet/settings/node_settings.h
+++ b/include/limpet/settings/node_settings.h
@@ -95,6 +95,8 @@
   /// Bandwidth of this VM's network link in Mbit/s. The nodes with the highest bandwidth read the
   /// store for the others.
   double link_mbps = 1000;
+  /// Memory limit of this process in MB. A quarter of it may hold request bodies of callers.
+  double memory_mb = 260;
   /// TCP port for links that this node announces to other nodes.
   int link_port = 7401;
   /// TCP port that this node listens on for links if a forwarder accepts them at `link_port`; 0 for
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -127,6 +127,10 @@
   return high > low * kConsiderableSlowdownRatio || failure_change >= kConsiderableFailurePermille;
 }
 
+constexpr double kBytesPerMegabyte = 1e6;
+/// Share of the process's memory for request bodies of callers.
+constexpr double kBodyMemoryShare = 0.25;
+
 CallerLimits AdminLimits() {
   return {};
 }
@@ -206,6 +210,8 @@
       [this](const HttpSessionPtr& session) { OnCallerRequest(session); },
       [this] { return config_.routes() ? config_.routes()->config().limits : CallerLimits{}; },
       is_closing};
+  caller_sessions_.body_budget->limit_bytes =
+      static_cast<std::size_t>(settings_.memory_mb * kBytesPerMegabyte * kBodyMemoryShare);
   readiness_sessions_ = {[this](const HttpSessionPtr& session) { OnReadiness(session); },
                          AdminLimits, never_closing};
   announcement_sessions_ = {[this](const HttpSessionPtr& session) { OnAnnouncement(session); },
--- a/src/edge/http_session.cc
+++ b/src/edge/http_session.cc
@@ -109,6 +109,10 @@
       RefuseMalformed(error);
       return;
     }
+    if (!ReserveBody(parser_->get().body().size())) {
+      RespondAndClose(503, "too many request bodies");
+      return;
+    }
     if (state_ == State::kHeaders && parser_->is_header_done()) {
       state_ = State::kBody;
       SetTimeout(options_.limits().idle_timeout);
@@ -132,6 +136,13 @@
   RespondAndClose(StatusForError(error), error.message());
 }
 
+bool HttpSession::ReserveBody(std::size_t bytes) {
+  BodyBudget& budget = *options_.body_budget;
+  budget.used_bytes += bytes - reserved_bytes_;
+  reserved_bytes_ = bytes;
+  return bytes == 0 || budget.used_bytes <= budget.limit_bytes;
+}
+
 void HttpSession::Dispatch() {
   auto message = parser_->release();
   parser_.reset();
@@ -200,6 +211,7 @@
 }
 
 void HttpSession::EndRequest() {
+  ReserveBody(0);
   if (state_ == State::kPending || state_ == State::kWriting) {
     --*options_.pending_requests;
   }
--- a/tests/edge/http_session_test.cc
+++ b/tests/edge/http_session_test.cc
@@ -104,6 +104,43 @@
   CHECK(client.ReadAll().empty());
 }
 
+// Many uploads at once on a VM with little memory.
+TEST_CASE("request bodies beyond the budget get 503 while they are received") {
+  LoopThread loop;
+  std::vector<HttpSessionPtr> pending;
+  CallerLimits limits;
+  limits.max_body_bytes = std::size_t{64} << 20;
+  TestServer server(
+      loop, {"127.0.0.1", FreePort()},
+      [&pending](const HttpSessionPtr& session) { pending.push_back(session); }, limits,
+      std::size_t{300'000});
+  const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n";
+  RawClient first(server.port());
+  first.Send(head + std::string(200'000, 'x'));
+  while (loop.Run([&pending] { return pending.empty(); })) {
+    std::this_thread::sleep_for(milliseconds(2));
+  }
+  RawClient second(server.port());
+  second.Send(head + std::string(150'000, 'x'));
+  CHECK(second.ReadAll().starts_with("HTTP/1.1 503"));
+  loop.Run([&pending] {
+    CHECK(pending.size() == 1);
+    pending[0]->Respond(TextResponse(200, "ok"));
+  });
+  CHECK(first.ReadResponse().starts_with("HTTP/1.1 200"));
+  RawClient third(server.port());
+  third.Send(head + std::string(200'000, 'x'));
+  for (int i = 0; i < 1000 && loop.Run([&pending] { return pending.size() < 2; }); ++i) {
+    std::this_thread::sleep_for(milliseconds(2));
+  }
+  loop.Run([&pending] {
+    REQUIRE(pending.size() == 2);
+    pending[1]->Respond(TextResponse(200, "ok"));
+  });
+  CHECK(third.ReadResponse().starts_with("HTTP/1.1 200"));
+  loop.Stop();
+}
+
 TEST_CASE("a disconnect of the caller is detected while its request is pending") {
   LoopThread loop;
   std::promise<void> disconnected;
