Subtract the length of a pause from the deadlines of messages read after it

Cause: report of a process that was delayed for seconds and acted on a permission that had run out. Deadlines of requests and calls are relative to their arrival, but a message that arrived during a pause (SIGSTOP, suspended VM) was read after it and got its whole time again, so that a request could run seconds after its caller had given up. A monitor of the ticks bounds the age of what is read after a pause; requests and calls lose that time, and one whose deadline has passed is refused, which is true: it was not sent. Also tested: changes in quick succession are read together.

--- a/include/limpet/edge/edge_node.h
+++ b/include/limpet/edge/edge_node.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "limpet/core/counters.h"
+#include "limpet/core/pause_monitor.h"
 #include "limpet/distribution/store_readers.h"
 #include "limpet/edge/coordination.h"
 #include "limpet/edge/http_header_names.h"
@@ -110,6 +111,7 @@
   TargetGate gate_;
   TargetPlacement placement_;
   SharedRetryBudget budget_;
+  PauseMonitor pause_monitor_;
   std::shared_ptr<LinkTraffic> traffic_;
   std::unique_ptr<PeerLinks> links_;
   std::unique_ptr<InboundProxy> inbound_;
--- a/include/limpet/edge/link_server.h
+++ b/include/limpet/edge/link_server.h
@@ -24,6 +24,8 @@
   std::function<void(const std::string& node, const std::string& data_centre, int64_t version)>
       on_peer_version;
   std::function<int64_t()> config_version;
+  /// Longest time for which a message that is read now may have waited.
+  std::function<Duration()> max_input_age;
   std::function<bool()> store_unreachable;
   /// The complete current configuration; no value if there is none.
   std::function<std::optional<wire::LinkConfig>()> full_config;
--- a/include/limpet/edge/outbound_proxy.h
+++ b/include/limpet/edge/outbound_proxy.h
@@ -25,6 +25,8 @@
   std::string data_centre;
   /// Service on this VM; sent with every request as the service of its caller.
   std::string service;
+  /// Longest time for which a message that is read now may have waited.
+  std::function<Duration()> max_input_age = [] { return Duration(0); };
 };
 
 /// Handles requests of callers on this VM: matches the route, selects targets, makes attempts and
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -164,7 +164,9 @@
   inbound_ = std::make_unique<InboundProxy>(executor_, header_names_, gate_, counters_, vm_link,
                                             [this] { OnStatusChanged(); });
   outbound_ = std::make_unique<OutboundProxy>(
-      executor_, OutboundProxyOptions{settings_.name, settings_.data_centre, settings_.service},
+      executor_,
+      OutboundProxyOptions{settings_.name, settings_.data_centre, settings_.service,
+                           [this] { return pause_monitor_.MaxInputAge(MonotonicNow()); }},
       header_names_, [this] { return config_.routes(); }, placement_, budget_, *links_, *inbound_,
       counters_, Random(GenerateSeed()));
   link_server_ = std::make_unique<LinkServer>(*inbound_, MakeLinkHooks(), settings_.data_centre,
@@ -197,6 +199,7 @@
     RequestNewerConfig(node, data_centre, version);
   };
   hooks.config_version = [this] { return config_.version(); };
+  hooks.max_input_age = [this] { return pause_monitor_.MaxInputAge(MonotonicNow()); };
   hooks.store_unreachable = [this] { return coordination_.IsStoreUnreachable(); };
   hooks.full_config = [this] { return config_.FullUpdate(); };
   return hooks;
@@ -526,6 +529,7 @@
 }
 
 void EdgeNode::RunTick(TimePoint now) {
+  pause_monitor_.OnTick(now);
   LogTraffic(now);
   inbound_->Tick();
   links_->Tick();
--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -134,6 +134,10 @@
   }
 
   void OnCall(wire::LinkCall call, std::string body) {
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(server_.hooks_.max_input_age());
+    call.deadline_ms -= static_cast<int32_t>(age.count());
+    call.latency_target_ms -= static_cast<int32_t>(age.count());
     const int64_t call_id = call.call_id;
     const std::string key = MakeCallKey(call_id);
     const auto body_bytes = static_cast<std::size_t>(std::max(0, call.body_bytes));
--- a/src/edge/outbound_proxy.cc
+++ b/src/edge/outbound_proxy.cc
@@ -24,6 +24,8 @@
 /// Retry-After value of a node without a configuration, which usually receives one within this
 /// time.
 constexpr Duration kRetryAfterNotReady = std::chrono::milliseconds(300);
+/// Retry-After value of a request whose deadline passed while this process was paused.
+constexpr Duration kRetryAfterPause = std::chrono::milliseconds(50);
 /// Weight of a new sample in the moving average of response sizes.
 constexpr double kResponseBytesWeight = 0.1;
 
@@ -373,8 +375,10 @@
 
 MeshCallOptions OutboundProxy::MakeCallOptions(const MeshRoute& route, const HttpRequest& request) {
   const TimePoint now = MonotonicNow();
-  const Duration caller_timeout = std::chrono::milliseconds(
-      ParseNonNegative(request.Header(header_names_.deadline_ms), kDefaultDeadlineMs));
+  const Duration caller_timeout =
+      std::chrono::milliseconds(
+          ParseNonNegative(request.Header(header_names_.deadline_ms), kDefaultDeadlineMs)) -
+      options_.max_input_age();
   MeshCallOptions options;
   options.service = traffic_splitter_.Pick(route);
   options.idempotent = route.IsIdempotent();
@@ -406,8 +410,12 @@
     Respond(session, 404, "no route", Duration(0));
     return;
   }
-  const auto call =
-      std::make_shared<ActiveCall>(*this, session, *route, MakeCallOptions(*route, request));
+  MeshCallOptions call_options = MakeCallOptions(*route, request);
+  if (call_options.deadline <= MonotonicNow()) {
+    Refuse(session, "the deadline has passed", kRetryAfterPause);
+    return;
+  }
+  const auto call = std::make_shared<ActiveCall>(*this, session, *route, std::move(call_options));
   calls_.insert(call);
   call->Start();
 }
--- a/tests/edge/peer_links_test.cc
+++ b/tests/edge/peer_links_test.cc
@@ -105,6 +105,7 @@
     hooks.on_silence = [this](const std::string& node) { silence_reports.push_back(node); };
     hooks.on_peer_version = [](const std::string&, const std::string&, int64_t) {};
     hooks.config_version = [] { return int64_t{0}; };
+    hooks.max_input_age = [] { return Duration(0); };
     hooks.store_unreachable = [] { return false; };
     return hooks;
   }
--- a/tests/platform/mesh_test.cc
+++ b/tests/platform/mesh_test.cc
@@ -260,6 +260,36 @@
   CHECK(desk.seen_instance == "i-desk-node");
 }
 
+// Guards against a paused process that sends on a request whose caller has given up meanwhile.
+TEST_CASE_FIXTURE(Fixture, "a request that expired while the node was paused is refused") {
+  StartMesh();
+  const int before = desk.executions;
+  std::thread pause([this] { loop.Run([] { std::this_thread::sleep_for(milliseconds(1500)); }); });
+  std::this_thread::sleep_for(milliseconds(200));
+  // The deadline of the request is 900 ms.
+  CHECK(caller.Call("/lots/1").starts_with("HTTP/1.1 503"));
+  pause.join();
+  CHECK(desk.executions == before);
+  std::this_thread::sleep_for(milliseconds(300));
+  CHECK(caller.Call("/lots/1").starts_with("HTTP/1.1 200"));
+}
+
+// Reads of the store are charged, and each node would make one for each change.
+TEST_CASE_FIXTURE(Fixture, "changes in quick succession are read together") {
+  StartMesh();
+  std::this_thread::sleep_for(milliseconds(1500));
+  const int before = store.calls("/log-read");
+  for (int version = 2; version <= 21; ++version) {
+    store.Put("keyed.op", "config", ConfigText(version, "/lots/"));
+    std::this_thread::sleep_for(milliseconds(30));
+  }
+  CHECK(caller.CallUntil("/lots/1", "200"));
+  store.Put("keyed.op", "config", ConfigText(30, "/slots/"));
+  CHECK(caller.CallUntil("/slots/1", "200"));
+  // Two of the three nodes read the store; 20 changes in 0.6 s take each of them four reads.
+  CHECK(store.calls("/log-read") - before <= 20);
+}
+
 // Guards against losing the capacity of a target while its stopping node still serves its own
 // callers.
 TEST_CASE_FIXTURE(Fixture, "a stopping node accepts calls from other nodes for a limited time") {
