--- a/src/edge/outbound_proxy.cc
+++ b/src/edge/outbound_proxy.cc
@@ -29,9 +29,6 @@
 /// Weight of a new sample in the moving average of response sizes.
 constexpr double kResponseBytesWeight = 0.1;
 
-/// Requests of this priority may be queued beyond their latency target, until their deadline. They
-/// are calls that targets make while they process other requests; a refusal would waste that work.
-constexpr int kMostUrgentPriority = 0;
 /// Sizes assumed before the first response of a route. A download that is assumed to be small would
 /// be taken from another data centre, where its bytes are charged.
 constexpr std::size_t kAssumedDownloadBytes = std::size_t{64} << 10;
@@ -145,7 +142,7 @@
     call.idempotent = call_.options().idempotent;
     call.priority = priority_;
     call.deadline_ms = remaining_ms(call_.options().deadline - kDeadlineMargin);
-    call.accepts_late = target.wait_beyond_latency_target || priority_ == kMostUrgentPriority;
+    call.accepts_late = target.wait_beyond_latency_target;
     call.latency_target_ms = remaining_ms(call_.options().latency_target);
     call.usual_run_us = static_cast<int32_t>(call_.options().typical_service_time.count());
     call.expected_response_bytes = static_cast<int32_t>(call_.options().expected_response_bytes);
