--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -114,8 +114,7 @@
     }
     if (message.__isset.call) {
       OnCall(std::move(message.call), std::move(body));
-    }
-    if (message.__isset.body_part) {
+    } else if (message.__isset.body_part) {
       server_.inbound_.AddBody(MakeCallKey(message.body_part.call_id), body);
     }
     if (message.__isset.cancel) {
