--- a/review/standin/mesh.py
+++ b/review/standin/mesh.py
@@ -103,6 +103,7 @@
 
     def __init__(self, upstream):
         self.upstream = upstream
+        self.forwarded_bytes = 0
 
     async def start(self, host, port):
         await asyncio.start_server(self.serve, host, port, limit=2 * self.CHUNK_BYTES)
@@ -123,6 +124,7 @@
                 if free_at - time.monotonic() > 0.001:
                     await asyncio.sleep(free_at - time.monotonic())
                 writer.write(data)
+                self.forwarded_bytes += len(data)
                 await writer.drain()
             writer.close()
         except OSError:
@@ -284,6 +286,7 @@
         self.mesh, self.name, self.service, self.zone, self.host = mesh, name, service, zone, host
         self.endpoint = Endpoint(mesh, name, service, zone, host)
         self.process = None
+        self.link_proxy = None
         self.started_at = 0.0
         self.ends = []
         self.supervisor = None
@@ -319,7 +322,8 @@
         # The machine of the case may use the port of the template for something else.
         text = text.replace("metrics_port = 9464", f"metrics_port = {ports['metrics']}")
         if self.mesh.shaped_links:
-            await LinkProxy((self.host, ports["link_listen"])).start(self.host, ports["link"])
+            self.link_proxy = LinkProxy((self.host, ports["link_listen"]))
+            await self.link_proxy.start(self.host, ports["link"])
             text = text.replace("metrics_port", f"link_listen_port = {ports['link_listen']}\nmetrics_port")
         self.settings = os.path.join(self.mesh.folder, self.name + ".ini")
         with open(self.settings, "w", encoding="utf-8") as out:
