--- a/include/limpet/edge/coordination.h
+++ b/include/limpet/edge/coordination.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "limpet/core/time.h"
 #include "limpet/routing/mesh_config.h"
 #include "limpet_types.h"
 
@@ -33,6 +34,10 @@
   virtual void RegisterNode(const wire::NodeAddress& self, NodesCallback on_nodes) = 0;
   /// True while polling is on and the store is unreachable.
   virtual bool IsStoreUnreachable() const = 0;
+  /// Whether this node reads the configuration from the store.
+  virtual bool IsPolling() const = 0;
+  /// Time since the store last responded to a read of the configuration, or since reading began.
+  virtual Duration StoreSilence(TimePoint now) const = 0;
 };
 
 }  // namespace limpet::edge
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -322,6 +322,10 @@
   const TimePoint now = MonotonicNow();
   if (behind_since_ == TimePoint{}) {
     behind_since_ = now;
+    LogEvent("config_behind")
+        .Add("version", config_.version())
+        .Add("reported", version)
+        .Add("reported_by", node);
   }
   const bool must_wait =
       data_centre != settings_.data_centre && now - behind_since_ < kRemoteConfigDelay;
@@ -473,6 +477,11 @@
   counters_.Get("inbound_running").Set(gate_.running());
   counters_.Get("inbound_queued").Set(static_cast<int64_t>(gate_.queued()));
   counters_.Get("peers_reachable").Set(links_->CountReachable());
+  counters_.Get("store_reading").Set(coordination_.IsPolling() ? 1 : 0);
+  counters_.Get("store_silence_ms")
+      .Set(std::chrono::duration_cast<std::chrono::milliseconds>(
+               coordination_.StoreSilence(MonotonicNow()))
+               .count());
   for (const auto& [kind, name] : kFrameKindNames) {
     counters_.Get("link_sent_bytes_" + std::string(name)).Set(traffic_->bytes(kind, false));
     counters_.Get("link_sent_remote_bytes_" + std::string(name)).Set(traffic_->bytes(kind, true));
