Make the soak's store lose responses as the real one does, in three data centres

A connection on which a response is lost stays open and returns nothing further; before, the soak closed it, or reset all connections to the store at the end of a silent outage, which made readers reconnect. A change is published as soon as a store fault is no excuse any more.

A caller's timeout was counted as a connection closed by the node, because TimeoutError is an OSError and its clause came second. The users' rule on planned stops asks for no unplanned disruption meanwhile, so a stop counts as planned only without a pause, as it did without a kill. A missing response in a planned stop still counts.

--- a/scripts/lib/soak/__main__.py
+++ b/scripts/lib/soak/__main__.py
@@ -10,6 +10,7 @@
 import time
 
 from soak.deployment import Deployment
+from soak.faults import select_faults
 
 
 async def run_seed(arguments, seed):
@@ -27,7 +28,7 @@
             os.remove(os.path.join(folder, name))
     # Copied, so that a build during the run does not replace the program.
     binary = shutil.copy(arguments.binary, os.path.join(os.path.abspath(folder), "limpetd"))
-    deployment = Deployment(binary, folder, arguments.nodes)
+    deployment = Deployment(binary, folder, arguments.nodes, select_faults(arguments.faults))
     try:
         await deployment.start()
         await deployment.inject_faults(arguments.seconds)
@@ -62,6 +63,7 @@
     parser.add_argument("--seeds", default="1", help='"7", "1,2", "1-50" or "fresh:N"')
     parser.add_argument("--seconds", type=float, default=12.0, help="how long faults are injected")
     parser.add_argument("--nodes", type=int, default=6)
+    parser.add_argument("--faults", default="", help="names of the faults to inject, separated by commas; default: all")
     parser.add_argument("--regressions", action="store_true", help="run the seeds of regressions.txt")
     parser.add_argument("--out", default="out/soak", help="folder for settings and logs")
     arguments = parser.parse_args()
--- a/scripts/lib/soak/caller.py
+++ b/scripts/lib/soak/caller.py
@@ -59,14 +59,17 @@
             return
         try:
             response = await http.within(DEADLINE_MS / 1000 + RESPONSE_MARGIN_S, http.read_message(self.reader))
-        except (OSError, http.HttpError):
-            self.checker.on_connection_closed(request_id, self.node.is_planned_stop())
-            raise
         except TimeoutError:
+            # A subclass of OSError, so it has to come first.
             self.checker.outcomes["no response"] += 1
+            if self.node.is_planned_stop():
+                self.checker.on_connection_closed(request_id, planned_stop=True)
             if self.checker.is_undisturbed_since(self.node.name, self.checker.sent_requests[request_id].sent_at):
                 self.checker.fail("CONFIG", f"{request_id} has no response after its timeout")
             raise
+        except (OSError, http.HttpError):
+            self.checker.on_connection_closed(request_id, self.node.is_planned_stop())
+            raise
         if response is None:
             self.checker.on_connection_closed(request_id, self.node.is_planned_stop())
             self.disconnect()
--- a/scripts/lib/soak/deployment.py
+++ b/scripts/lib/soak/deployment.py
@@ -6,12 +6,12 @@
 import random
 
 from soak.caller import Caller
-from soak.faults import FAULTS
 from soak.node import Node
 from soak.checker import IDEMPOTENT_ROUTE, ROUTES_KEPT, Checker, time_of_day
 from soak.store import Store
 
 SERVICES = ("alpha", "beta")
+DATA_CENTRES = ("a", "b", "c")
 CALLERS_PER_NODE = 3
 REQUESTS_PER_S = 6.0
 # Longest interval between the starts of two faults; faults overlap.
@@ -36,12 +36,21 @@
 
 
 class Deployment:
-    def __init__(self, binary, folder, node_count):
+    def __init__(self, binary, folder, node_count, faults):
+        self.faults = faults
         self.checker = Checker()
         self.store = Store()
         self.version = 0
         self.nodes = [
-            Node(f"n{i}", SERVICES[i % len(SERVICES)], binary, folder, self.checker) for i in range(node_count)
+            Node(
+                f"n{i}",
+                DATA_CENTRES[i // len(SERVICES) % len(DATA_CENTRES)],
+                SERVICES[i % len(SERVICES)],
+                binary,
+                folder,
+                self.checker,
+            )
+            for i in range(node_count)
         ]
         self.tasks = []
         # Line-buffered, so that the entries are in the file even if the soak is killed.
@@ -126,7 +135,7 @@
         end = loop.time() + seconds
         running = set()
         while loop.time() < end:
-            fault = random.choice(FAULTS)
+            fault = random.choice(self.faults)
             self.log_event(fault.__name__)
             running.add(asyncio.create_task(fault(self)))
             await asyncio.sleep(random.uniform(0, MAX_FAULT_INTERVAL_S))
--- a/scripts/lib/soak/faults.py
+++ b/scripts/lib/soak/faults.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+from soak.checker import FAULT_EFFECT_S
+
 
 def random_node(deployment):
     return random.choice(deployment.nodes)
@@ -80,10 +82,21 @@
         deployment.checker.store_disturbed_at = loop.time()
         await asyncio.sleep(0.1)
     deployment.store.fault = ""
-    for node in deployment.nodes:
-        # Under "silent" the requests on open connections stay without a response. The reset makes the nodes reconnect,
-        # as after a restart of the store's server.
-        node.store_proxy.reset()
+    await publish_after_fault(deployment)
+
+
+async def stall_store(deployment):
+    """Connections to the store go silent for good, while new ones work."""
+    deployment.checker.store_disturbed_at = asyncio.get_running_loop().time()
+    for node in random.sample(deployment.nodes, random.choice((1, len(deployment.nodes)))):
+        node.store_proxy.stall()
+    await publish_after_fault(deployment)
+
+
+async def publish_after_fault(deployment):
+    """Publishes a change from which on the effect of a fault is no excuse any more."""
+    await asyncio.sleep(FAULT_EFFECT_S + 0.1)
+    await deployment.publish()
 
 
 async def compact_store(deployment):
@@ -162,7 +175,7 @@
         await asyncio.sleep(0.1)
 
 
-FAULTS = (
+ALL_FAULTS = (
     kill_node,
     kill_half_of_nodes,
     pause_node,
@@ -175,6 +188,7 @@
     block_links,
     block_store,
     inject_store_fault,
+    stall_store,
     compact_store,
     inject_target_fault,
     target_crashes,
@@ -184,3 +198,9 @@
     publish_burst,
     publish_invalid_config,
 )
+
+
+def select_faults(names):
+    """Returns the faults with these names, separated by commas; all faults if `names` is empty."""
+    by_name = {fault.__name__: fault for fault in ALL_FAULTS}
+    return [by_name[name] for name in names.split(",")] if names else list(ALL_FAULTS)
--- a/scripts/lib/soak/node.py
+++ b/scripts/lib/soak/node.py
@@ -43,8 +43,9 @@
 
 
 class Node:
-    def __init__(self, name, service, binary, folder, checker):
+    def __init__(self, name, data_centre, service, binary, folder, checker):
         self.name = name
+        self.data_centre = data_centre
         self.service = service
         self.binary = binary
         self.folder = folder
@@ -57,6 +58,8 @@
         # End of the last planned stop; callers may detect it up to END_DETECTION_S later.
         self.stopped_at = 0.0
         self.killed_at = 0.0
+        # Last time at which the process was known to be paused.
+        self.paused_at = 0.0
         ports = [free_port() for _ in range(5)]
         self.outbound_port, self.readiness_port, self.announcements_port, self.listen_port, self.metrics_port = ports
         self.supervisor = None
@@ -76,7 +79,7 @@
     def write_settings(self):
         with open(self.settings_path, "w", encoding="utf-8") as out:
             out.write(
-                f"[node]\nname = {self.name}\ndata_centre = a\nservice = {self.service}\nhost = 127.0.0.1\n\n"
+                f"[node]\nname = {self.name}\ndata_centre = {self.data_centre}\nservice = {self.service}\nhost = 127.0.0.1\n\n"
                 f"[edge]\noutbound = 127.0.0.1:{self.outbound_port}\nreadiness = 127.0.0.1:{self.readiness_port}\n"
                 f"announcements = 127.0.0.1:{self.announcements_port}\ntarget = 127.0.0.1:{self.target.port}\n"
                 f"store = 127.0.0.1:{self.store_proxy.port}\nlink_mbps = 100\nlink_port = {self.link_proxy.port}\n"
@@ -119,10 +122,11 @@
                 os.kill(self.process.pid, number)
 
     def is_planned_stop(self):
-        """Whether a connection that closes now is closed by a planned stop, which must not cut off a request."""
+        """Whether a connection that closes now is closed by a planned stop, which must not cut off a request. A kill or a
+        pause shortly before is no planned stop."""
         now = time.monotonic()
         planned = self.stopping or now < self.stopped_at + END_DETECTION_S
-        return planned and now > self.killed_at + GRACE_PERIOD_S
+        return planned and now > max(self.killed_at, self.paused_at) + GRACE_PERIOD_S
 
     def kill(self):
         self.checker.record_disturbance(self.name)
@@ -132,7 +136,9 @@
     async def pause(self, seconds):
         self.checker.record_disturbance(self.name)
         self.signal(signal.SIGSTOP)
+        self.paused_at = time.monotonic() + seconds
         await asyncio.sleep(seconds)
+        self.paused_at = time.monotonic()
         self.checker.record_disturbance(self.name)
         self.signal(signal.SIGCONT)
 
--- a/scripts/lib/soak/store.py
+++ b/scripts/lib/soak/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import random
 import struct
 from urllib.parse import parse_qs, urlsplit
 
@@ -10,12 +11,15 @@
 
 
 class Store:
-    """`fault` is one of "", "down" (status 503), "silent" (no response, connection stays open), "slow" (response after
-    SLOW_S), "lost" (appends take effect, then the connection is closed without a response) and "late" (the connection
-    is closed without a response and the append takes effect LATE_S after it)."""
+    """`fault` is one of "", "down" (status 503), "silent" (no response), "slow" (response after SLOW_S), "lost" (calls
+    take effect, and LOST_SHARE of the responses are lost) and "late" (the connection is closed without a response and
+    the append takes effect LATE_S after it).
+
+    A connection on which a response was lost stays open and returns nothing further, also after the end of the fault."""
 
     SLOW_S = 0.5
     LATE_S = 1.0
+    LOST_SHARE = 0.5
 
     def __init__(self):
         self.fault = ""
@@ -44,16 +48,18 @@
         try:
             while (request := await http.read_message(reader)) is not None:
                 fault = self.fault
-                if fault == "silent":
-                    await asyncio.sleep(3600)
                 if fault == "slow":
                     await asyncio.sleep(self.SLOW_S)
                 if fault == "down":
                     writer.write(http.encode_response(503))
                     continue
-                response = await self.respond(request, fault)
+                response = await self.respond(request, fault) if fault != "silent" else b""
                 if response is None:
                     return
+                if "silent" in (fault, self.fault) or (self.fault == "lost" and random.random() < self.LOST_SHARE):
+                    while await reader.read(4096):
+                        pass
+                    return
                 writer.write(response)
                 await writer.drain()
         except (OSError, http.HttpError):
@@ -75,8 +81,6 @@
                 )
                 return None
             await self.append_record(topic, key, request.body[5 + key_length :])
-            if fault == "lost":
-                return None
             return http.encode_response(200, body=b'{"offset":0,"end":1}')
         if url.path == "/log-newest":
             return http.encode_response(200, body=self.newest(topic))
--- a/tests/soak/harness_test.py
+++ b/tests/soak/harness_test.py
@@ -1,10 +1,15 @@
 """Tests of the soak's own harness."""
 
 import asyncio
+import time
 import unittest
+from unittest import mock
 
-from soak import http
+from soak import caller, http
+from soak.checker import Checker
 from soak.deployment import cancel_and_wait
+from soak.node import GRACE_PERIOD_S, Node
+from soak.store import Store
 
 
 class WithinTest(unittest.IsolatedAsyncioTestCase):
@@ -76,5 +81,54 @@
             self.assertTrue(task.done())
 
 
+class CallerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_missing_response_is_not_counted_as_a_closed_connection(self):
+        # Guards against timeouts, which are a kind of OSError, that pass for connections closed by the node.
+        async def stay_silent(reader, writer):
+            await reader.read()
+
+        server = await asyncio.start_server(stay_silent, "127.0.0.1", 0)
+        node = mock.Mock(outbound_port=server.sockets[0].getsockname()[1])
+        node.name = "n0"
+        node.is_planned_stop.return_value = False
+        checker = Checker()
+        sender = caller.Caller("n0-c0", node, checker, lambda: ("alpha",), 1.0)
+        with mock.patch.multiple(caller, DEADLINE_MS=50, RESPONSE_MARGIN_S=0.0, DISCONNECT_SHARE=0.0):
+            with self.assertRaises(TimeoutError):
+                await sender.send_request()
+        sender.disconnect()
+        server.close()
+        self.assertEqual(checker.outcomes, {"no response": 1})
+
+    def test_a_stop_during_which_the_process_was_paused_is_not_planned(self):
+        # Guards against requests to a paused process that count as cut off by its planned stop.
+        node = Node("n0", "a", "alpha", "", "/tmp", Checker())
+        node.stopping = True
+        self.assertTrue(node.is_planned_stop())
+        node.paused_at = time.monotonic() - GRACE_PERIOD_S / 2
+        self.assertFalse(node.is_planned_stop())
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_connection_on_which_a_response_was_lost_returns_nothing_further(self):
+        # Guards against a stand-in that is kinder than the store and thereby hides readers that wait forever.
+        store = Store()
+        await store.start()
+        await store.append_record("t", "k", b"1")
+        reader, writer = await asyncio.open_connection("127.0.0.1", store.port)
+        request = http.encode_request("GET", "/log-read?topic=t&part=0&from=0&wait_ms=100", {"Host": "store"}, b"")
+        store.fault = "silent"
+        writer.write(request)
+        await asyncio.sleep(0.05)
+        store.fault = ""
+        writer.write(request)
+        with self.assertRaises(TimeoutError):
+            await http.within(0.2, http.read_message(reader))
+        response = await http.exchange("127.0.0.1", store.port, "GET", "/log-newest?topic=t&part=0")
+        self.assertEqual(response.status, 200)
+        writer.close()
+        store.server.close()
+
+
 if __name__ == "__main__":
     unittest.main()
