--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,18 @@
   void SetDown(bool down) {
     loop_.Run([&] { down_ = down; });
   }
+  /// While `silent` is true, responses are lost. A connection on which a response was lost stays
+  /// open and returns nothing further.
+  void SetSilent(bool silent) {
+    loop_.Run([&] { silent_ = silent; });
+  }
+  /// Loses the responses of all open connections, also of those that have no pending call.
+  void SilenceConnections() {
+    loop_.Run([&] {
+      silenced_.insert(sessions_.begin(), sessions_.end());
+      waiting_reads_.clear();
+    });
+  }
   int calls(const std::string& path) {
     return loop_.Run([&] { return calls_[path]; });
   }
@@ -78,22 +91,37 @@
       bytes += EncodeNumber(1 + key.size() + value.size(), 4) + EncodeNumber(key.size(), 1) + key +
                value;
     }
-    waiting.session->Respond(TextResponse(200, bytes));
+    Respond(waiting.session, TextResponse(200, bytes));
+  }
+  void Respond(const edge::HttpSessionPtr& session, HttpResponse response) {
+    if (silent_) {
+      silenced_.insert(session);
+    }
+    if (!silenced_.contains(session)) {
+      session->Respond(std::move(response));
+    }
   }
   void Serve(const edge::HttpSessionPtr& session) {
     const HttpRequest& request = session->request();
     ++calls_[request.path];
+    sessions_.insert(session);
     if (down_) {
       session->Respond(TextResponse(503, "down"));
       return;
     }
+    if (silent_) {
+      silenced_.insert(session);
+    }
+    if (silenced_.contains(session)) {
+      return;
+    }
     const std::string topic = FindParameter(request.query, "topic");
     if (request.path == "/log-append") {
       const std::string& body = request.body;
       const auto key_size = static_cast<unsigned char>(body.at(4));
       const std::string key = body.substr(5, key_size);
       const std::string value = body.substr(5 + key_size);
-      session->Respond(JsonResponse(200, R"({"offset":0,"end":1})"));
+      Respond(session, JsonResponse(200, R"({"offset":0,"end":1})"));
       Append(topic, key, value);
     } else if (request.path == "/log-newest") {
       std::map<std::string, std::string> newest;
@@ -105,7 +133,7 @@
       for (const auto& [key, value] : newest) {
         page["items"].push_back({{"key", key}, {"value", EncodeBase64(value)}, {"offset", 0}});
       }
-      session->Respond(JsonResponse(200, page.dump()));
+      Respond(session, JsonResponse(200, page.dump()));
     } else if (request.path == "/log-read") {
       RespondToRead({session, topic, std::stoul(FindParameter(request.query, "from"))});
     } else {
@@ -115,6 +143,10 @@
 
   edge::LoopThread& loop_;
   bool down_ = false;
+  bool silent_ = false;
+  /// All sessions so far, and those on which a response was lost.
+  std::set<edge::HttpSessionPtr> sessions_;
+  std::set<edge::HttpSessionPtr> silenced_;
   std::map<std::string, int> calls_;
   std::map<std::string, std::vector<Record>> topics_;
   std::vector<WaitingRead> waiting_reads_;
--- a/tests/platform/mesh_test.cc
+++ b/tests/platform/mesh_test.cc
@@ -239,6 +239,44 @@
   CHECK(caller.Call("/slots/1").starts_with("HTTP/1.1 200"));
 }
 
+/// Bounds of the small deployments: a node counts as connected this long after a disturbance, and a
+/// change is in force on connected nodes this long after the store acknowledged it.
+constexpr auto kContactWindow = seconds(3);
+constexpr auto kApplyTime = seconds(2);
+
+// Guards against readers that wait for a response which was lost in a short outage of the store,
+// while later changes reach no node.
+TEST_CASE_FIXTURE(Fixture, "a change is in force in time after an outage that lost the responses of reads") {
+  StartMesh();
+  std::this_thread::sleep_for(milliseconds(1500));
+  store.SetSilent(true);
+  store.Put("keyed.op", "config", ConfigText(2, "/lots/"));
+  std::this_thread::sleep_for(milliseconds(1500));
+  store.SetSilent(false);
+  const auto end = std::chrono::steady_clock::now();
+  std::this_thread::sleep_until(end + (kContactWindow - kApplyTime));
+  store.Put("keyed.op", "config", ConfigText(3, "/slots/"));
+  std::this_thread::sleep_until(end + kContactWindow);
+  for (TestNode* node : {&desk, &desk2, &caller}) {
+    CHECK(node->Call("/slots/1").starts_with("HTTP/1.1 200"));
+    CHECK(node->Call("/lots/1").starts_with("HTTP/1.1 404"));
+  }
+}
+
+// Guards against readers that wait on connections to the store that have gone silent without a
+// reset, while new connections work.
+TEST_CASE_FIXTURE(Fixture, "a change is in force in time after all connections to the store went silent") {
+  StartMesh();
+  std::this_thread::sleep_for(milliseconds(1500));
+  store.SilenceConnections();
+  const auto silenced = std::chrono::steady_clock::now();
+  store.Put("keyed.op", "config", ConfigText(3, "/slots/"));
+  std::this_thread::sleep_until(silenced + kContactWindow);
+  for (TestNode* node : {&desk, &desk2, &caller}) {
+    CHECK(node->Call("/slots/1").starts_with("HTTP/1.1 200"));
+  }
+}
+
 TEST_CASE_FIXTURE(Fixture, "a draining target gets no new requests") {
   StartMesh();
   CHECK(desk2.Announce("ready", 1).starts_with("HTTP/1.1 200"));
