--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -1,7 +1,10 @@
 #ifndef LIMPET_TESTS_PLATFORM_FAKE_STORE_H_
 #define LIMPET_TESTS_PLATFORM_FAKE_STORE_H_
 
+#include <algorithm>
+#include <chrono>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
@@ -14,7 +17,7 @@
 namespace limpet::platform {
 
 /// In-memory server with the API of the platform's store for keyed topics. Reads wait for the next
-/// record.
+/// record for as long as they ask for.
 class FakeStore {
  public:
   explicit FakeStore(edge::LoopThread& loop)
@@ -56,6 +59,7 @@
     edge::HttpSessionPtr session;
     std::string topic;
     std::size_t from = 0;
+    std::shared_ptr<edge::Timer> timer;
   };
 
   static std::string EncodeNumber(std::size_t value, int width) {
@@ -79,12 +83,28 @@
       RespondToRead(waiting);
     }
   }
+  void StartRead(WaitingRead read, std::chrono::milliseconds wait) {
+    read.timer = std::make_shared<edge::Timer>(loop_.executor(), wait);
+    read.timer->async_wait([this, session = read.session](edge::ErrorCode error) {
+      const auto found = std::ranges::find(waiting_reads_, session, &WaitingRead::session);
+      if (!error && found != waiting_reads_.end()) {
+        const WaitingRead expired = *found;
+        waiting_reads_.erase(found);
+        SendRecords(expired);
+      }
+    });
+    RespondToRead(read);
+  }
   void RespondToRead(const WaitingRead& waiting) {
-    const auto& records = topics_[waiting.topic];
-    if (waiting.from >= records.size()) {
+    if (waiting.from >= topics_[waiting.topic].size()) {
       waiting_reads_.push_back(waiting);
-      return;
+    } else {
+      SendRecords(waiting);
     }
+  }
+  void SendRecords(const WaitingRead& waiting) {
+    waiting.timer->cancel();
+    const auto& records = topics_[waiting.topic];
     std::string bytes = EncodeNumber(records.size(), 8) + EncodeNumber(0, 8);
     for (std::size_t i = waiting.from; i < records.size(); ++i) {
       const auto& [key, value] = records[i];
@@ -135,7 +155,8 @@
       }
       Respond(session, JsonResponse(200, page.dump()));
     } else if (request.path == "/log-read") {
-      RespondToRead({session, topic, std::stoul(FindParameter(request.query, "from"))});
+      StartRead({session, topic, std::stoul(FindParameter(request.query, "from")), nullptr},
+                std::chrono::milliseconds(std::stoi(FindParameter(request.query, "wait_ms"))));
     } else {
       session->Respond(TextResponse(404, "unknown call"));
     }
--- a/tests/platform/mesh_test.cc
+++ b/tests/platform/mesh_test.cc
@@ -246,7 +246,8 @@
 
 // Guards against readers that wait for a response which was lost in a short outage of the store,
 // while later changes reach no node.
-TEST_CASE_FIXTURE(Fixture, "a change is in force in time after an outage that lost the responses of reads") {
+TEST_CASE_FIXTURE(Fixture,
+                  "a change is in force in time after an outage that lost the responses of reads") {
   StartMesh();
   std::this_thread::sleep_for(milliseconds(1500));
   store.SetSilent(true);
@@ -265,7 +266,8 @@
 
 // Guards against readers that wait on connections to the store that have gone silent without a
 // reset, while new connections work.
-TEST_CASE_FIXTURE(Fixture, "a change is in force in time after all connections to the store went silent") {
+TEST_CASE_FIXTURE(Fixture,
+                  "a change is in force in time after all connections to the store went silent") {
   StartMesh();
   std::this_thread::sleep_for(milliseconds(1500));
   store.SilenceConnections();
