Open a link again that gets no reply to its handshake

Same class of fault as the lost response of a long poll: the node that opened the link waited for the reply without a limit. On a connection that looks alive and returns nothing the peer stayed unreachable for this node until the connection ended.

The test failed before: the peer was not reachable 1.6 s after the first connection, which accepts and never replies. Now the link is closed 1.2 s after its handshake, like one whose peer does not reply to a probe, and opened again.

--- a/include/limpet/edge/peer_links.h
+++ b/include/limpet/edge/peer_links.h
@@ -119,6 +119,7 @@
     Duration backoff{0};
     std::unique_ptr<Timer> retry_timer;
     TimePoint lost_at{};
+    TimePoint handshake_sent_at{};
     TimePoint probed_at{};
     /// Time since which a message from the peer is expected: its first pending call was sent, or it
     /// promised keepalives.
@@ -146,6 +147,7 @@
   void FailCalls(Peer& peer, bool idempotent_only);
   void SendCall(Peer& peer, PendingCall& call);
   std::vector<Peer*> SampleReadyPeers(int count);
+  void CheckHandshake(const std::string& name, Peer& peer, TimePoint now);
   void CheckResponsiveness(const std::string& name, Peer& peer, TimePoint now);
   void SendProbe(Peer& peer);
   /// Reports the peer to the observer and, if it is the first to notice, to all other nodes.
--- a/src/edge/peer_links.cc
+++ b/src/edge/peer_links.cc
@@ -38,7 +38,7 @@
 /// After a pause of this node, no peer seems to have sent anything; a peer is reported as
 /// unresponsive only if it has not replied to a probe within this time.
 constexpr Duration kProbeRoundTrip = std::chrono::milliseconds(100);
-/// A link is closed and reopened if its peer has not replied to a probe for this long.
+/// A link is closed and reopened if its peer has not replied to a probe or handshake for this long.
 constexpr Duration kReopenAfter = std::chrono::milliseconds(1200);
 
 }  // namespace
@@ -172,6 +172,7 @@
   message.hello.node = options_.self;
   message.hello.incarnation = options_.incarnation;
   message.hello.wants_nodes = wants_nodes_;
+  peer.handshake_sent_at = MonotonicNow();
   peer.link->Send(message);
 }
 
@@ -435,6 +436,15 @@
   }
 }
 
+void PeerLinks::CheckHandshake(const std::string& name, Peer& peer, TimePoint now) {
+  const Duration waited = now - peer.handshake_sent_at;
+  if (peer.link && !peer.ready && waited >= kReopenAfter) {
+    LogEvent("peer_silent").Add("peer", name).Add("silence_ms", waited);
+    peer.link->Close();
+    OnClosed(name, asio::error::timed_out);
+  }
+}
+
 void PeerLinks::CheckResponsiveness(const std::string& name, Peer& peer, TimePoint now) {
   if (!peer.ready) {
     peer.probed_at = {};
@@ -472,6 +482,7 @@
 void PeerLinks::Tick() {
   const TimePoint now = MonotonicNow();
   for (auto& [name, peer] : peers_) {
+    CheckHandshake(name, peer, now);
     CheckResponsiveness(name, peer, now);
     if (!peer.ready && !peer.calls.empty()) {
       const Duration disconnected_for = now - peer.lost_at;
--- a/tests/edge/peer_links_test.cc
+++ b/tests/edge/peer_links_test.cc
@@ -188,6 +188,30 @@
   loop.Stop();
 }
 
+// Guards against a link that stays unusable for good because the reply to its handshake was lost on
+// a connection that looks alive.
+TEST_CASE_FIXTURE(Fixture, "a link without a reply to its handshake is opened again") {
+  Server server(*this);
+  std::vector<TcpSocket> silent;
+  const auto listener = Listen([&](TcpSocket socket) {
+    if (silent.empty()) {
+      silent.push_back(std::move(socket));
+    } else {
+      server.links.Accept(std::move(socket));
+    }
+  });
+  loop.Run([this] {
+    links = std::make_unique<PeerLinks>(loop.executor(), PeerLinksOptions{{}, 2}, observer, counters,
+                                        Random(1));
+    links->Add(server_address);
+  });
+  TickFor(milliseconds(1000), &server.links);
+  CHECK_FALSE(observer.reachable);
+  TickFor(milliseconds(600), &server.links);
+  CHECK(observer.reachable);
+  loop.Stop();
+}
+
 // Many nodes: keepalives to all of them would grow with the square of their number.
 TEST_CASE_FIXTURE(Fixture, "a node sends keepalives to a limited number of linked nodes") {
   Server server(*this);
