Accept a response without the request id only on a new connection

Report of other operators: a faulty target sent an earlier refusal once more on a kept connection, and callers were told "not run" for requests that the target ran. A copy with the id of its request was dropped here already; a copy without an id was taken as the response to the next request.

On a kept connection every response now has to have the id, and a connection whose response had none is closed.

--- a/src/edge/inbound_proxy.cc
+++ b/src/edge/inbound_proxy.cc
@@ -249,10 +249,12 @@
   pending.started = now;
   const bool idempotent = pending.call.idempotent && !pending.resent;
   pending.connection = AcquireConnection(now, idempotent, pending.reused_connection);
-  auto matches = [id = pending.call.request_id,
-                  name = &header_names_.request_id](const HttpHeaders& headers) {
+  // Only the first response on a connection may lack the id: on a kept connection, it may be the
+  // copy of an earlier response.
+  auto matches = [id = pending.call.request_id, name = &header_names_.request_id,
+                  first = !pending.reused_connection](const HttpHeaders& headers) {
     const std::string_view echoed = FindHeader(headers, *name);
-    return echoed.empty() || echoed == id;
+    return echoed == id || (first && echoed.empty());
   };
   pending.connection->Send(
       MakeRequest(pending, now), pending.deadline - now + kDeadlineGrace, std::move(matches),
@@ -321,7 +323,9 @@
   }
   PendingCall& pending = found->second;
   HttpConnectionPtr connection = std::move(pending.connection);
-  if (connection->IsReusable(MonotonicNow()) && idle_connections_.size() < kMaxIdleConnections) {
+  const bool echoes_id = !result.response.Header(header_names_.request_id).empty();
+  if (echoes_id && connection->IsReusable(MonotonicNow()) &&
+      idle_connections_.size() < kMaxIdleConnections) {
     idle_connections_.push_back(std::move(connection));
   } else {
     connection->Close();
