Give the readers of a data centre two roles, and limit who calls in an outage

The repeated polls of two readers a data centre cost calls to the store, and a silent outage made every node of a data centre call it twice a second.

The reader with the best rank polls as before (primary). While the readers and standbys cannot reach the store, only they try at first, and the number of nodes that try doubles each second, so a data centre whose first nodes are cut off for long still finds one that reads.

--- a/include/limpet/distribution/store_readers.h
+++ b/include/limpet/distribution/store_readers.h
@@ -6,6 +6,7 @@
 #include <tuple>
 #include <vector>
 
+#include "limpet/core/enum_names.h"
 #include "limpet/core/time.h"
 
 namespace limpet {
@@ -21,8 +22,24 @@
   Duration max_report_age = std::chrono::milliseconds(900);
   /// A node that took over reading stops this long after the readers are back.
   Duration release_delay = std::chrono::seconds(4);
+  /// While the readers and standbys cannot reach the store, the number of nodes that try to read
+  /// doubles after each interval of this length. In a general outage, few nodes call the store.
+  Duration takeover_interval = std::chrono::seconds(1);
 };
 
+/// How a node takes part in reading the configuration from the store.
+enum class ReaderRole {
+  kNone,
+  kPrimary,    // the first reader of the data centre; its reads bound the age of the configuration
+  kSecondary,  // reads less often; becomes the primary at once if that one fails
+};
+
+inline constexpr EnumNames<ReaderRole, 3> kReaderRoleNames = {{
+    {ReaderRole::kNone, "none"},
+    {ReaderRole::kPrimary, "primary"},
+    {ReaderRole::kSecondary, "secondary"},
+}};
+
 /// Decides which nodes of a data centre read the configuration from the store: those with the
 /// highest link bandwidth, ties broken by rendezvous hash, among the nodes that report and can
 /// reach the store. A node that receives no reports reads the store itself, so it stays current
@@ -41,10 +58,10 @@
   std::vector<std::string> Readers(TimePoint now) const;
   /// Returns the other nodes to probe, in order of rank: as many as there are readers and standbys.
   std::vector<std::string> NodesToProbe() const;
-  /// Returns true if this node has to read the store: if it has no configuration yet, knows no
+  /// Returns the role of this node. It reads the store if it has no configuration yet, knows no
   /// other node of the data centre, or is one of the readers, and for `release_delay` after it was
   /// one.
-  bool ShouldRead(TimePoint now, bool has_config);
+  ReaderRole Role(TimePoint now, bool has_config);
 
  private:
   using Rank = std::tuple<int, uint64_t, std::string>;
@@ -55,12 +72,16 @@
   };
 
   static Rank MakeRank(const std::string& name, int link_mbps);
+  /// Time for which this node must have been among the readers before it reads.
+  Duration TakeoverDelay() const;
 
   StoreReadersOptions options_;
   std::string self_;
   int self_link_mbps_;
   std::map<std::string, Candidate> candidates_;
   TimePoint read_until_{};
+  /// Time since which this node has been among the readers; zero if it is not.
+  TimePoint selected_since_{};
 };
 
 }  // namespace limpet
--- a/include/limpet/edge/coordination.h
+++ b/include/limpet/edge/coordination.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "limpet/core/time.h"
+#include "limpet/distribution/store_readers.h"
 #include "limpet/routing/mesh_config.h"
 #include "limpet_types.h"
 
@@ -22,20 +23,19 @@
 
   virtual ~Coordination() = default;
 
-  /// Delivers the current configuration and each later one while polling is on. Versions that are
+  /// Delivers the current configuration and each later one while this node has a reader's role. Versions that are
   /// replaced before they are read may be skipped; an older version or the same one may be
   /// delivered again. Continues after store outages.
   virtual void WatchConfig(ConfigCallback on_config, UnusableConfigCallback on_unusable) = 0;
-  /// Stops or resumes reading the configuration from the store. A node may stop when other nodes
-  /// read it and send it the changes.
-  virtual void SetPolling(bool polling) = 0;
+  /// Sets whether and how this node reads the configuration from the store. A node need not read
+  /// when other nodes read it and send it the changes.
+  virtual void SetRole(ReaderRole role) = 0;
   /// Stores the address of this node, then delivers the addresses of all known nodes once. Retries
   /// during store outages.
   virtual void RegisterNode(const wire::NodeAddress& self, NodesCallback on_nodes) = 0;
-  /// True while polling is on and the store is unreachable.
+  /// True while this node has a reader's role and the store is unreachable.
   virtual bool IsStoreUnreachable() const = 0;
-  /// Whether this node reads the configuration from the store.
-  virtual bool IsPolling() const = 0;
+  virtual ReaderRole role() const = 0;
   /// Time since the store last responded to a read of the configuration, or since reading began.
   virtual Duration StoreSilence(TimePoint now) const = 0;
 };
--- a/src/distribution/store_readers.cc
+++ b/src/distribution/store_readers.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <bit>
 #include <tuple>
 #include <utility>
 
@@ -59,15 +60,33 @@
   return readers;
 }
 
-bool StoreReaders::ShouldRead(TimePoint now, bool has_config) {
+Duration StoreReaders::TakeoverDelay() const {
+  const Rank self = MakeRank(self_, self_link_mbps_);
+  const auto better = static_cast<std::size_t>(
+      std::ranges::count_if(candidates_, [&self](const auto& entry) {
+        return MakeRank(entry.first, entry.second.link_mbps) < self;
+      }));
+  return options_.takeover_interval * std::bit_width(better / (options_.readers + options_.standbys));
+}
+
+ReaderRole StoreReaders::Role(TimePoint now, bool has_config) {
   if (!has_config || candidates_.empty()) {
-    return true;
+    return ReaderRole::kPrimary;
   }
   const auto readers = Readers(now);
-  if (std::ranges::find(readers, self_) != readers.end()) {
-    read_until_ = now + options_.release_delay;
+  const auto self = std::ranges::find(readers, self_);
+  if (self == readers.end()) {
+    selected_since_ = {};
+  } else {
+    if (selected_since_ == TimePoint{}) {
+      selected_since_ = now;
+    }
+    if (now - selected_since_ >= TakeoverDelay()) {
+      read_until_ = now + options_.release_delay;
+      return self == readers.begin() ? ReaderRole::kPrimary : ReaderRole::kSecondary;
+    }
   }
-  return now < read_until_;
+  return now < read_until_ ? ReaderRole::kSecondary : ReaderRole::kNone;
 }
 
 }  // namespace limpet
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -477,7 +477,7 @@
   counters_.Get("inbound_running").Set(gate_.running());
   counters_.Get("inbound_queued").Set(static_cast<int64_t>(gate_.queued()));
   counters_.Get("peers_reachable").Set(links_->CountReachable());
-  counters_.Get("store_reading").Set(coordination_.IsPolling() ? 1 : 0);
+  counters_.Get("store_reading").Set(coordination_.role() == ReaderRole::kNone ? 0 : 1);
   counters_.Get("store_silence_ms")
       .Set(std::chrono::duration_cast<std::chrono::milliseconds>(
                coordination_.StoreSilence(MonotonicNow()))
@@ -550,7 +550,7 @@
     links_->ProbeRandomPeers(kProbedPeers, config_.version());
   }
   ProbeReaders(now);
-  coordination_.SetPolling(readers_.ShouldRead(now, config_.version() > 0));
+  coordination_.SetRole(readers_.Role(now, config_.version() > 0));
   FlushEventLog();
   if (stopping_) {
     CheckStopped();
