Accept callers for at most half of the grace period after a stop

Report of other operators: in a planned stop, requests that came late in the grace period were taken, passed on and cut at its end without an answer. With the grace period of 6 s of all known deployments this node refuses new requests 2.8 s after the signal. The 2.8 s did not depend on the grace period: with 2 s, requests were taken until the process ended.

The test failed before: a request 1.2 s after the signal was passed on and cut. Now it gets 503 at once and is not passed on.

--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -52,6 +52,8 @@
 /// per second, and two failed checks take the node out of service. Later requests are refused
 /// immediately, because they might not end before the process is killed.
 constexpr Duration kAcceptCallersAfterStop = std::chrono::milliseconds(2800);
+/// Limits `kAcceptCallersAfterStop` to this share of the grace period, for short grace periods.
+constexpr double kAcceptCallersGraceShare = 0.5;
 /// Calls from other nodes to the local target are accepted for this long after the stop signal,
 /// because the node keeps serving its own callers anyway. Requests started by these calls end well
 /// before the process is killed.
@@ -106,6 +108,10 @@
   return options;
 }
 
+Duration AcceptCallersAfterStop(Duration grace) {
+  return std::min(kAcceptCallersAfterStop, Scale(grace, kAcceptCallersGraceShare));
+}
+
 /// Links of at least this rate are not paced: sending a large response takes less time than a timer
 /// may be late.
 constexpr double kMinUnpacedMbps = 200;
@@ -450,7 +456,8 @@
 }
 
 void EdgeNode::OnCallerRequest(const HttpSessionPtr& session) {
-  if (stopping_ && MonotonicNow() - stopping_since_ >= kAcceptCallersAfterStop) {
+  if (stopping_ &&
+      MonotonicNow() - stopping_since_ >= AcceptCallersAfterStop(GracePeriod(settings_))) {
     outbound_->Refuse(session, "stopping", kRetryAfterStopping);
     return;
   }
@@ -583,7 +590,7 @@
   const bool idle =
       inbound_->idle() && outbound_->idle() && *caller_sessions_.pending_requests == 0;
   const bool out_of_time = elapsed >= grace - kStopMargin;
-  if ((idle && elapsed >= kAcceptCallersAfterStop) || out_of_time) {
+  if ((idle && elapsed >= AcceptCallersAfterStop(grace)) || out_of_time) {
     LogEvent("stopped").Add("idle", int{idle}).Add("after_ms", elapsed);
     FlushEventLog();
     std::exchange(on_stopped_, nullptr)();
--- a/tests/platform/mesh_test.cc
+++ b/tests/platform/mesh_test.cc
@@ -38,7 +38,8 @@
            PeerAddress store,
            const std::string& name,
            const std::string& service,
-           double link_mbps = 1000)
+           double link_mbps = 1000,
+           double grace_period_ms = 6000)
       : loop_(loop), name_(name), service_(service) {
     settings_.name = name;
     settings_.link_mbps = link_mbps;
@@ -51,7 +52,7 @@
     settings_.store = store;
     settings_.link_port = FreePort();
     settings_.metrics_port = FreePort();
-    settings_.grace_period_ms = 6000;
+    settings_.grace_period_ms = grace_period_ms;
     target_ = std::make_unique<edge::TestServer>(
         loop, settings_.target,
         [this](const edge::HttpSessionPtr& session) { OnTargetRequest(session); });
@@ -378,6 +379,22 @@
   CHECK(elapsed < seconds(3));
 }
 
+// Guards against requests that come late in a short grace period, are passed on and then cut off by
+// the end of the process.
+TEST_CASE_FIXTURE(Fixture, "a node with a short grace period refuses what it could not finish") {
+  StartMesh();
+  TestNode brief(loop, store.address(), "brief-node", "store", 1000, 2000);
+  Stopper brief_stopper{loop};
+  REQUIRE(brief.CallUntil("/lots/1", "200"));
+  desk.unresponsive = true;
+  std::atomic<bool> stopped{false};
+  brief.Stop(stopped);
+  std::this_thread::sleep_for(milliseconds(1200));
+  const int before = desk.executions;
+  CHECK(brief.Call("/lots/1").starts_with("HTTP/1.1 503"));
+  CHECK(desk.executions == before);
+}
+
 TEST_CASE_FIXTURE(Fixture,
                   "a stopping node is not ready, still serves its callers and then stops") {
   StartMesh();
