--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -26,9 +26,15 @@
   kAcceptTruncated,
   kAdmitWhileDraining,
   kCutInFlightOnStop,
+  kWaitForLostResponse,
+  kKeepStuckReader,
+  kWaitForHandshake,
+  kDeliverLastRecord,
+  kAcceptResponseWithoutId,
+  kAcceptUntilGraceEnds,
 };
 
-inline constexpr EnumNames<Fault, 18> kFaultNames = {{
+inline constexpr EnumNames<Fault, 24> kFaultNames = {{
     {Fault::kNone, "none"},
     {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
@@ -47,6 +53,12 @@
     {Fault::kAcceptTruncated, "accept_truncated"},
     {Fault::kAdmitWhileDraining, "admit_while_draining"},
     {Fault::kCutInFlightOnStop, "cut_in_flight_on_stop"},
+    {Fault::kWaitForLostResponse, "wait_for_lost_response"},
+    {Fault::kKeepStuckReader, "keep_stuck_reader"},
+    {Fault::kWaitForHandshake, "wait_for_handshake"},
+    {Fault::kDeliverLastRecord, "deliver_last_record"},
+    {Fault::kAcceptResponseWithoutId, "accept_response_without_id"},
+    {Fault::kAcceptUntilGraceEnds, "accept_until_grace_ends"},
 }};
 
 #ifdef LIMPET_FAULTS
--- a/include/limpet/edge/coordination.h
+++ b/include/limpet/edge/coordination.h
@@ -23,9 +23,9 @@
 
   virtual ~Coordination() = default;
 
-  /// Delivers the current configuration and each later one while this node has a reader's role. Versions that are
-  /// replaced before they are read may be skipped; an older version or the same one may be
-  /// delivered again. Continues after store outages.
+  /// Delivers the current configuration and each later one while this node has a reader's role.
+  /// Versions that are replaced before they are read may be skipped; an older version or the same
+  /// one may be delivered again. Continues after store outages.
   virtual void WatchConfig(ConfigCallback on_config, UnusableConfigCallback on_unusable) = 0;
   /// Sets whether and how this node reads the configuration from the store. A node need not read
   /// when other nodes read it and send it the changes.
--- a/src/distribution/store_readers.cc
+++ b/src/distribution/store_readers.cc
@@ -62,11 +62,12 @@
 
 Duration StoreReaders::TakeoverDelay() const {
   const Rank self = MakeRank(self_, self_link_mbps_);
-  const auto better = static_cast<std::size_t>(
-      std::ranges::count_if(candidates_, [&self](const auto& entry) {
+  const auto better =
+      static_cast<std::size_t>(std::ranges::count_if(candidates_, [&self](const auto& entry) {
         return MakeRank(entry.first, entry.second.link_mbps) < self;
       }));
-  return options_.takeover_interval * std::bit_width(better / (options_.readers + options_.standbys));
+  return options_.takeover_interval *
+         std::bit_width(better / (options_.readers + options_.standbys));
 }
 
 ReaderRole StoreReaders::Role(TimePoint now, bool has_config) {
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -5,6 +5,7 @@
 #include <random>
 #include <utility>
 
+#include "limpet/core/fault.h"
 #include "limpet/edge/event_log.h"
 #include "limpet/edge/guard.h"
 #include "limpet/net/clock.h"
@@ -109,6 +110,9 @@
 }
 
 Duration AcceptCallersAfterStop(Duration grace) {
+  if (IsFaultActive(Fault::kAcceptUntilGraceEnds)) {
+    return kAcceptCallersAfterStop;
+  }
   return std::min(kAcceptCallersAfterStop, Scale(grace, kAcceptCallersGraceShare));
 }
 
--- a/src/edge/inbound_proxy.cc
+++ b/src/edge/inbound_proxy.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "limpet/core/fault.h"
 #include "limpet/edge/event_log.h"
 #include "limpet/net/clock.h"
 #include "limpet/wire/names.h"
@@ -252,7 +253,9 @@
   // Only the first response on a connection may lack the id: on a kept connection, it may be the
   // copy of an earlier response.
   auto matches = [id = pending.call.request_id, name = &header_names_.request_id,
-                  first = !pending.reused_connection](const HttpHeaders& headers) {
+                  first =
+                      !pending.reused_connection ||
+                      IsFaultActive(Fault::kAcceptResponseWithoutId)](const HttpHeaders& headers) {
     const std::string_view echoed = FindHeader(headers, *name);
     return echoed == id || (first && echoed.empty());
   };
--- a/src/edge/peer_links.cc
+++ b/src/edge/peer_links.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "limpet/core/fault.h"
 #include "limpet/edge/event_log.h"
 #include "limpet/net/clock.h"
 
@@ -438,7 +439,8 @@
 
 void PeerLinks::CheckHandshake(const std::string& name, Peer& peer, TimePoint now) {
   const Duration waited = now - peer.handshake_sent_at;
-  if (peer.link && !peer.ready && waited >= kReopenAfter) {
+  if (peer.link && !peer.ready && waited >= kReopenAfter &&
+      !IsFaultActive(Fault::kWaitForHandshake)) {
     LogEvent("peer_silent").Add("peer", name).Add("silence_ms", waited);
     peer.link->Close();
     OnClosed(name, asio::error::timed_out);
--- a/src/edge/repeated_exchange.cc
+++ b/src/edge/repeated_exchange.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "limpet/core/fault.h"
 #include "limpet/net/clock.h"
 
 namespace limpet::edge {
@@ -51,6 +52,9 @@
 }
 
 void RepeatedExchange::Repeat(TimePoint now) {
+  if (IsFaultActive(Fault::kWaitForLostResponse)) {
+    return;
+  }
   options_.on_repeat(attempt_count_, now - started_at_);
   StartAttempt(std::make_shared<HttpConnection>(executor_, options_.connection), repeat_,
                Duration(0));
--- a/tests/distribution/store_readers_test.cc
+++ b/tests/distribution/store_readers_test.cc
@@ -72,8 +72,8 @@
   CHECK(readers.Role(kStart + milliseconds(300), true) == ReaderRole::kPrimary);
 }
 
-// Load: an outage of the store that all nodes of a large data centre notice. Guards against calls of
-// all nodes to the store for its whole length.
+// Load: an outage of the store that all nodes of a large data centre notice. Guards against calls
+// of all nodes to the store for its whole length.
 TEST_CASE("in a general outage few nodes try to read at first, and their number doubles") {
   constexpr int kNodes = 100;
   std::vector<std::string> names;
--- a/tests/edge/inbound_proxy_test.cc
+++ b/tests/edge/inbound_proxy_test.cc
@@ -75,7 +75,9 @@
 // was told "not run" for a request that the target executes.
 TEST_CASE_FIXTURE(Fixture, "a repeated refusal does not answer a later request") {
   std::string id_of_copy;
-  SUBCASE("with the id of the earlier request") { id_of_copy = "X-Request-Id: a\r\n"; }
+  SUBCASE("with the id of the earlier request") {
+    id_of_copy = "X-Request-Id: a\r\n";
+  }
   SUBCASE("without an id") {}
   ScriptedHttpServer server([&](int request) -> ScriptedHttpServer::Response {
     if (request == 0) {
@@ -93,9 +95,11 @@
   CHECK(server.requests_received() == 2);
 }
 
-TEST_CASE_FIXTURE(Fixture, "a connection to a target that does not echo the request id is not kept") {
-  ScriptedHttpServer server(
-      [](int) { return ScriptedHttpServer::Response{Response("200 OK", ""), false}; });
+TEST_CASE_FIXTURE(Fixture,
+                  "a connection to a target that does not echo the request id is not kept") {
+  ScriptedHttpServer server([](int) {
+    return ScriptedHttpServer::Response{Response("200 OK", ""), false};
+  });
   UseTarget(server);
   CHECK(Call("a").outcome == wire::Outcome::kRan);
   CHECK(Call("b").outcome == wire::Outcome::kRan);
--- a/tests/edge/peer_links_test.cc
+++ b/tests/edge/peer_links_test.cc
@@ -201,8 +201,8 @@
     }
   });
   loop.Run([this] {
-    links = std::make_unique<PeerLinks>(loop.executor(), PeerLinksOptions{{}, 2}, observer, counters,
-                                        Random(1));
+    links = std::make_unique<PeerLinks>(loop.executor(), PeerLinksOptions{{}, 2}, observer,
+                                        counters, Random(1));
     links->Add(server_address);
   });
   TickFor(milliseconds(1000), &server.links);
--- a/tests/platform/mesh_test.cc
+++ b/tests/platform/mesh_test.cc
@@ -282,7 +282,8 @@
 
 // Guards against a write of the operator that the store executes late, after a newer one: the newer
 // configuration was skipped if both were read together.
-TEST_CASE_FIXTURE(Fixture, "a late record of an older version does not hide a newer configuration") {
+TEST_CASE_FIXTURE(Fixture,
+                  "a late record of an older version does not hide a newer configuration") {
   StartMesh();
   std::this_thread::sleep_for(milliseconds(1500));
   // Readers pause after this change and read the next two together.
