--- a/scripts/lib/soak/__main__.py
+++ b/scripts/lib/soak/__main__.py
@@ -51,25 +51,30 @@
     return seeds
 
 
-def regression_seeds():
+def regression_options():
+    """Returns the options of each run in regressions.txt, without the cause behind "#"."""
     path = os.path.join(os.path.dirname(__file__), "regressions.txt")
     with open(path, encoding="utf-8") as lines:
-        return [int(line.split()[0]) for line in lines if line.strip() and not line.startswith("#")]
+        options = [line.partition("#")[0].split() for line in lines]
+    return [words for words in options if words]
 
 
-def main():
+def make_parser():
     parser = argparse.ArgumentParser(prog="scripts/soak", description=__doc__)
     parser.add_argument("--binary", required=True, help="the node program")
     parser.add_argument("--seeds", default="1", help='"7", "1,2", "1-50" or "fresh:N"')
     parser.add_argument("--seconds", type=float, default=12.0, help="how long faults are injected")
     parser.add_argument("--nodes", type=int, default=6)
     parser.add_argument("--faults", default="", help="names of the faults to inject, separated by commas; default: all")
-    parser.add_argument("--regressions", action="store_true", help="run the seeds of regressions.txt")
+    parser.add_argument("--regressions", action="store_true", help="make the runs of regressions.txt")
     parser.add_argument("--out", default="out/soak", help="folder for settings and logs")
-    arguments = parser.parse_args()
+    return parser
+
+
+def run_seeds(arguments):
+    """Returns the seeds that failed."""
     failed = []
-    seeds = regression_seeds() if arguments.regressions else parse_seeds(arguments.seeds)
-    for seed in seeds:
+    for seed in parse_seeds(arguments.seeds):
         checker = asyncio.run(run_seed(arguments, seed))
         verdict = "failed" if checker.violations else "passed"
         print(f"seed {seed} {verdict}: {len(checker.sent_requests)} requests, {dict(checker.outcomes)}", flush=True)
@@ -77,8 +82,18 @@
             print("  " + violation, flush=True)
         if checker.violations:
             failed.append(seed)
+    return failed
+
+
+def main():
+    parser = make_parser()
+    runs = [parser.parse_args()]
+    if runs[0].regressions:
+        common = ["--binary", runs[0].binary, "--out", runs[0].out]
+        runs = [parser.parse_args(common + options) for options in regression_options()]
+    failed = [seed for arguments in runs for seed in run_seeds(arguments)]
     if failed:
-        print(f"failed seeds: {failed}; logs in {arguments.out}")
+        print(f"failed seeds: {failed}; logs in {runs[0].out}")
         sys.exit(1)
 
 
