Give the parts of a request body an offset, and take them from one link only

Cause: when the node wakes, the caller's node has closed the link and sends the call again on a new one. The call attaches and its body starts anew, but parts that are still on their way on the old link were added to it, because a part named only its call. Old end and new beginning add up to the length.

Now a part has its offset. Parts from a link other than the one the call came on last are dropped; a part that leaves a gap or repeats bytes ends the call, which was not passed on. Nodes ask for parts with a new field of the handshake; nodes of earlier versions get and send the body with the call.

--- a/idl/limpet.thrift
+++ b/idl/limpet.thrift
@@ -378,11 +378,14 @@
   3: i64 config_version
   4: TargetStatus target
   5: list<NodeAddress> known_nodes
-  // The sender asks for large request bodies with LinkBodyRequest. Nodes of earlier versions get the
-  // body with the call.
+  // Set by earlier versions only, which ask for request bodies whose parts have no offset. They get
+  // the body with the call.
   6: bool requests_bodies
   // The sender could not read the addresses of other nodes from the store yet.
   7: bool wants_nodes
+  // The sender asks for large request bodies with LinkBodyRequest, and their parts need an offset.
+  // Other nodes get the body with the call.
+  8: bool requests_body_parts
 }
 
 struct LinkCall {
@@ -426,6 +429,8 @@
 // The body of this frame is the next part of the request body of a call.
 struct LinkBodyPart {
   1: i64 call_id
+  // Position of the part in the body.
+  2: i64 offset
 }
 
 struct LinkReply {
--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -32,9 +32,10 @@
   kDeliverLastRecord,
   kAcceptResponseWithoutId,
   kAcceptUntilGraceEnds,
+  kAcceptMisplacedBody,
 };
 
-inline constexpr EnumNames<Fault, 24> kFaultNames = {{
+inline constexpr EnumNames<Fault, 25> kFaultNames = {{
     {Fault::kNone, "none"},
     {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
@@ -59,6 +60,7 @@
     {Fault::kDeliverLastRecord, "deliver_last_record"},
     {Fault::kAcceptResponseWithoutId, "accept_response_without_id"},
     {Fault::kAcceptUntilGraceEnds, "accept_until_grace_ends"},
+    {Fault::kAcceptMisplacedBody, "accept_misplaced_body"},
 }};
 
 #ifdef LIMPET_FAULTS
--- a/include/limpet/edge/inbound_proxy.h
+++ b/include/limpet/edge/inbound_proxy.h
@@ -17,12 +17,16 @@
 
 namespace limpet::edge {
 
+class Link;
+
 /// Receives the reply of a pending call: a link to another node, or this node itself.
 class ReplySink {
  public:
   virtual ~ReplySink() = default;
   /// False once the reply can no longer be delivered.
   virtual bool IsOpen() const = 0;
+  /// Whether the call came on this link. False for calls of this node.
+  virtual bool IsFor(const Link& /*link*/) const { return false; }
   virtual void Deliver(wire::LinkReply reply, std::string body) = 0;
 };
 
@@ -48,9 +52,11 @@
   void Call(const std::string& key, wire::LinkCall call, std::string body, ReplySinkPtr sink);
   /// Whether the body of this call is still to be received.
   bool IsAwaitingBody(const std::string& key) const;
-  /// Adds received bytes to the body of a call that waits for it. More bytes than announced end the
-  /// call; bytes for any other call are dropped.
-  void AddBody(const std::string& key, std::string_view bytes);
+  /// Adds bytes received on `link` to the body of a call that waits for it. Bytes with any other
+  /// `offset` than the end of the body so far, or beyond its announced size, end the call. Bytes
+  /// for other calls are dropped, and so are those of a link on which the call came before it was
+  /// sent again: they may still be on their way.
+  void AddBody(const std::string& key, const Link& link, int64_t offset, std::string_view bytes);
   /// Cancels a call whose reply is no longer needed. A non-idempotent request that has been sent to
   /// the target is not interrupted.
   void Cancel(const std::string& key);
--- a/include/limpet/edge/peer_links.h
+++ b/include/limpet/edge/peer_links.h
@@ -115,7 +115,7 @@
     bool connect_attempted = false;
     int64_t incarnation = 0;
     /// Large request bodies are sent when the peer asks for them, otherwise with their call.
-    bool requests_bodies = false;
+    bool requests_body_parts = false;
     Duration backoff{0};
     std::unique_ptr<Timer> retry_timer;
     TimePoint lost_at{};
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -196,7 +196,7 @@
     if (with_nodes) {
       hello.known_nodes = links_->SampleNodes(kNodesPerHandshake);
     }
-    hello.requests_bodies = true;
+    hello.requests_body_parts = true;
     return hello;
   };
   hooks.on_node = [this](const wire::NodeAddress& node, int64_t incarnation) {
--- a/src/edge/inbound_proxy.cc
+++ b/src/edge/inbound_proxy.cc
@@ -141,22 +141,35 @@
   return found != pending_.end() && found->second.awaiting_body;
 }
 
-void InboundProxy::AddBody(const std::string& key, std::string_view bytes) {
+void InboundProxy::AddBody(const std::string& key,
+                           const Link& link,
+                           int64_t offset,
+                           std::string_view bytes) {
   const auto found = pending_.find(key);
   if (found == pending_.end() || !found->second.awaiting_body) {
     return;
   }
   PendingCall& pending = found->second;
-  const auto expected = static_cast<std::size_t>(pending.call.body_bytes);
-  pending.body += bytes;
-  if (pending.body.size() < expected) {
+  const bool checked = !IsFaultActive(Fault::kAcceptMisplacedBody);
+  if (checked && (!pending.sink || !pending.sink->IsFor(link))) {
     return;
   }
-  if (pending.body.size() > expected) {
+  const auto expected = static_cast<std::size_t>(pending.call.body_bytes);
+  const auto received = static_cast<int64_t>(pending.body.size());
+  if ((checked && offset != received) || pending.body.size() + bytes.size() > expected) {
+    LogEvent("body_part_misplaced")
+        .Add("request", pending.call.request_id)
+        .Add("offset", offset)
+        .Add("received", received)
+        .Add("bytes", static_cast<int64_t>(bytes.size()));
     gate_.RemoveQueued(key);
     Refuse(key, {.reason = Reason::kTargetUnavailable});
     return;
   }
+  pending.body += bytes;
+  if (pending.body.size() < expected) {
+    return;
+  }
   pending.awaiting_body = false;
   HandleGateEvents(gate_.OnBody(MonotonicNow(), key));
   ReportStatusChange();
--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -91,6 +91,7 @@
       const auto link = link_.lock();
       return link && !link->closed();
     }
+    bool IsFor(const Link& link) const override { return link_.lock().get() == &link; }
     void Deliver(wire::LinkReply reply, std::string body) override {
       if (const auto link = link_.lock()) {
         wire::LinkMessage message;
@@ -115,7 +116,8 @@
     if (message.__isset.call) {
       OnCall(std::move(message.call), std::move(body));
     } else if (message.__isset.body_part) {
-      server_.inbound_.AddBody(MakeCallKey(message.body_part.call_id), body);
+      server_.inbound_.AddBody(MakeCallKey(message.body_part.call_id), *link_,
+                               message.body_part.offset, body);
     }
     if (message.__isset.cancel) {
       server_.inbound_.Cancel(MakeCallKey(message.cancel.call_id));
--- a/src/edge/peer_links.cc
+++ b/src/edge/peer_links.cc
@@ -233,7 +233,7 @@
     FailCalls(peer, false);
   }
   peer.incarnation = hello.incarnation;
-  peer.requests_bodies = hello.requests_bodies;
+  peer.requests_body_parts = hello.requests_body_parts;
   peer.ready = true;
   peer.backoff = Duration(0);
   peer.probed_at = {};
@@ -305,7 +305,7 @@
 }
 
 void PeerLinks::SendCall(Peer& peer, PendingCall& call) {
-  const bool body_on_request = peer.requests_bodies && call.body->size() > kLargeBodyBytes;
+  const bool body_on_request = peer.requests_body_parts && call.body->size() > kLargeBodyBytes;
   call.body_sent = 0;
   call.call.body_bytes = body_on_request ? static_cast<int32_t>(call.body->size()) : 0;
   wire::LinkMessage message;
@@ -328,6 +328,7 @@
     wire::LinkMessage message;
     message.__isset.body_part = true;
     message.body_part.call_id = request.call_id;
+    message.body_part.offset = static_cast<int64_t>(call.body_sent);
     peer.link->Send(message, call.body->substr(call.body_sent, bytes));
     call.body_sent += bytes;
     remaining -= bytes;
--- a/src/gen/limpet_types.cpp
+++ b/src/gen/limpet_types.cpp
@@ -7813,6 +7813,10 @@
 void LinkHello::__set_wants_nodes(const bool val) {
   this->wants_nodes = val;
 }
+
+void LinkHello::__set_requests_body_parts(const bool val) {
+  this->requests_body_parts = val;
+}
 std::ostream& operator<<(std::ostream& out, const LinkHello& obj)
 {
   obj.printTo(out);
@@ -7909,6 +7913,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->requests_body_parts);
+          this->__isset.requests_body_parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7962,6 +7974,10 @@
   xfer += oprot->writeBool(this->wants_nodes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("requests_body_parts", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->requests_body_parts);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7976,6 +7992,7 @@
   swap(a.known_nodes, b.known_nodes);
   swap(a.requests_bodies, b.requests_bodies);
   swap(a.wants_nodes, b.wants_nodes);
+  swap(a.requests_body_parts, b.requests_body_parts);
   swap(a.__isset, b.__isset);
 }
 
@@ -7987,6 +8004,7 @@
   known_nodes = other345.known_nodes;
   requests_bodies = other345.requests_bodies;
   wants_nodes = other345.wants_nodes;
+  requests_body_parts = other345.requests_body_parts;
   __isset = other345.__isset;
 }
 LinkHello::LinkHello(LinkHello&& other346) noexcept {
@@ -7997,6 +8015,7 @@
   known_nodes = std::move(other346.known_nodes);
   requests_bodies = other346.requests_bodies;
   wants_nodes = other346.wants_nodes;
+  requests_body_parts = other346.requests_body_parts;
   __isset = other346.__isset;
 }
 LinkHello& LinkHello::operator=(const LinkHello& other347) {
@@ -8007,6 +8026,7 @@
   known_nodes = other347.known_nodes;
   requests_bodies = other347.requests_bodies;
   wants_nodes = other347.wants_nodes;
+  requests_body_parts = other347.requests_body_parts;
   __isset = other347.__isset;
   return *this;
 }
@@ -8018,6 +8038,7 @@
   known_nodes = std::move(other348.known_nodes);
   requests_bodies = other348.requests_bodies;
   wants_nodes = other348.wants_nodes;
+  requests_body_parts = other348.requests_body_parts;
   __isset = other348.__isset;
   return *this;
 }
@@ -8031,6 +8052,7 @@
   out << ", " << "known_nodes=" << to_string(known_nodes);
   out << ", " << "requests_bodies=" << to_string(requests_bodies);
   out << ", " << "wants_nodes=" << to_string(wants_nodes);
+  out << ", " << "requests_body_parts=" << to_string(requests_body_parts);
   out << ")";
 }
 
@@ -8638,6 +8660,10 @@
 void LinkBodyPart::__set_call_id(const int64_t val) {
   this->call_id = val;
 }
+
+void LinkBodyPart::__set_offset(const int64_t val) {
+  this->offset = val;
+}
 std::ostream& operator<<(std::ostream& out, const LinkBodyPart& obj)
 {
   obj.printTo(out);
@@ -8674,6 +8700,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8695,6 +8729,10 @@
   xfer += oprot->writeI64(this->call_id);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8703,24 +8741,29 @@
 void swap(LinkBodyPart &a, LinkBodyPart &b) {
   using ::std::swap;
   swap(a.call_id, b.call_id);
+  swap(a.offset, b.offset);
   swap(a.__isset, b.__isset);
 }
 
 LinkBodyPart::LinkBodyPart(const LinkBodyPart& other363) noexcept {
   call_id = other363.call_id;
+  offset = other363.offset;
   __isset = other363.__isset;
 }
 LinkBodyPart::LinkBodyPart(LinkBodyPart&& other364) noexcept {
   call_id = other364.call_id;
+  offset = other364.offset;
   __isset = other364.__isset;
 }
 LinkBodyPart& LinkBodyPart::operator=(const LinkBodyPart& other365) noexcept {
   call_id = other365.call_id;
+  offset = other365.offset;
   __isset = other365.__isset;
   return *this;
 }
 LinkBodyPart& LinkBodyPart::operator=(LinkBodyPart&& other366) noexcept {
   call_id = other366.call_id;
+  offset = other366.offset;
   __isset = other366.__isset;
   return *this;
 }
@@ -8728,6 +8771,7 @@
   using ::apache::thrift::to_string;
   out << "LinkBodyPart(";
   out << "call_id=" << to_string(call_id);
+  out << ", " << "offset=" << to_string(offset);
   out << ")";
 }
 
--- a/src/gen/limpet_types.h
+++ b/src/gen/limpet_types.h
@@ -2944,7 +2944,7 @@
 std::ostream& operator<<(std::ostream& out, const NodeAddress& obj);
 
 typedef struct _LinkHello__isset {
-  _LinkHello__isset() : node(false), incarnation(false), config_version(false), target(false), known_nodes(false), requests_bodies(false), wants_nodes(false) {}
+  _LinkHello__isset() : node(false), incarnation(false), config_version(false), target(false), known_nodes(false), requests_bodies(false), wants_nodes(false), requests_body_parts(false) {}
   bool node :1;
   bool incarnation :1;
   bool config_version :1;
@@ -2952,6 +2952,7 @@
   bool known_nodes :1;
   bool requests_bodies :1;
   bool wants_nodes :1;
+  bool requests_body_parts :1;
 } _LinkHello__isset;
 
 class LinkHello : public virtual ::apache::thrift::TBase {
@@ -2965,7 +2966,8 @@
             : incarnation(0),
               config_version(0),
               requests_bodies(0),
-              wants_nodes(0) {
+              wants_nodes(0),
+              requests_body_parts(0) {
   }
 
   virtual ~LinkHello() noexcept;
@@ -2976,6 +2978,7 @@
   std::vector<NodeAddress>  known_nodes;
   bool requests_bodies;
   bool wants_nodes;
+  bool requests_body_parts;
 
   _LinkHello__isset __isset;
 
@@ -2993,6 +2996,8 @@
 
   void __set_wants_nodes(const bool val);
 
+  void __set_requests_body_parts(const bool val);
+
   bool operator == (const LinkHello & rhs) const
   {
     if (!(node == rhs.node))
@@ -3009,6 +3014,8 @@
       return false;
     if (!(wants_nodes == rhs.wants_nodes))
       return false;
+    if (!(requests_body_parts == rhs.requests_body_parts))
+      return false;
     return true;
   }
   bool operator != (const LinkHello &rhs) const {
@@ -3236,8 +3243,9 @@
 std::ostream& operator<<(std::ostream& out, const LinkBodyRequest& obj);
 
 typedef struct _LinkBodyPart__isset {
-  _LinkBodyPart__isset() : call_id(false) {}
+  _LinkBodyPart__isset() : call_id(false), offset(false) {}
   bool call_id :1;
+  bool offset :1;
 } _LinkBodyPart__isset;
 
 class LinkBodyPart : public virtual ::apache::thrift::TBase {
@@ -3248,20 +3256,26 @@
   LinkBodyPart& operator=(const LinkBodyPart&) noexcept;
   LinkBodyPart& operator=(LinkBodyPart&&) noexcept;
   LinkBodyPart() noexcept
-               : call_id(0) {
+               : call_id(0),
+                 offset(0) {
   }
 
   virtual ~LinkBodyPart() noexcept;
   int64_t call_id;
+  int64_t offset;
 
   _LinkBodyPart__isset __isset;
 
   void __set_call_id(const int64_t val);
 
+  void __set_offset(const int64_t val);
+
   bool operator == (const LinkBodyPart & rhs) const
   {
     if (!(call_id == rhs.call_id))
       return false;
+    if (!(offset == rhs.offset))
+      return false;
     return true;
   }
   bool operator != (const LinkBodyPart &rhs) const {
--- a/tests/edge/inbound_proxy_test.cc
+++ b/tests/edge/inbound_proxy_test.cc
@@ -8,7 +8,9 @@
 #include <vector>
 
 #include "edge/loop_thread.h"
+#include "limpet/edge/link.h"
 #include "limpet/registry/target_registry.h"
+#include "net/loopback.h"
 #include "net/scripted_http_server.h"
 
 namespace limpet::edge {
@@ -16,14 +18,17 @@
 
 class RecordingSink final : public ReplySink {
  public:
-  explicit RecordingSink(std::vector<wire::LinkReply>& replies) : replies_(replies) {}
+  explicit RecordingSink(std::vector<wire::LinkReply>& replies, LinkPtr link = nullptr)
+      : replies_(replies), link_(std::move(link)) {}
   bool IsOpen() const override { return true; }
+  bool IsFor(const Link& link) const override { return link_.get() == &link; }
   void Deliver(wire::LinkReply reply, std::string /*body*/) override {
     replies_.push_back(std::move(reply));
   }
 
  private:
   std::vector<wire::LinkReply>& replies_;
+  LinkPtr link_;
 };
 
 /// Sends calls to a scripted target, one after the other.
@@ -34,19 +39,19 @@
   TargetGate gate{TargetGateOptions{}};
   InboundProxy proxy{loop.executor(), header_names, gate, counters, {}, [] {}};
   std::vector<wire::LinkReply> replies;
+  std::size_t expected_replies = 0;
 
   ~Fixture() { loop.Stop(); }
 
-  void UseTarget(const ScriptedHttpServer& server) {
+  void UseTarget(int port) {
     TargetAnnouncement target;
     target.instance = "i-1";
     target.service = "desk";
-    target.address = "127.0.0.1:" + std::to_string(server.port());
+    target.address = "127.0.0.1:" + std::to_string(port);
     target.slots = 2;
     loop.Run([&] { proxy.SetTarget(&target); });
   }
-  wire::LinkReply Call(const std::string& request_id) {
-    const std::size_t expected = replies.size() + 1;
+  static wire::LinkCall MakeCall(const std::string& request_id) {
     wire::LinkCall call;
     call.request_id = request_id;
     call.service_name = "desk";
@@ -55,13 +60,36 @@
     call.path = "/";
     call.deadline_ms = 1000;
     call.latency_target_ms = 500;
+    return call;
+  }
+  wire::LinkReply Call(const std::string& request_id) {
     loop.Run([&] {
-      proxy.Call("node/1/" + request_id, call, "body", std::make_shared<RecordingSink>(replies));
+      proxy.Call("node/1/" + request_id, MakeCall(request_id), "body",
+                 std::make_shared<RecordingSink>(replies));
     });
-    while (loop.Run([&] { return replies.size(); }) < expected) {
+    return WaitForReply();
+  }
+  /// Returns the next reply that was not returned before.
+  wire::LinkReply WaitForReply() {
+    ++expected_replies;
+    while (loop.Run([&] { return replies.size(); }) < expected_replies) {
       std::this_thread::sleep_for(std::chrono::milliseconds(2));
     }
-    return replies.back();
+    return loop.Run([&] { return replies.at(expected_replies - 1); });
+  }
+  LinkPtr MakeLink() {
+    return loop.Run([this] { return std::make_shared<Link>(TcpSocket(loop.executor())); });
+  }
+  /// Starts the call "a", whose body of 8 bytes follows on `link`.
+  void StartUpload(const LinkPtr& link) {
+    loop.Run([&] {
+      wire::LinkCall call = MakeCall("a");
+      call.body_bytes = 8;
+      proxy.Call("node/1/a", call, "", std::make_shared<RecordingSink>(replies, link));
+    });
+  }
+  void AddBody(const LinkPtr& link, int64_t offset, const std::string& bytes) {
+    loop.Run([&] { proxy.AddBody("node/1/a", *link, offset, bytes); });
   }
 };
 
@@ -87,7 +115,7 @@
                 Response("200 OK", "X-Request-Id: b\r\n"),
             false};
   });
-  UseTarget(server);
+  UseTarget(server.port());
   CHECK(Call("a").outcome == wire::Outcome::kNotRun);
   const wire::LinkReply reply = Call("b");
   CHECK(reply.outcome == wire::Outcome::kRan);
@@ -100,7 +128,7 @@
   ScriptedHttpServer server([](int) {
     return ScriptedHttpServer::Response{Response("200 OK", ""), false};
   });
-  UseTarget(server);
+  UseTarget(server.port());
   CHECK(Call("a").outcome == wire::Outcome::kRan);
   CHECK(Call("b").outcome == wire::Outcome::kRan);
   for (int i = 0; i < 200 && server.closed_by_client() == 0; ++i) {
@@ -109,5 +137,54 @@
   CHECK(server.closed_by_client() >= 1);
 }
 
+/// A target that keeps the bodies of its requests.
+struct UploadFixture : Fixture {
+  std::vector<std::string> bodies;
+  TestServer target{loop, {"127.0.0.1", FreePort()}, [this](const HttpSessionPtr& session) {
+                      bodies.push_back(session->request().body);
+                      HttpResponse response = TextResponse(200, "");
+                      response.headers.push_back(
+                          MakeHeader("X-Request-Id", session->request().Header("X-Request-Id")));
+                      session->Respond(std::move(response));
+                    }};
+
+  UploadFixture() { UseTarget(target.port()); }
+};
+
+// Guards against a body with its later part first: after a freeze of this node, the caller's node
+// sends the call again on a new link, and parts from the old link are still on their way.
+TEST_CASE_FIXTURE(UploadFixture, "parts of a body from an earlier link are dropped") {
+  const LinkPtr earlier = MakeLink();
+  const LinkPtr current = MakeLink();
+  StartUpload(earlier);
+  AddBody(earlier, 0, "abcd");
+  StartUpload(current);
+  AddBody(earlier, 4, "efgh");
+  AddBody(current, 0, "abcd");
+  AddBody(current, 4, "efgh");
+  CHECK(WaitForReply().outcome == wire::Outcome::kRan);
+  CHECK(bodies == std::vector<std::string>{"abcdefgh"});
+}
+
+// Guards against a body that has the announced length but a gap or a repeat.
+TEST_CASE_FIXTURE(UploadFixture, "a body with a gap or a repeat is not passed on") {
+  int64_t second_offset = 0;
+  SUBCASE("repeat") {
+    second_offset = 0;
+  }
+  SUBCASE("overlap") {
+    second_offset = 3;
+  }
+  SUBCASE("gap") {
+    second_offset = 5;
+  }
+  const LinkPtr link = MakeLink();
+  StartUpload(link);
+  AddBody(link, 0, "abcd");
+  AddBody(link, second_offset, "efgh");
+  CHECK(WaitForReply().outcome == wire::Outcome::kNotRun);
+  CHECK(bodies.empty());
+}
+
 }  // namespace
 }  // namespace limpet::edge
