Read the bytes of callers into a buffer of their own

Cause: HttpSession reads into the free part of the buffer that it parses. When a response has been written, the next request is parsed while a read is pending. Consuming the whole buffer resets its positions, the read then completes behind them, and the bytes that commit() takes as received are those of the request before, which is dispatched again.

A read now has a buffer of its own, and its bytes are appended when it completes. One request at a time is dispatched; up to 64 KiB of later ones wait. The test failed before: the third request got no response of its own and the second was dispatched twice.

--- a/include/limpet/edge/http_session.h
+++ b/include/limpet/edge/http_session.h
@@ -1,6 +1,7 @@
 #ifndef LIMPET_EDGE_HTTP_SESSION_H_
 #define LIMPET_EDGE_HTTP_SESSION_H_
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -95,6 +96,10 @@
   bool keep_alive_ = true;
   /// Part of the body budget that this session uses.
   std::size_t reserved_bytes_ = 0;
+  /// Destination of a pending read. Separate from `buffer_`, which is parsed while a read is
+  /// pending.
+  std::array<char, 4096> read_buffer_;
+  /// Received bytes that are not parsed yet.
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   HttpRequest request_;
--- a/src/edge/http_session.cc
+++ b/src/edge/http_session.cc
@@ -1,5 +1,6 @@
 #include "limpet/edge/http_session.h"
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
@@ -16,7 +17,6 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 4096;
 /// Bytes of later requests that are buffered while one is pending. Reading continues only to detect
 /// a closed connection.
 constexpr std::size_t kMaxReadAhead = std::size_t{64} << 10;
@@ -54,7 +54,7 @@
   }
   reading_ = true;
   socket_.async_read_some(
-      buffer_.prepare(kReadBytes), [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+      asio::buffer(read_buffer_), [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
         if (!RunGuarded("caller_connection", [&] { self->OnRead(error, bytes); })) {
           self->Close();
         }
@@ -70,7 +70,7 @@
     Close();
     return;
   }
-  buffer_.commit(bytes);
+  buffer_.commit(asio::buffer_copy(buffer_.prepare(bytes), asio::buffer(read_buffer_, bytes)));
   switch (state_) {
     case State::kClosing:
       buffer_.consume(buffer_.size());
--- a/tests/edge/http_session_test.cc
+++ b/tests/edge/http_session_test.cc
@@ -4,6 +4,9 @@
 
 #include <atomic>
 #include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
 
 #include "edge/loop_thread.h"
 #include "edge/raw_client.h"
@@ -46,6 +49,43 @@
   CHECK(client.ReadResponse().ends_with("POST /b hi"));
 }
 
+// Guards against a request that is dispatched twice, and its response that goes to a later request,
+// when a caller sends the next request before the response.
+TEST_CASE("requests that arrive while one is pending are dispatched once and in order") {
+  LoopThread loop;
+  std::vector<std::string> targets;
+  std::vector<HttpSessionPtr> pending;
+  TestServer server{loop, {"127.0.0.1", FreePort()}, [&](const HttpSessionPtr& session) {
+                      targets.push_back(session->request().target);
+                      pending.push_back(session);
+                    }};
+  RawClient client(server.port());
+  const auto send = [&](const std::string& target) {
+    client.Send("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(milliseconds(30));
+  };
+  const auto respond = [&] {
+    loop.Run([&] {
+      if (!pending.empty()) {
+        const HttpSessionPtr session = pending.front();
+        pending.erase(pending.begin());
+        session->Respond(TextResponse(200, "to " + session->request().target));
+      }
+    });
+    return client.ReadResponse();
+  };
+  send("/a");
+  send("/b");
+  CHECK(loop.Run([&] { return targets.size(); }) == 1);
+  CHECK(respond().ends_with("to /a"));
+  send("/c");
+  CHECK(respond().ends_with("to /b"));
+  CHECK(respond().ends_with("to /c"));
+  std::this_thread::sleep_for(milliseconds(30));
+  CHECK(loop.Run([&] { return targets; }) == std::vector<std::string>{"/a", "/b", "/c"});
+  loop.Stop();
+}
+
 TEST_CASE_FIXTURE(Fixture, "a chunked body is decoded") {
   client.Send("POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n");
   client.Send("3\r\nllo\r\n0\r\n\r\n");
