Take the ports of tests from below the range of local ports

FreePort returned a port from the range from which the kernel takes the local ports of connections (32768 to 60999), so a connection of a test that runs at the same time can take it before the caller listens. The soak's harness had the same race and avoids that range. Not reproduced on its own; the port of the failure is in that range.

--- a/tests/net/loopback.h
+++ b/tests/net/loopback.h
@@ -6,6 +6,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <mutex>
+#include <random>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -57,10 +60,29 @@
   int fd_;
 };
 
-/// Returns a loopback port that is free at the time of the call. Another process can take it
-/// afterwards.
+/// Returns a loopback port that is free at the time of the call, each time another one. The port is
+/// below the range from which the kernel takes the local ports of connections: another test process
+/// could otherwise get it before the caller listens on it.
 inline int FreePort() {
-  return LoopbackListener().port();
+  constexpr int kFirst = 12000;
+  constexpr int kCount = 20000;
+  static std::mutex mutex;
+  static std::set<int> returned;
+  static std::random_device device;
+  const std::lock_guard lock(mutex);
+  for (;;) {
+    const int port = kFirst + static_cast<int>(device() % kCount);
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<uint16_t>(port));
+    const bool is_free = ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    ::close(fd);
+    if (is_free && returned.insert(port).second) {
+      return port;
+    }
+  }
 }
 
 /// Server that sends fixed bytes, which need not be valid HTTP. Accepts one connection at a time,
