Use a target start only after a health check of this process

Cause: TargetRegistry remembered leaves in the memory of one process and took any heartbeat for a current one where it remembered nothing. A heartbeat does not show when it was sent, and start times and sequences prove nothing once the clock was set.

Ruled out: the other nodes, because only the node on the VM sends to the target; the store, which has no part in it; the health check at a start, which the target failed, but the heartbeat counted without it.

Now a heartbeat makes a target start a candidate. It is used once it passes a health check that this process sent after the last leave or drain. An earlier process cannot have acknowledged a leave that such a check does not show, so no state has to survive a restart.

In mesh_test.cc each node has its own event loop, so that it can be restarted; a target that announces itself as ready answers its health check with 200, as the users' page says. Two tests call until the second target is in use before they count on it. The test of a pause now pauses both nodes of a request.

Mutants: use_unconfirmed_target, trust_earlier_check.

--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -33,9 +33,11 @@
   kAcceptResponseWithoutId,
   kAcceptUntilGraceEnds,
   kAcceptMisplacedBody,
+  kUseUnconfirmedTarget,
+  kTrustEarlierCheck,
 };
 
-inline constexpr EnumNames<Fault, 25> kFaultNames = {{
+inline constexpr EnumNames<Fault, 27> kFaultNames = {{
     {Fault::kNone, "none"},
     {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
@@ -61,6 +63,8 @@
     {Fault::kAcceptResponseWithoutId, "accept_response_without_id"},
     {Fault::kAcceptUntilGraceEnds, "accept_until_grace_ends"},
     {Fault::kAcceptMisplacedBody, "accept_misplaced_body"},
+    {Fault::kUseUnconfirmedTarget, "use_unconfirmed_target"},
+    {Fault::kTrustEarlierCheck, "trust_earlier_check"},
 }};
 
 #ifdef LIMPET_FAULTS
--- a/include/limpet/edge/edge_node.h
+++ b/include/limpet/edge/edge_node.h
@@ -94,8 +94,13 @@
   void RunTick(TimePoint now);
   void LogTraffic(TimePoint now);
   void CheckStopped();
-  /// Probes the target's health endpoint while the node has just started and no target is known.
-  void DiscoverTarget(TimePoint now);
+  /// Sends a health check to the target if the registry needs one, or if the node has just started
+  /// and no target is known.
+  void CheckTarget(TimePoint now);
+  /// `candidate` is the instance for which the check was sent; empty if none was known.
+  void OnTargetChecked(int64_t check,
+                       const std::string& candidate,
+                       const TargetProbe::Result& result);
 
   Executor executor_;
   NodeSettings settings_;
--- a/include/limpet/edge/target_probe.h
+++ b/include/limpet/edge/target_probe.h
@@ -10,11 +10,18 @@
 
 namespace limpet::edge {
 
-/// Requests the target's health endpoint to get its instance id. A node that has just started finds
-/// its target this way and need not wait for the next heartbeat.
+/// Requests the target's health endpoint, which names the instance and shows whether it is leaving.
+/// Each request uses a new connection, so that the response cannot be that of an earlier one.
 class TargetProbe {
  public:
-  using Callback = std::function<void(const std::string& instance)>;
+  struct Result {
+    /// The target responded with 200 and its instance id.
+    bool healthy = false;
+    /// 0 without a response.
+    int status = 0;
+    std::string instance;
+  };
+  using Callback = std::function<void(const Result& result)>;
 
   /// `header_names` must outlive the probe.
   TargetProbe(const Executor& executor, const HttpHeaderNames& header_names);
@@ -22,9 +29,8 @@
   TargetProbe(const TargetProbe&) = delete;
   TargetProbe& operator=(const TargetProbe&) = delete;
 
-  /// `on_instance` is called later if the target responds with 200 and its instance id. It is not
-  /// called otherwise.
-  void Send(const PeerAddress& target, const std::string& health_path, Callback on_instance);
+  /// `on_result` is called later, also without a response. Only one request may be pending.
+  void Send(const PeerAddress& target, const std::string& health_path, Callback on_result);
   bool pending() const { return connection_ != nullptr; }
 
  private:
--- a/include/limpet/registry/target_registry.h
+++ b/include/limpet/registry/target_registry.h
@@ -5,6 +5,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "limpet/core/enum_names.h"
 #include "limpet/core/time.h"
@@ -38,62 +40,98 @@
 };
 
 enum class AnnouncementResult {
-  kCurrent,     // from the local target, which is ready
-  kDraining,    // from the local target, which accepts no new work from now on
-  kLate,        // older than what is already known
-  kWrongPlace,  // not the address of the local target
+  kCurrent,      // from the local target, which is ready
+  kDraining,     // from the local target, which accepts no new work from now on
+  kUnconfirmed,  // from a target start that is not used before it passes a health check
+  kLate,         // older than what is already known
+  kWrongPlace,   // not the address of the local target
 };
 
-inline constexpr EnumNames<AnnouncementResult, 4> kAnnouncementResultNames = {{
+inline constexpr EnumNames<AnnouncementResult, 5> kAnnouncementResultNames = {{
     {AnnouncementResult::kCurrent, "current"},
     {AnnouncementResult::kDraining, "draining"},
+    {AnnouncementResult::kUnconfirmed, "unconfirmed"},
     {AnnouncementResult::kLate, "late"},
     {AnnouncementResult::kWrongPlace, "wrong_place"},
 }};
 
-/// Tracks the local target, which runs beside this node, by its heartbeats. Heartbeats may be
-/// duplicated, delayed, or received after those of a later instance. A leave is final for a target
-/// instance. Not safe for concurrent use.
+/// Tracks the local target, which runs beside this node, by its heartbeats and health checks.
+/// Heartbeats may be duplicated, delayed, or received after those of a later instance.
+///
+/// A heartbeat alone does not put a target start into use: it may have been sent before a leave
+/// that an earlier process of this node acknowledged. The start becomes a candidate and is used
+/// once it passes a health check that was sent by this process after the last leave, because a
+/// target that is leaving fails its health checks. Draining and leaving need no check and are final
+/// for a target start. Not safe for concurrent use.
 class TargetRegistry {
  public:
-  /// `address` is the address at which the local target accepts requests.
-  explicit TargetRegistry(std::string address) : address_(std::move(address)) {}
+  /// `address` is the address at which the local target accepts requests. `started` and
+  /// `started_unix_ms` are the start of this process by both clocks.
+  TargetRegistry(std::string address, TimePoint started, int64_t started_unix_ms)
+      : address_(std::move(address)), started_(started), started_unix_ms_(started_unix_ms) {}
 
   AnnouncementResult OnAnnouncement(TimePoint now, const TargetAnnouncement& announcement);
   /// Handles the message of a target that it leaves. `start_time_ms` is empty if the message has no
-  /// start time. The start time is then taken from the heartbeats; if it is not known from them
-  /// either, the leave applies to all starts up to `unix_ms`, the current time of day.
-  void OnLeave(TimePoint now,
-               int64_t unix_ms,
-               const std::string& instance,
-               std::optional<int64_t> start_time_ms);
-
-  /// Handles an instance that the target's health endpoint named before any heartbeat was received.
-  /// Returns false if a target is already known, or if the instance has left or was replaced. Its
-  /// start time is unknown until its next heartbeat.
-  bool OnDiscovered(const std::string& instance, const std::string& service, int slots);
-
-  /// The latest known target instance that has not left, also while it drains; null if none.
+  /// start time.
+  void OnLeave(TimePoint now, const std::string& instance, std::optional<int64_t> start_time_ms);
+
+  /// Returns a candidate whose health check is due, or null.
+  const TargetAnnouncement* FindCheckDue(TimePoint now) const;
+  /// Call it when a health check of the target is sent; pass the result to `OnCheckPassed`. Sets
+  /// when the check of the candidate `instance` is repeated.
+  int64_t OnCheckSent(TimePoint now, const std::string& instance);
+  /// Handles a passed health check that named `instance`, and returns true if that changes
+  /// `current()`. A check that was sent before the last leave proves nothing and is ignored.
+  bool OnCheckPassed(int64_t check, const std::string& instance);
+  /// Handles a passed health check before any heartbeat of `instance`. The target is used if none
+  /// is known; its start time is unknown until its next heartbeat.
+  bool OnDiscovered(int64_t check,
+                    const std::string& instance,
+                    const std::string& service,
+                    int slots);
+  /// Puts a candidate whose service has no health check into use if it started after this process,
+  /// or if its heartbeats arrive long after any leave. Returns true if that changes `current()`.
+  bool ConfirmUnchecked(const std::string& instance);
+
+  /// The latest confirmed target start that has not left, also while it drains; null if none.
   const TargetAnnouncement* current() const { return current_ ? &*current_ : nullptr; }
   void set_address(std::string address) { address_ = std::move(address); }
 
  private:
-  struct EndedInstance {
-    /// Start time of the instance; all starts up to this time have ended.
+  struct Candidate {
+    TargetAnnouncement announcement;
+    TimePoint heard_at{};
+    TimePoint check_due_at{};
+    Duration check_backoff{0};
+  };
+  struct EndedStart {
+    std::string instance;
     int64_t start_time_ms = 0;
-    TimePoint ended_at{};
-    /// The start time was not known when the target left, so `start_time_ms` is only an upper
-    /// bound.
-    bool estimated = false;
+    TimePoint expiry{};
   };
 
-  bool IsLate(const TargetAnnouncement& announcement) const;
+  bool IsOfCurrentStart(const TargetAnnouncement& announcement) const;
+  AnnouncementResult OnCurrentAnnouncement(const TargetAnnouncement& announcement);
+  AnnouncementResult OnDraining(TimePoint now, const TargetAnnouncement& announcement);
+  AnnouncementResult AddCandidate(TimePoint now, const TargetAnnouncement& announcement);
+  bool HasEnded(const TargetAnnouncement& announcement) const;
+  void RecordEnd(const std::string& instance, int64_t start_time_ms, TimePoint expiry);
+  /// Handles the acknowledged end of a start of `instance`. Without a start time, no candidate with
+  /// this name remains.
+  void EndStart(TimePoint now, const std::string& instance, std::optional<int64_t> start_time_ms);
   void RemoveExpired(TimePoint now);
 
   std::string address_;
+  TimePoint started_;
+  int64_t started_unix_ms_;
   std::optional<TargetAnnouncement> current_;
-  /// Target instances that have left or were replaced, by name.
-  std::map<std::string, EndedInstance> ended_instances_;
+  /// Target starts that have announced themselves and are not confirmed yet, by instance.
+  std::map<std::string, Candidate> candidates_;
+  /// Target starts that have left or drained.
+  std::vector<EndedStart> ended_starts_;
+  /// Number of leaves and drains so far, by which an outdated health check is recognised.
+  int64_t ended_count_ = 0;
+  TimePoint last_end_{};
 };
 
 }  // namespace limpet
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -65,8 +65,8 @@
 /// The node stops this long before the grace period ends, even if requests are still pending.
 constexpr Duration kStopMargin = std::chrono::milliseconds(300);
 
-/// The health endpoint is probed for a target for this long after the start of the node; later,
-/// only heartbeats announce one.
+/// The health endpoint is asked for a target without any heartbeat for this long after the start of
+/// the node; later, only heartbeats announce one.
 constexpr Duration kDiscoveryTime = std::chrono::seconds(2);
 constexpr Duration kDiscoveryInterval = std::chrono::milliseconds(250);
 /// Slots assumed for a discovered target if no other target of its service is known. Kept low until
@@ -159,7 +159,7 @@
       codec_(codec),
       coordination_(coordination),
       readers_({}, settings_.name, static_cast<int>(settings_.link_mbps)),
-      registry_(FormatAddress(settings_.target)),
+      registry_(FormatAddress(settings_.target), MonotonicNow(), UnixMs()),
       gate_(TargetGateOptions{}),
       placement_(PlacementOptions{}, settings_.data_centre, Random(GenerateSeed())),
       budget_(MakeBudgetOptions(settings_)),
@@ -270,6 +270,7 @@
   settings_.grace_period_ms = settings.grace_period_ms;
   budget_.set_options(MakeBudgetOptions(settings_));
   outbound_->set_service(settings_.service);
+  settings_.target = settings.target;
   registry_.set_address(FormatAddress(settings.target));
   LogEvent("reloaded").Add("service", settings_.service);
 }
@@ -386,8 +387,7 @@
     if (message.announcement) {
       ApplyAnnouncement(*message.announcement);
     } else if (message.leave) {
-      registry_.OnLeave(MonotonicNow(), UnixMs(), message.leave->instance,
-                        message.leave->start_time_ms);
+      registry_.OnLeave(MonotonicNow(), message.leave->instance, message.leave->start_time_ms);
       inbound_->SetTarget(registry_.current());
       LogEvent("target_left").Add("instance", message.leave->instance);
     }
@@ -425,27 +425,60 @@
   if (result == AnnouncementResult::kCurrent || result == AnnouncementResult::kDraining) {
     inbound_->SetTarget(registry_.current());
   }
+  CheckTarget(MonotonicNow());
 }
 
-void EdgeNode::DiscoverTarget(TimePoint now) {
-  const bool should_probe = !target_announced_ && registry_.current() == nullptr &&
-                            config_.routes() && now - started_ <= kDiscoveryTime;
-  if (!should_probe || target_probe_.pending() || now - last_discovery_ < kDiscoveryInterval) {
+void EdgeNode::CheckTarget(TimePoint now) {
+  if (!config_.routes() || target_probe_.pending()) {
     return;
   }
-  const MeshService* service = config_.routes()->FindService(settings_.service);
-  if (service == nullptr || service->health_path.empty()) {
+  const TargetAnnouncement* candidate = registry_.FindCheckDue(now);
+  const bool discovers = candidate == nullptr && !target_announced_ &&
+                         registry_.current() == nullptr && now - started_ <= kDiscoveryTime &&
+                         now - last_discovery_ >= kDiscoveryInterval;
+  if (candidate == nullptr && !discovers) {
     return;
   }
-  last_discovery_ = now;
-  target_probe_.Send(settings_.target, service->health_path, [this](const std::string& instance) {
-    const int known_slots = placement_.MinSlots(settings_.service);
-    const int slots = known_slots > 0 ? known_slots : kAssumedSlots;
-    if (!target_announced_ && registry_.OnDiscovered(instance, settings_.service, slots)) {
-      LogEvent("target_discovered").Add("instance", instance).Add("slots", slots);
-      inbound_->SetTarget(registry_.current());
-    }
-  });
+  const std::string service_name = discovers ? settings_.service : candidate->service;
+  const MeshService* service = config_.routes()->FindService(service_name);
+  const bool has_health_check = service != nullptr && !service->health_path.empty();
+  if (discovers) {
+    last_discovery_ = now;
+  }
+  const std::string instance = discovers ? "" : candidate->instance;
+  const int64_t check = registry_.OnCheckSent(now, instance);
+  if (has_health_check) {
+    target_probe_.Send(settings_.target, service->health_path,
+                       [this, check, instance](const TargetProbe::Result& result) {
+                         OnTargetChecked(check, instance, result);
+                       });
+  } else if (service != nullptr && registry_.ConfirmUnchecked(instance)) {
+    LogEvent("target_unchecked").Add("instance", instance).Add("service", service_name);
+    inbound_->SetTarget(registry_.current());
+  }
+}
+
+void EdgeNode::OnTargetChecked(int64_t check,
+                               const std::string& candidate,
+                               const TargetProbe::Result& result) {
+  const bool used = result.healthy && registry_.OnCheckPassed(check, result.instance);
+  if (used || !candidate.empty()) {
+    LogEvent("target_checked")
+        .Add("candidate", candidate)
+        .Add("status", int64_t{result.status})
+        .Add("instance", result.instance)
+        .Add("used", int64_t{used});
+  }
+  const int known_slots = placement_.MinSlots(settings_.service);
+  const int slots = known_slots > 0 ? known_slots : kAssumedSlots;
+  const bool discovered = result.healthy && candidate.empty() && !target_announced_ &&
+                          registry_.OnDiscovered(check, result.instance, settings_.service, slots);
+  if (discovered) {
+    LogEvent("target_discovered").Add("instance", result.instance).Add("slots", slots);
+  }
+  if (used || discovered) {
+    inbound_->SetTarget(registry_.current());
+  }
 }
 
 bool EdgeNode::IsReady() const {
@@ -554,7 +587,7 @@
   inbound_->Tick();
   links_->Tick();
   link_server_->Tick(now);
-  DiscoverTarget(now);
+  CheckTarget(now);
   PushStatus(now);
   if (now - last_probe_ >= kProbeInterval) {
     last_probe_ = now;
--- a/src/edge/target_probe.cc
+++ b/src/edge/target_probe.cc
@@ -8,8 +8,8 @@
 
 /// The target is on the same VM.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(100);
-/// A busy target responds only when a slot is free.
-constexpr Duration kResponseTimeout = std::chrono::milliseconds(500);
+/// A busy target responds only when a slot is free, so a check that is sent again waits again.
+constexpr Duration kResponseTimeout = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -24,7 +24,7 @@
 
 void TargetProbe::Send(const PeerAddress& target,
                        const std::string& health_path,
-                       Callback on_instance) {
+                       Callback on_result) {
   HttpConnectionOptions options;
   options.peer = target;
   options.connect_timeout = kConnectTimeout;
@@ -34,15 +34,16 @@
   request.target = health_path;
   connection_->Send(
       std::move(request), kResponseTimeout, [](const HttpHeaders&) { return true; },
-      [this, on_instance = std::move(on_instance)](const ExchangeResult& result) {
+      [this, on_result = std::move(on_result)](const ExchangeResult& result) {
         const HttpConnectionPtr connection = std::exchange(connection_, nullptr);
         connection->Close();
-        const std::string instance(result.response.Header(header_names_.instance));
-        const bool healthy =
-            result.status == ExchangeStatus::kResponded && result.response.status == 200;
-        if (healthy && !instance.empty()) {
-          on_instance(instance);
+        Result checked;
+        if (result.status == ExchangeStatus::kResponded) {
+          checked.status = result.response.status;
+          checked.instance = std::string(result.response.Header(header_names_.instance));
+          checked.healthy = checked.status == 200 && !checked.instance.empty();
         }
+        on_result(checked);
       });
 }
 
--- a/tests/platform/mesh_test.cc
+++ b/tests/platform/mesh_test.cc
@@ -31,7 +31,7 @@
          R"("specification":{"health_check_path":"/health","max_connections":130}}]})";
 }
 
-/// A node and its local target on one event loop.
+/// A node and its local target.
 class TestNode {
  public:
   TestNode(edge::LoopThread& loop,
@@ -40,7 +40,7 @@
            const std::string& service,
            double link_mbps = 1000,
            double grace_period_ms = 6000)
-      : loop_(loop), name_(name), service_(service) {
+      : instance("i-" + name), name_(name), service_(service) {
     settings_.name = name;
     settings_.link_mbps = link_mbps;
     settings_.data_centre = "a";
@@ -56,22 +56,40 @@
     target_ = std::make_unique<edge::TestServer>(
         loop, settings_.target,
         [this](const edge::HttpSessionPtr& session) { OnTargetRequest(session); });
-    loop_.Run([this] {
-      coordination_ =
-          std::make_unique<StoreCoordination>(loop_.executor(), settings_.store, Random(1));
-      node_ = std::make_unique<edge::EdgeNode>(loop_.executor(), settings_, PlatformHeaderNames(),
-                                               codec_, *coordination_);
-      node_->Start();
-    });
+    StartNode();
   }
+  ~TestNode() { process_->Stop(); }
+  TestNode(const TestNode&) = delete;
+  TestNode& operator=(const TestNode&) = delete;
 
   std::string Announce(const std::string& state, int sequence) {
+    healthy = state == "ready";
+    return SendHeartbeat(state, sequence);
+  }
+  /// Sends a heartbeat that does not show the present state of the target.
+  std::string SendHeartbeat(const std::string& state, int sequence) {
     const std::string body = R"({"service":")" + service_ + R"(","address":"127.0.0.1:)" +
                              std::to_string(settings_.target.port) +
                              R"(","zone":"a","version":"v1","slots":2,"state":")" + state +
-                             R"(","cold_remaining_ms":0,"born":1,"sequence":)" +
-                             std::to_string(sequence) + "}";
-    return Send(settings_.announcements.port, "PUT /instances/i-" + name_, body);
+                             R"(","cold_remaining_ms":0,"born":)" + std::to_string(start_time_ms) +
+                             R"(,"sequence":)" + std::to_string(sequence) + "}";
+    return Send(settings_.announcements.port, "PUT /instances/" + instance, body);
+  }
+  /// The target announces that it leaves, and goes on serving.
+  std::string Leave() {
+    healthy = false;
+    return Send(settings_.announcements.port, "DELETE /instances/" + instance, "");
+  }
+  /// Replaces the node by a new process of it, which knows nothing of the earlier one.
+  void RestartNode() {
+    process_->Stop();
+    node_.reset();
+    coordination_.reset();
+    StartNode();
+  }
+  /// Blocks the node for this time, as if its process were paused.
+  void PauseNode(Duration duration) {
+    process_->Run([duration] { std::this_thread::sleep_for(duration); });
   }
   std::string Call(const std::string& path) {
     return Send(settings_.outbound.port, "GET " + path, "");
@@ -94,9 +112,12 @@
   }
   std::string Metrics() { return Send(settings_.metrics_port, "GET /metrics", ""); }
   void Stop(std::atomic<bool>& stopped) {
-    loop_.Run([this, &stopped] { node_->Stop([&stopped] { stopped = true; }); });
+    process_->Run([this, &stopped] { node_->Stop([&stopped] { stopped = true; }); });
   }
 
+  /// Name and start time of the target; written only while no request is pending.
+  std::string instance;
+  int64_t start_time_ms = 1;
   std::atomic<int> executions{0};
   std::atomic<bool> responds_500{false};
   /// Whether the health endpoint responds with 200.
@@ -120,7 +141,7 @@
     const HttpRequest& request = session->request();
     if (request.path == "/health") {
       HttpResponse response = TextResponse(healthy ? 200 : 503, "");
-      response.headers.push_back(MakeHeader("X-Instance-Id", "i-" + name_));
+      response.headers.push_back(MakeHeader("X-Instance-Id", instance));
       session->Respond(std::move(response));
       return;
     }
@@ -138,13 +159,25 @@
     session->Respond(std::move(response));
   }
 
-  edge::LoopThread& loop_;
+  void StartNode() {
+    process_ = std::make_unique<edge::LoopThread>();
+    process_->Run([this] {
+      coordination_ =
+          std::make_unique<StoreCoordination>(process_->executor(), settings_.store, Random(1));
+      node_ = std::make_unique<edge::EdgeNode>(process_->executor(), settings_,
+                                               PlatformHeaderNames(), codec_, *coordination_);
+      node_->Start();
+    });
+  }
+
   std::string name_;
   std::string service_;
   NodeSettings settings_;
   PlatformAnnouncementCodec codec_;
   std::unique_ptr<edge::TestServer> target_;
   std::vector<edge::HttpSessionPtr> unanswered_;
+  /// The event loop of the node; that of the target goes on when the node is replaced.
+  std::unique_ptr<edge::LoopThread> process_;
   std::unique_ptr<StoreCoordination> coordination_;
   std::unique_ptr<edge::EdgeNode> node_;
 };
@@ -167,6 +200,14 @@
     CHECK(desk.Announce("ready", 1).starts_with("HTTP/1.1 200"));
     REQUIRE(caller.CallUntil("/lots/1", "200"));
   }
+  /// Announces the second target and calls until it gets a request.
+  void AddSecondTarget() {
+    CHECK(desk2.Announce("ready", 1).starts_with("HTTP/1.1 200"));
+    for (int i = 0; i < 100 && desk2.executions == 0; ++i) {
+      CHECK(caller.Call("/lots/1").starts_with("HTTP/1.1 200"));
+    }
+    REQUIRE(desk2.executions > 0);
+  }
 };
 
 TEST_CASE_FIXTURE(Fixture, "a request runs at the target of another node") {
@@ -299,7 +340,7 @@
 
 TEST_CASE_FIXTURE(Fixture, "a draining target gets no new requests") {
   StartMesh();
-  CHECK(desk2.Announce("ready", 1).starts_with("HTTP/1.1 200"));
+  AddSecondTarget();
   store.SetDown(true);
   CHECK(desk.Announce("draining", 2).starts_with("HTTP/1.1 200"));
   const int before = desk.executions;
@@ -318,15 +359,55 @@
   CHECK(desk.seen_instance == "i-desk-node");
 }
 
+// Guards against requests to a target that has left: its node acknowledged the leave and was
+// restarted, and a heartbeat from before the leave arrives after that.
+TEST_CASE_FIXTURE(Fixture, "a leave binds through restarts, a new start is used at once") {
+  StartMesh();
+  for (const char* next_instance : {"i-desk-node", "i-next"}) {
+    SUBCASE("leave") {
+      CHECK(desk.Leave().starts_with("HTTP/1.1 200"));
+    }
+    SUBCASE("draining") {
+      CHECK(desk.Announce("draining", 9).starts_with("HTTP/1.1 200"));
+    }
+    SUBCASE("leave while the store is down") {
+      store.SetDown(true);
+      CHECK(desk.Leave().starts_with("HTTP/1.1 200"));
+    }
+    SUBCASE("leave, and all nodes restart") {
+      CHECK(desk.Leave().starts_with("HTTP/1.1 200"));
+      desk2.RestartNode();
+      caller.RestartNode();
+    }
+    desk.RestartNode();
+    std::this_thread::sleep_for(milliseconds(500));
+    const int before = desk.executions;
+    for (int sequence = 2; sequence < 8; ++sequence) {
+      CHECK(desk.SendHeartbeat("ready", sequence).starts_with("HTTP/1.1 200"));
+      CHECK(caller.Call("/lots/1").starts_with("HTTP/1.1 503"));
+      std::this_thread::sleep_for(milliseconds(100));
+    }
+    CHECK(desk.executions == before);
+    ++desk.start_time_ms;
+    desk.instance = next_instance;
+    const auto start = std::chrono::steady_clock::now();
+    CHECK(desk.Announce("ready", 1).starts_with("HTTP/1.1 200"));
+    CHECK(caller.CallUntil("/lots/1", "200"));
+    CHECK(std::chrono::steady_clock::now() - start < seconds(1));
+  }
+}
+
 // Guards against a paused process that sends on a request whose caller has given up meanwhile.
 TEST_CASE_FIXTURE(Fixture, "a request that expired while the node was paused is refused") {
   StartMesh();
   const int before = desk.executions;
-  std::thread pause([this] { loop.Run([] { std::this_thread::sleep_for(milliseconds(1500)); }); });
+  std::thread desk_pause([this] { desk.PauseNode(milliseconds(1500)); });
+  std::thread caller_pause([this] { caller.PauseNode(milliseconds(1500)); });
   std::this_thread::sleep_for(milliseconds(200));
   // The deadline of the request is 900 ms.
   CHECK(caller.Call("/lots/1").starts_with("HTTP/1.1 503"));
-  pause.join();
+  desk_pause.join();
+  caller_pause.join();
   CHECK(desk.executions == before);
   std::this_thread::sleep_for(milliseconds(300));
   CHECK(caller.Call("/lots/1").starts_with("HTTP/1.1 200"));
@@ -362,7 +443,7 @@
 
 TEST_CASE_FIXTURE(Fixture, "requests that a target fails are retried at another target") {
   StartMesh();
-  CHECK(desk2.Announce("ready", 1).starts_with("HTTP/1.1 200"));
+  AddSecondTarget();
   desk.responds_500 = true;
   for (int i = 0; i < 10; ++i) {
     CHECK(caller.Call("/lots/1").starts_with("HTTP/1.1 200"));
