Let targets of the soak leave around restarts of nodes

The new fault ends one node, some or all of them around a leave by drain or by DELETE, delivers heartbeats from before the leave at any time, and starts the target again under the same name or another.

--- a/scripts/lib/soak/faults.py
+++ b/scripts/lib/soak/faults.py
@@ -144,6 +144,27 @@
     await late.heartbeat()
 
 
+async def leave_around_restarts(deployment):
+    """A target leaves, processes of nodes end around that, and heartbeats from before the leave arrive at any time."""
+    node = random_node(deployment)
+    target = node.target
+    if target.draining or not target.alive:
+        return
+    deliver_late = target.capture_heartbeat()
+    leave = asyncio.create_task(target.leave(announce_draining=random.random() < 0.5))
+    others = [other for other in deployment.nodes if other is not node]
+    for _ in range(random.randint(1, 3)):
+        await asyncio.sleep(random.uniform(0, 1.0))
+        for ending in [node, *random.sample(others, random.choice((0, 0, 1, len(others))))]:
+            ending.kill()
+        await asyncio.sleep(random.uniform(0, 1.5))
+        await deliver_late()
+    await leave
+    if not target.alive:
+        target.start(reuse_name=random.random() < 0.5)
+    await deliver_late()
+
+
 async def restart_target(target):
     await target.leave(announce_draining=False)
     if not target.alive:
@@ -194,6 +215,7 @@
     target_crashes,
     target_leaves,
     late_heartbeat,
+    leave_around_restarts,
     publish_config,
     publish_burst,
     publish_invalid_config,
--- a/scripts/lib/soak/target.py
+++ b/scripts/lib/soak/target.py
@@ -46,6 +46,8 @@
         self.writers = set()
         self.announcements_port = 0
         self.heartbeat_task = None
+        # Body of the last heartbeat with the state ready.
+        self.ready_heartbeat = b""
 
     async def listen(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -102,14 +104,23 @@
                 "born": self.start_time_ms,
             }
         ).encode()
+        if not self.draining:
+            self.ready_heartbeat = body
         return await self.announce("PUT", body)
 
+    def capture_heartbeat(self):
+        """Returns a coroutine function that delivers the last ready heartbeat of this start once more."""
+        path, body = f"/instances/{self.instance}", self.ready_heartbeat
+        return lambda: self.send_announcement("PUT", path, body)
+
     async def delete(self):
         return await self.announce("DELETE", b"")
 
     async def announce(self, method, body):
+        return await self.send_announcement(method, f"/instances/{self.instance}", body)
+
+    async def send_announcement(self, method, path, body):
         try:
-            path = f"/instances/{self.instance}"
             response = await http.exchange("127.0.0.1", self.announcements_port, method, path, body=body, timeout=1.0)
             return response.status == 200
         except (OSError, http.HttpError, TimeoutError):
