Apply a drain to a known instance whatever address it states

A drain with an address other than that of the settings is acknowledged like any other, but was ignored. A target that its node had found by the health check and that states such an address stayed in use after its drain. The new test of target_registry_test.cc fails before. Also keeps one entry for each target start that has ended, instead of one for each draining heartbeat.

--- a/src/registry/target_registry.cc
+++ b/src/registry/target_registry.cc
@@ -24,7 +24,10 @@
 AnnouncementResult TargetRegistry::OnAnnouncement(TimePoint now,
                                                   const TargetAnnouncement& announcement) {
   RemoveExpired(now);
-  if (announcement.address != address_) {
+  // A drain is acknowledged, so it counts for a known instance whatever address it states.
+  const bool is_known = candidates_.contains(announcement.instance) ||
+                        (current_ && current_->instance == announcement.instance);
+  if (announcement.address != address_ && !(announcement.draining && is_known)) {
     return AnnouncementResult::kWrongPlace;
   }
   if (announcement.draining) {
@@ -123,8 +126,16 @@
                                int64_t start_time_ms,
                                TimePoint expiry) {
   // An unknown start time would match heartbeats of any start that has none.
-  if (start_time_ms != 0) {
+  if (start_time_ms == 0) {
+    return;
+  }
+  const auto known = std::ranges::find_if(ended_starts_, [&](const EndedStart& ended) {
+    return ended.instance == instance && ended.start_time_ms == start_time_ms;
+  });
+  if (known == ended_starts_.end()) {
     ended_starts_.push_back({instance, start_time_ms, expiry});
+  } else {
+    known->expiry = std::max(known->expiry, expiry);
   }
 }
 
--- a/tests/registry/target_registry_test.cc
+++ b/tests/registry/target_registry_test.cc
@@ -263,6 +263,19 @@
   CHECK(registry.current() == nullptr);
 }
 
+// Guards against requests to a target whose drain was acknowledged: it was found by its health
+// check and announces itself with another address than that of the settings.
+TEST_CASE("a drain counts for a known instance whatever address it states") {
+  TargetRegistry registry = MakeRegistry();
+  TargetAnnouncement draining = Announce("i-1", 1000, 1);
+  draining.address = "10.0.0.2:8080";
+  draining.draining = true;
+  CHECK(registry.OnAnnouncement(kNow, draining) == AnnouncementResult::kWrongPlace);
+  CHECK(Discover(registry, "i-1"));
+  CHECK(registry.OnAnnouncement(kNow, draining) == AnnouncementResult::kDraining);
+  CHECK(registry.current()->draining);
+}
+
 TEST_CASE("a leave of an earlier start or another instance does not end the current one") {
   TargetRegistry registry = MakeRegistry();
   AddTarget(registry, Announce("i-1", 2000, 1));
