--- a/tests/edge/peer_links_test.cc
+++ b/tests/edge/peer_links_test.cc
@@ -247,6 +247,24 @@
 }
 
 // Guards against calls that are lost on a link to a process that no longer runs.
+// Guards against two links to one node: the timer of a reconnect still runs when the node becomes
+// known under another address, and the link that it opens replaces the first without closing it.
+TEST_CASE_FIXTURE(Fixture, "a node with a new address gets one link") {
+  Server server(*this);
+  const auto earlier = Listen([&](TcpSocket socket) { server.links.Accept(std::move(socket)); });
+  ConnectLinks();
+  server_address.port = FreePort();
+  std::atomic<int> accepted{0};
+  const auto later = Listen([&](TcpSocket socket) {
+    ++accepted;
+    server.links.Accept(std::move(socket));
+  });
+  loop.Run([this] { links->Add(server_address); });
+  TickFor(milliseconds(500), &server.links);
+  CHECK(accepted == 1);
+  loop.Stop();
+}
+
 TEST_CASE_FIXTURE(Fixture, "the link to an earlier process of a node is replaced") {
   SilentPeer peer(*this, false);
   ConnectLinks();
