Correct an invalid configuration of the soak after some seconds

The platform's store accepts valid configurations only, so this state cannot last there. Before, at most half of the nodes were killed at once and got the configuration from the others. The fault now publishes a valid version 0.5 to 6 s later; all checks stay as they are.

--- a/scripts/lib/soak/faults.py
+++ b/scripts/lib/soak/faults.py
@@ -182,9 +182,12 @@
 
 
 async def publish_invalid_config(deployment):
-    """Publishes a record that is not a valid configuration, or a version older than the newest."""
+    """Publishes a record that is not a valid configuration, or a version older than the newest. The operator corrects it
+    later: the platform's store accepts valid configurations only, and nodes that all restart would find no other."""
     bad = random.choice((b"", b"{", b'{"version":"r999999"}', deployment.encode_config(max(1, deployment.version - 1))))
     await deployment.store.append_record("keyed.op", "config", bad)
+    await asyncio.sleep(random.uniform(0.5, 6))
+    await deployment.publish()
 
 
 async def keep_disturbed(deployment, disturbed, seconds):
