--- a/idl/limpet.thrift
+++ b/idl/limpet.thrift
@@ -360,6 +360,12 @@
   10: i32 slowdown_permille
   // Queueing delay of a large request body at the network link of the target's VM.
   11: i32 ingress_wait_us
+  // Version of the target's software; empty if unknown.
+  12: string software
+  // In the state kDown: the gate admits one trial request now.
+  13: bool trial_due
+  // In the state kDown: time until the next trial; 0 if unknown.
+  14: i32 next_trial_ms
 }
 
 struct NodeAddress {
@@ -417,6 +423,8 @@
   // Size of a large request body, which is sent when the receiver asks for it; 0 if the body is in the
   // frame of the call.
   17: i32 body_bytes
+  // Name of the client account that made the request; empty without one.
+  18: string account
 }
 
 // Asks for the next bytes of the request body of a call. The receiver of the call decides when, so
@@ -464,6 +472,8 @@
   8: i32 max_attempts
   9: list<string> services
   10: list<i32> weights
+  // Requests need no key of a client account.
+  11: bool is_public
 }
 
 struct MeshServiceRecord {
@@ -472,6 +482,18 @@
   3: i32 max_connections
 }
 
+// A client account of the mesh's configuration.
+struct MeshAccountRecord {
+  1: string name
+  2: list<string> keys
+  3: i32 priority
+  // The priority above applies, in place of the route's.
+  4: bool has_priority
+  // 0: no limit.
+  5: double requests_per_s
+  6: double burst
+}
+
 struct CallerLimitsRecord {
   1: i64 max_header_bytes
   2: i64 max_body_bytes
@@ -489,6 +511,8 @@
   5: list<MeshServiceRecord> set_services
   6: list<string> removed_services
   7: CallerLimitsRecord limits
+  8: list<MeshAccountRecord> set_accounts
+  9: list<string> removed_accounts
 }
 
 struct LinkConfigRequest {
@@ -501,6 +525,11 @@
   3: i64 config_version
   // The sender polls the store, and the store is unreachable or does not reply.
   4: bool store_fails
+  // In a reply: the sender knows every configuration that the store had acknowledged this long ago.
+  // Absent if it has no such proof.
+  5: optional i64 knowledge_age_us
+  // In a reply: digest of the operator's entries of the shared state that the sender holds.
+  6: i64 operator_digest
 }
 
 // Header of one chunk of a large body. Bodies are split into several frames, so that small messages
@@ -518,6 +547,74 @@
   1: i32 interval_ms
 }
 
+// One entry of the state that all nodes share. Entries of a key are ordered by (token, sequence); the
+// greatest replaces the others.
+struct SharedEntry {
+  1: string key
+  // Fencing token of the writer.
+  2: i64 token
+  3: i64 sequence
+  4: string value
+}
+
+// Changed entries, and a digest of all entries of the sender.
+struct SharedState {
+  1: list<SharedEntry> entries
+  2: i64 digest
+}
+
+// Requests from one account that a node wants to serve now, and requests that it was granted and did
+// not use.
+struct QuotaAsk {
+  1: string account
+  2: i32 wanted
+  3: i32 unused
+}
+
+struct QuotaRequest {
+  1: i64 request_id
+  2: list<QuotaAsk> asks
+}
+
+struct QuotaGrant {
+  1: string account
+  2: i32 granted
+  // Time until the next token if fewer were granted than asked for.
+  3: i32 retry_after_ms
+}
+
+// The grants are valid for `term_ms` from the moment at which the request was sent.
+struct QuotaReply {
+  1: i64 request_id
+  // The replying node does not decide on these accounts.
+  2: bool not_holder
+  3: i32 term_ms
+  4: list<QuotaGrant> grants
+}
+
+// Results of the requests of one route at one target since a roll-out order was seen.
+struct RolloutRouteResults {
+  1: string route
+  2: i64 requests
+  3: i64 failures
+  4: i64 service_time_us
+}
+
+// State of one target of a service whose software is being rolled out, from the node beside it. Counts
+// are cumulative, so that a lost report does no harm.
+struct RolloutReport {
+  1: string service_name
+  2: string instance
+  3: string software
+  // Identifies the order.
+  4: i64 order
+  // Sequence of the roll-out state that this node applies.
+  5: i64 applied_sequence
+  // The target admits no calls any more, and none is queued or running.
+  6: bool closed
+  7: list<RolloutRouteResults> routes
+}
+
 // The sender has not received anything from a node that promised keepalives. The receiver checks its own
 // link to that node.
 struct LinkSilence {
@@ -538,4 +635,8 @@
   11: optional LinkBodyPart body_part
   12: optional LinkKeepalive keepalive
   13: optional LinkSilence silence
+  14: optional SharedState shared_state
+  15: optional QuotaRequest quota_request
+  16: optional QuotaReply quota_reply
+  17: optional RolloutReport rollout_report
 }
--- a/include/limpet/edge/link_server.h
+++ b/include/limpet/edge/link_server.h
@@ -27,6 +27,9 @@
   /// Longest time for which a message that is read now may have waited.
   std::function<Duration()> max_input_age;
   std::function<bool()> store_unreachable;
+  /// Receives the messages of a peer that belong to other parts of the node: shared state, quotas
+  /// and roll-outs. Replies are sent with `PeerLinks::Send`.
+  std::function<void(const std::string& node, const wire::LinkMessage& message)> on_message;
   /// The complete current configuration; no value if there is none.
   std::function<std::optional<wire::LinkConfig>()> full_config;
 };
--- a/include/limpet/edge/peer_links.h
+++ b/include/limpet/edge/peer_links.h
@@ -86,6 +86,10 @@
                CallHandlers handlers);
   void Cancel(const std::string& node, int64_t call_id);
   void RequestConfig(const std::string& node, int64_t have);
+  /// Sends a message that needs no reply on its link. Returns false if the node is not reachable.
+  bool Send(const std::string& node, const wire::LinkMessage& message);
+  /// Sends a message to all reachable nodes of a data centre; to all if `data_centre` is empty.
+  void Broadcast(const wire::LinkMessage& message, const std::string& data_centre);
   /// Asks a node for its configuration version; the reply also shows that it responds.
   void Probe(const std::string& node, int64_t config_version);
   void ProbeRandomPeers(int count, int64_t config_version);
--- a/include/limpet/routing/mesh_config.h
+++ b/include/limpet/routing/mesh_config.h
@@ -2,6 +2,7 @@
 #define LIMPET_ROUTING_MESH_CONFIG_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,8 @@
   /// Number of targets to which one request may be sent, including the first.
   int max_attempts = 1;
   std::vector<WeightedService> weighted_services;
+  /// Requests need no key of a client account.
+  bool is_public = false;
 
   bool IsIdempotent() const {
     return kind == RequestKind::kIdempotent || kind == RequestKind::kDownload;
@@ -71,6 +74,23 @@
   bool operator==(const MeshService&) const = default;
 };
 
+/// A client account: a caller whose requests carry one of its keys.
+struct ClientAccount {
+  std::string name;
+  std::vector<std::string> keys;
+  /// Replaces the priority of the route; 0 is the most urgent.
+  std::optional<int> priority;
+  /// Requests that all nodes together may pass to targets per second; 0 means no limit.
+  double requests_per_s = 0;
+  /// Further requests that may be passed at once after a time with fewer.
+  double burst = 0;
+
+  bool operator==(const ClientAccount&) const = default;
+};
+
+/// Upper limit of `ClientAccount::requests_per_s` and `burst`.
+inline constexpr double kMaxAccountLimit = 1e9;
+
 /// Size and time limits for the requests of callers.
 struct CallerLimits {
   std::size_t max_header_bytes = std::size_t{16} << 10;
@@ -86,6 +106,8 @@
   int64_t version = 0;
   std::vector<MeshRoute> routes;
   std::vector<MeshService> services;
+  /// If there are any, requests for routes that are not public need a key.
+  std::vector<ClientAccount> accounts;
   CallerLimits limits;
 };
 
@@ -98,7 +120,8 @@
 /// Throws `InvalidMeshConfig` unless the names of services and of routes are unique, no two routes
 /// have the same host and prefix, and every route has a host, a prefix that begins and ends with a
 /// slash, a positive timeout, at least one attempt, and only services that the configuration
-/// contains, whose weights are not negative and not all 0.
+/// contains, whose weights are not negative and not all 0. The names of accounts and their keys
+/// must be unique and not empty, and their limits from 0 to `kMaxAccountLimit`.
 void ValidateMeshConfig(const MeshConfig& config);
 
 }  // namespace limpet
--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -132,6 +132,11 @@
     if (message.__isset.config_request) {
       OnConfigRequest(message.config_request);
     }
+    const bool for_other_parts = message.__isset.shared_state || message.__isset.quota_request ||
+                                 message.__isset.quota_reply || message.__isset.rollout_report;
+    if (for_other_parts && server_.hooks_.on_message) {
+      server_.hooks_.on_message(name_, message);
+    }
   }
 
   void OnCall(wire::LinkCall call, std::string body) {
--- a/src/edge/peer_links.cc
+++ b/src/edge/peer_links.cc
@@ -381,6 +381,23 @@
   found->second.link->Send(message);
 }
 
+bool PeerLinks::Send(const std::string& node, const wire::LinkMessage& message) {
+  const auto found = peers_.find(node);
+  if (found == peers_.end() || !found->second.ready) {
+    return false;
+  }
+  found->second.link->Send(message);
+  return true;
+}
+
+void PeerLinks::Broadcast(const wire::LinkMessage& message, const std::string& data_centre) {
+  for (const auto& [name, peer] : peers_) {
+    if (peer.ready && (data_centre.empty() || peer.address.data_centre == data_centre)) {
+      peer.link->Send(message);
+    }
+  }
+}
+
 std::vector<PeerLinks::Peer*> PeerLinks::SampleReadyPeers(int count) {
   std::vector<Peer*> ready;
   for (auto& [name, peer] : peers_) {
--- a/src/gen/limpet_types.cpp
+++ b/src/gen/limpet_types.cpp
@@ -7317,6 +7317,18 @@
 void TargetStatus::__set_ingress_wait_us(const int32_t val) {
   this->ingress_wait_us = val;
 }
+
+void TargetStatus::__set_software(const std::string& val) {
+  this->software = val;
+}
+
+void TargetStatus::__set_trial_due(const bool val) {
+  this->trial_due = val;
+}
+
+void TargetStatus::__set_next_trial_ms(const int32_t val) {
+  this->next_trial_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const TargetStatus& obj)
 {
   obj.printTo(out);
@@ -7435,6 +7447,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->software);
+          this->__isset.software = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->trial_due);
+          this->__isset.trial_due = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->next_trial_ms);
+          this->__isset.next_trial_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7496,6 +7532,18 @@
   xfer += oprot->writeI32(this->ingress_wait_us);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("software", ::apache::thrift::protocol::T_STRING, 12);
+  xfer += oprot->writeString(this->software);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("trial_due", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->trial_due);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("next_trial_ms", ::apache::thrift::protocol::T_I32, 14);
+  xfer += oprot->writeI32(this->next_trial_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7514,6 +7562,9 @@
   swap(a.egress_us_per_kib, b.egress_us_per_kib);
   swap(a.slowdown_permille, b.slowdown_permille);
   swap(a.ingress_wait_us, b.ingress_wait_us);
+  swap(a.software, b.software);
+  swap(a.trial_due, b.trial_due);
+  swap(a.next_trial_ms, b.next_trial_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -7529,6 +7580,9 @@
   egress_us_per_kib = other331.egress_us_per_kib;
   slowdown_permille = other331.slowdown_permille;
   ingress_wait_us = other331.ingress_wait_us;
+  software = other331.software;
+  trial_due = other331.trial_due;
+  next_trial_ms = other331.next_trial_ms;
   __isset = other331.__isset;
 }
 TargetStatus::TargetStatus(TargetStatus&& other332) noexcept {
@@ -7543,6 +7597,9 @@
   egress_us_per_kib = other332.egress_us_per_kib;
   slowdown_permille = other332.slowdown_permille;
   ingress_wait_us = other332.ingress_wait_us;
+  software = std::move(other332.software);
+  trial_due = other332.trial_due;
+  next_trial_ms = other332.next_trial_ms;
   __isset = other332.__isset;
 }
 TargetStatus& TargetStatus::operator=(const TargetStatus& other333) {
@@ -7557,6 +7614,9 @@
   egress_us_per_kib = other333.egress_us_per_kib;
   slowdown_permille = other333.slowdown_permille;
   ingress_wait_us = other333.ingress_wait_us;
+  software = other333.software;
+  trial_due = other333.trial_due;
+  next_trial_ms = other333.next_trial_ms;
   __isset = other333.__isset;
   return *this;
 }
@@ -7572,6 +7632,9 @@
   egress_us_per_kib = other334.egress_us_per_kib;
   slowdown_permille = other334.slowdown_permille;
   ingress_wait_us = other334.ingress_wait_us;
+  software = std::move(other334.software);
+  trial_due = other334.trial_due;
+  next_trial_ms = other334.next_trial_ms;
   __isset = other334.__isset;
   return *this;
 }
@@ -7589,6 +7652,9 @@
   out << ", " << "egress_us_per_kib=" << to_string(egress_us_per_kib);
   out << ", " << "slowdown_permille=" << to_string(slowdown_permille);
   out << ", " << "ingress_wait_us=" << to_string(ingress_wait_us);
+  out << ", " << "software=" << to_string(software);
+  out << ", " << "trial_due=" << to_string(trial_due);
+  out << ", " << "next_trial_ms=" << to_string(next_trial_ms);
   out << ")";
 }
 
@@ -8128,6 +8194,10 @@
 void LinkCall::__set_body_bytes(const int32_t val) {
   this->body_bytes = val;
 }
+
+void LinkCall::__set_account(const std::string& val) {
+  this->account = val;
+}
 std::ostream& operator<<(std::ostream& out, const LinkCall& obj)
 {
   obj.printTo(out);
@@ -8304,6 +8374,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8397,6 +8475,10 @@
   xfer += oprot->writeI32(this->body_bytes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 18);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8421,6 +8503,7 @@
   swap(a.usual_run_us, b.usual_run_us);
   swap(a.expected_response_bytes, b.expected_response_bytes);
   swap(a.body_bytes, b.body_bytes);
+  swap(a.account, b.account);
   swap(a.__isset, b.__isset);
 }
 
@@ -8442,6 +8525,7 @@
   usual_run_us = other355.usual_run_us;
   expected_response_bytes = other355.expected_response_bytes;
   body_bytes = other355.body_bytes;
+  account = other355.account;
   __isset = other355.__isset;
 }
 LinkCall::LinkCall(LinkCall&& other356) noexcept {
@@ -8462,6 +8546,7 @@
   usual_run_us = other356.usual_run_us;
   expected_response_bytes = other356.expected_response_bytes;
   body_bytes = other356.body_bytes;
+  account = std::move(other356.account);
   __isset = other356.__isset;
 }
 LinkCall& LinkCall::operator=(const LinkCall& other357) {
@@ -8482,6 +8567,7 @@
   usual_run_us = other357.usual_run_us;
   expected_response_bytes = other357.expected_response_bytes;
   body_bytes = other357.body_bytes;
+  account = other357.account;
   __isset = other357.__isset;
   return *this;
 }
@@ -8503,6 +8589,7 @@
   usual_run_us = other358.usual_run_us;
   expected_response_bytes = other358.expected_response_bytes;
   body_bytes = other358.body_bytes;
+  account = std::move(other358.account);
   __isset = other358.__isset;
   return *this;
 }
@@ -8526,6 +8613,7 @@
   out << ", " << "usual_run_us=" << to_string(usual_run_us);
   out << ", " << "expected_response_bytes=" << to_string(expected_response_bytes);
   out << ", " << "body_bytes=" << to_string(body_bytes);
+  out << ", " << "account=" << to_string(account);
   out << ")";
 }
 
@@ -9221,6 +9309,10 @@
 void MeshRouteRecord::__set_weights(const std::vector<int32_t> & val) {
   this->weights = val;
 }
+
+void MeshRouteRecord::__set_is_public(const bool val) {
+  this->is_public = val;
+}
 std::ostream& operator<<(std::ostream& out, const MeshRouteRecord& obj)
 {
   obj.printTo(out);
@@ -9353,6 +9445,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_public);
+          this->__isset.is_public = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9426,6 +9526,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("is_public", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->is_public);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9443,6 +9547,7 @@
   swap(a.max_attempts, b.max_attempts);
   swap(a.services, b.services);
   swap(a.weights, b.weights);
+  swap(a.is_public, b.is_public);
   swap(a.__isset, b.__isset);
 }
 
@@ -9457,6 +9562,7 @@
   max_attempts = other395.max_attempts;
   services = other395.services;
   weights = other395.weights;
+  is_public = other395.is_public;
   __isset = other395.__isset;
 }
 MeshRouteRecord::MeshRouteRecord(MeshRouteRecord&& other396) noexcept {
@@ -9470,6 +9576,7 @@
   max_attempts = other396.max_attempts;
   services = std::move(other396.services);
   weights = std::move(other396.weights);
+  is_public = other396.is_public;
   __isset = other396.__isset;
 }
 MeshRouteRecord& MeshRouteRecord::operator=(const MeshRouteRecord& other397) {
@@ -9483,6 +9590,7 @@
   max_attempts = other397.max_attempts;
   services = other397.services;
   weights = other397.weights;
+  is_public = other397.is_public;
   __isset = other397.__isset;
   return *this;
 }
@@ -9497,6 +9605,7 @@
   max_attempts = other398.max_attempts;
   services = std::move(other398.services);
   weights = std::move(other398.weights);
+  is_public = other398.is_public;
   __isset = other398.__isset;
   return *this;
 }
@@ -9513,6 +9622,7 @@
   out << ", " << "max_attempts=" << to_string(max_attempts);
   out << ", " << "services=" << to_string(services);
   out << ", " << "weights=" << to_string(weights);
+  out << ", " << "is_public=" << to_string(is_public);
   out << ")";
 }
 
@@ -9662,6 +9772,237 @@
 }
 
 
+MeshAccountRecord::~MeshAccountRecord() noexcept {
+}
+
+
+void MeshAccountRecord::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void MeshAccountRecord::__set_keys(const std::vector<std::string> & val) {
+  this->keys = val;
+}
+
+void MeshAccountRecord::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void MeshAccountRecord::__set_has_priority(const bool val) {
+  this->has_priority = val;
+}
+
+void MeshAccountRecord::__set_requests_per_s(const double val) {
+  this->requests_per_s = val;
+}
+
+void MeshAccountRecord::__set_burst(const double val) {
+  this->burst = val;
+}
+std::ostream& operator<<(std::ostream& out, const MeshAccountRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t MeshAccountRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->keys.clear();
+            uint32_t _size403;
+            ::apache::thrift::protocol::TType _etype406;
+            xfer += iprot->readListBegin(_etype406, _size403);
+            this->keys.resize(_size403);
+            uint32_t _i407;
+            for (_i407 = 0; _i407 < _size403; ++_i407)
+            {
+              xfer += iprot->readString(this->keys[_i407]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.keys = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->has_priority);
+          this->__isset.has_priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->requests_per_s);
+          this->__isset.requests_per_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->burst);
+          this->__isset.burst = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t MeshAccountRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("MeshAccountRecord");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->keys.size()));
+    std::vector<std::string> ::const_iterator _iter408;
+    for (_iter408 = this->keys.begin(); _iter408 != this->keys.end(); ++_iter408)
+    {
+      xfer += oprot->writeString((*_iter408));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("has_priority", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->has_priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests_per_s", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->requests_per_s);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("burst", ::apache::thrift::protocol::T_DOUBLE, 6);
+  xfer += oprot->writeDouble(this->burst);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(MeshAccountRecord &a, MeshAccountRecord &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.keys, b.keys);
+  swap(a.priority, b.priority);
+  swap(a.has_priority, b.has_priority);
+  swap(a.requests_per_s, b.requests_per_s);
+  swap(a.burst, b.burst);
+  swap(a.__isset, b.__isset);
+}
+
+MeshAccountRecord::MeshAccountRecord(const MeshAccountRecord& other409) {
+  name = other409.name;
+  keys = other409.keys;
+  priority = other409.priority;
+  has_priority = other409.has_priority;
+  requests_per_s = other409.requests_per_s;
+  burst = other409.burst;
+  __isset = other409.__isset;
+}
+MeshAccountRecord::MeshAccountRecord(MeshAccountRecord&& other410) noexcept {
+  name = std::move(other410.name);
+  keys = std::move(other410.keys);
+  priority = other410.priority;
+  has_priority = other410.has_priority;
+  requests_per_s = other410.requests_per_s;
+  burst = other410.burst;
+  __isset = other410.__isset;
+}
+MeshAccountRecord& MeshAccountRecord::operator=(const MeshAccountRecord& other411) {
+  name = other411.name;
+  keys = other411.keys;
+  priority = other411.priority;
+  has_priority = other411.has_priority;
+  requests_per_s = other411.requests_per_s;
+  burst = other411.burst;
+  __isset = other411.__isset;
+  return *this;
+}
+MeshAccountRecord& MeshAccountRecord::operator=(MeshAccountRecord&& other412) noexcept {
+  name = std::move(other412.name);
+  keys = std::move(other412.keys);
+  priority = other412.priority;
+  has_priority = other412.has_priority;
+  requests_per_s = other412.requests_per_s;
+  burst = other412.burst;
+  __isset = other412.__isset;
+  return *this;
+}
+void MeshAccountRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "MeshAccountRecord(";
+  out << "name=" << to_string(name);
+  out << ", " << "keys=" << to_string(keys);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "has_priority=" << to_string(has_priority);
+  out << ", " << "requests_per_s=" << to_string(requests_per_s);
+  out << ", " << "burst=" << to_string(burst);
+  out << ")";
+}
+
+
 CallerLimitsRecord::~CallerLimitsRecord() noexcept {
 }
 
@@ -9788,34 +10129,34 @@
   swap(a.__isset, b.__isset);
 }
 
-CallerLimitsRecord::CallerLimitsRecord(const CallerLimitsRecord& other403) noexcept {
-  max_header_bytes = other403.max_header_bytes;
-  max_body_bytes = other403.max_body_bytes;
-  header_timeout_us = other403.header_timeout_us;
-  idle_timeout_us = other403.idle_timeout_us;
-  __isset = other403.__isset;
-}
-CallerLimitsRecord::CallerLimitsRecord(CallerLimitsRecord&& other404) noexcept {
-  max_header_bytes = other404.max_header_bytes;
-  max_body_bytes = other404.max_body_bytes;
-  header_timeout_us = other404.header_timeout_us;
-  idle_timeout_us = other404.idle_timeout_us;
-  __isset = other404.__isset;
-}
-CallerLimitsRecord& CallerLimitsRecord::operator=(const CallerLimitsRecord& other405) noexcept {
-  max_header_bytes = other405.max_header_bytes;
-  max_body_bytes = other405.max_body_bytes;
-  header_timeout_us = other405.header_timeout_us;
-  idle_timeout_us = other405.idle_timeout_us;
-  __isset = other405.__isset;
+CallerLimitsRecord::CallerLimitsRecord(const CallerLimitsRecord& other413) noexcept {
+  max_header_bytes = other413.max_header_bytes;
+  max_body_bytes = other413.max_body_bytes;
+  header_timeout_us = other413.header_timeout_us;
+  idle_timeout_us = other413.idle_timeout_us;
+  __isset = other413.__isset;
+}
+CallerLimitsRecord::CallerLimitsRecord(CallerLimitsRecord&& other414) noexcept {
+  max_header_bytes = other414.max_header_bytes;
+  max_body_bytes = other414.max_body_bytes;
+  header_timeout_us = other414.header_timeout_us;
+  idle_timeout_us = other414.idle_timeout_us;
+  __isset = other414.__isset;
+}
+CallerLimitsRecord& CallerLimitsRecord::operator=(const CallerLimitsRecord& other415) noexcept {
+  max_header_bytes = other415.max_header_bytes;
+  max_body_bytes = other415.max_body_bytes;
+  header_timeout_us = other415.header_timeout_us;
+  idle_timeout_us = other415.idle_timeout_us;
+  __isset = other415.__isset;
   return *this;
 }
-CallerLimitsRecord& CallerLimitsRecord::operator=(CallerLimitsRecord&& other406) noexcept {
-  max_header_bytes = other406.max_header_bytes;
-  max_body_bytes = other406.max_body_bytes;
-  header_timeout_us = other406.header_timeout_us;
-  idle_timeout_us = other406.idle_timeout_us;
-  __isset = other406.__isset;
+CallerLimitsRecord& CallerLimitsRecord::operator=(CallerLimitsRecord&& other416) noexcept {
+  max_header_bytes = other416.max_header_bytes;
+  max_body_bytes = other416.max_body_bytes;
+  header_timeout_us = other416.header_timeout_us;
+  idle_timeout_us = other416.idle_timeout_us;
+  __isset = other416.__isset;
   return *this;
 }
 void CallerLimitsRecord::printTo(std::ostream& out) const {
@@ -9860,6 +10201,14 @@
 void LinkConfig::__set_limits(const CallerLimitsRecord& val) {
   this->limits = val;
 }
+
+void LinkConfig::__set_set_accounts(const std::vector<MeshAccountRecord> & val) {
+  this->set_accounts = val;
+}
+
+void LinkConfig::__set_removed_accounts(const std::vector<std::string> & val) {
+  this->removed_accounts = val;
+}
 std::ostream& operator<<(std::ostream& out, const LinkConfig& obj)
 {
   obj.printTo(out);
@@ -9908,14 +10257,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->set_routes.clear();
-            uint32_t _size407;
-            ::apache::thrift::protocol::TType _etype410;
-            xfer += iprot->readListBegin(_etype410, _size407);
-            this->set_routes.resize(_size407);
-            uint32_t _i411;
-            for (_i411 = 0; _i411 < _size407; ++_i411)
+            uint32_t _size417;
+            ::apache::thrift::protocol::TType _etype420;
+            xfer += iprot->readListBegin(_etype420, _size417);
+            this->set_routes.resize(_size417);
+            uint32_t _i421;
+            for (_i421 = 0; _i421 < _size417; ++_i421)
             {
-              xfer += this->set_routes[_i411].read(iprot);
+              xfer += this->set_routes[_i421].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9928,14 +10277,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed_routes.clear();
-            uint32_t _size412;
-            ::apache::thrift::protocol::TType _etype415;
-            xfer += iprot->readListBegin(_etype415, _size412);
-            this->removed_routes.resize(_size412);
-            uint32_t _i416;
-            for (_i416 = 0; _i416 < _size412; ++_i416)
+            uint32_t _size422;
+            ::apache::thrift::protocol::TType _etype425;
+            xfer += iprot->readListBegin(_etype425, _size422);
+            this->removed_routes.resize(_size422);
+            uint32_t _i426;
+            for (_i426 = 0; _i426 < _size422; ++_i426)
             {
-              xfer += iprot->readString(this->removed_routes[_i416]);
+              xfer += iprot->readString(this->removed_routes[_i426]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9948,14 +10297,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->set_services.clear();
-            uint32_t _size417;
-            ::apache::thrift::protocol::TType _etype420;
-            xfer += iprot->readListBegin(_etype420, _size417);
-            this->set_services.resize(_size417);
-            uint32_t _i421;
-            for (_i421 = 0; _i421 < _size417; ++_i421)
+            uint32_t _size427;
+            ::apache::thrift::protocol::TType _etype430;
+            xfer += iprot->readListBegin(_etype430, _size427);
+            this->set_services.resize(_size427);
+            uint32_t _i431;
+            for (_i431 = 0; _i431 < _size427; ++_i431)
             {
-              xfer += this->set_services[_i421].read(iprot);
+              xfer += this->set_services[_i431].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9968,14 +10317,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed_services.clear();
-            uint32_t _size422;
-            ::apache::thrift::protocol::TType _etype425;
-            xfer += iprot->readListBegin(_etype425, _size422);
-            this->removed_services.resize(_size422);
-            uint32_t _i426;
-            for (_i426 = 0; _i426 < _size422; ++_i426)
+            uint32_t _size432;
+            ::apache::thrift::protocol::TType _etype435;
+            xfer += iprot->readListBegin(_etype435, _size432);
+            this->removed_services.resize(_size432);
+            uint32_t _i436;
+            for (_i436 = 0; _i436 < _size432; ++_i436)
             {
-              xfer += iprot->readString(this->removed_services[_i426]);
+              xfer += iprot->readString(this->removed_services[_i436]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9992,6 +10341,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->set_accounts.clear();
+            uint32_t _size437;
+            ::apache::thrift::protocol::TType _etype440;
+            xfer += iprot->readListBegin(_etype440, _size437);
+            this->set_accounts.resize(_size437);
+            uint32_t _i441;
+            for (_i441 = 0; _i441 < _size437; ++_i441)
+            {
+              xfer += this->set_accounts[_i441].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.set_accounts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed_accounts.clear();
+            uint32_t _size442;
+            ::apache::thrift::protocol::TType _etype445;
+            xfer += iprot->readListBegin(_etype445, _size442);
+            this->removed_accounts.resize(_size442);
+            uint32_t _i446;
+            for (_i446 = 0; _i446 < _size442; ++_i446)
+            {
+              xfer += iprot->readString(this->removed_accounts[_i446]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removed_accounts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10020,10 +10409,10 @@
   xfer += oprot->writeFieldBegin("set_routes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->set_routes.size()));
-    std::vector<MeshRouteRecord> ::const_iterator _iter427;
-    for (_iter427 = this->set_routes.begin(); _iter427 != this->set_routes.end(); ++_iter427)
+    std::vector<MeshRouteRecord> ::const_iterator _iter447;
+    for (_iter447 = this->set_routes.begin(); _iter447 != this->set_routes.end(); ++_iter447)
     {
-      xfer += (*_iter427).write(oprot);
+      xfer += (*_iter447).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10032,10 +10421,10 @@
   xfer += oprot->writeFieldBegin("removed_routes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed_routes.size()));
-    std::vector<std::string> ::const_iterator _iter428;
-    for (_iter428 = this->removed_routes.begin(); _iter428 != this->removed_routes.end(); ++_iter428)
+    std::vector<std::string> ::const_iterator _iter448;
+    for (_iter448 = this->removed_routes.begin(); _iter448 != this->removed_routes.end(); ++_iter448)
     {
-      xfer += oprot->writeString((*_iter428));
+      xfer += oprot->writeString((*_iter448));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10044,10 +10433,10 @@
   xfer += oprot->writeFieldBegin("set_services", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->set_services.size()));
-    std::vector<MeshServiceRecord> ::const_iterator _iter429;
-    for (_iter429 = this->set_services.begin(); _iter429 != this->set_services.end(); ++_iter429)
+    std::vector<MeshServiceRecord> ::const_iterator _iter449;
+    for (_iter449 = this->set_services.begin(); _iter449 != this->set_services.end(); ++_iter449)
     {
-      xfer += (*_iter429).write(oprot);
+      xfer += (*_iter449).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10056,10 +10445,10 @@
   xfer += oprot->writeFieldBegin("removed_services", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed_services.size()));
-    std::vector<std::string> ::const_iterator _iter430;
-    for (_iter430 = this->removed_services.begin(); _iter430 != this->removed_services.end(); ++_iter430)
+    std::vector<std::string> ::const_iterator _iter450;
+    for (_iter450 = this->removed_services.begin(); _iter450 != this->removed_services.end(); ++_iter450)
     {
-      xfer += oprot->writeString((*_iter430));
+      xfer += oprot->writeString((*_iter450));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10069,6 +10458,30 @@
   xfer += this->limits.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("set_accounts", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->set_accounts.size()));
+    std::vector<MeshAccountRecord> ::const_iterator _iter451;
+    for (_iter451 = this->set_accounts.begin(); _iter451 != this->set_accounts.end(); ++_iter451)
+    {
+      xfer += (*_iter451).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed_accounts", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed_accounts.size()));
+    std::vector<std::string> ::const_iterator _iter452;
+    for (_iter452 = this->removed_accounts.begin(); _iter452 != this->removed_accounts.end(); ++_iter452)
+    {
+      xfer += oprot->writeString((*_iter452));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10083,52 +10496,62 @@
   swap(a.set_services, b.set_services);
   swap(a.removed_services, b.removed_services);
   swap(a.limits, b.limits);
+  swap(a.set_accounts, b.set_accounts);
+  swap(a.removed_accounts, b.removed_accounts);
   swap(a.__isset, b.__isset);
 }
 
-LinkConfig::LinkConfig(const LinkConfig& other431) {
-  base = other431.base;
-  version = other431.version;
-  set_routes = other431.set_routes;
-  removed_routes = other431.removed_routes;
-  set_services = other431.set_services;
-  removed_services = other431.removed_services;
-  limits = other431.limits;
-  __isset = other431.__isset;
-}
-LinkConfig::LinkConfig(LinkConfig&& other432) noexcept {
-  base = other432.base;
-  version = other432.version;
-  set_routes = std::move(other432.set_routes);
-  removed_routes = std::move(other432.removed_routes);
-  set_services = std::move(other432.set_services);
-  removed_services = std::move(other432.removed_services);
-  limits = std::move(other432.limits);
-  __isset = other432.__isset;
-}
-LinkConfig& LinkConfig::operator=(const LinkConfig& other433) {
-  base = other433.base;
-  version = other433.version;
-  set_routes = other433.set_routes;
-  removed_routes = other433.removed_routes;
-  set_services = other433.set_services;
-  removed_services = other433.removed_services;
-  limits = other433.limits;
-  __isset = other433.__isset;
-  return *this;
-}
-LinkConfig& LinkConfig::operator=(LinkConfig&& other434) noexcept {
-  base = other434.base;
-  version = other434.version;
-  set_routes = std::move(other434.set_routes);
-  removed_routes = std::move(other434.removed_routes);
-  set_services = std::move(other434.set_services);
-  removed_services = std::move(other434.removed_services);
-  limits = std::move(other434.limits);
-  __isset = other434.__isset;
-  return *this;
+LinkConfig::LinkConfig(const LinkConfig& other453) {
+  base = other453.base;
+  version = other453.version;
+  set_routes = other453.set_routes;
+  removed_routes = other453.removed_routes;
+  set_services = other453.set_services;
+  removed_services = other453.removed_services;
+  limits = other453.limits;
+  set_accounts = other453.set_accounts;
+  removed_accounts = other453.removed_accounts;
+  __isset = other453.__isset;
 }
-void LinkConfig::printTo(std::ostream& out) const {
+LinkConfig::LinkConfig(LinkConfig&& other454) noexcept {
+  base = other454.base;
+  version = other454.version;
+  set_routes = std::move(other454.set_routes);
+  removed_routes = std::move(other454.removed_routes);
+  set_services = std::move(other454.set_services);
+  removed_services = std::move(other454.removed_services);
+  limits = std::move(other454.limits);
+  set_accounts = std::move(other454.set_accounts);
+  removed_accounts = std::move(other454.removed_accounts);
+  __isset = other454.__isset;
+}
+LinkConfig& LinkConfig::operator=(const LinkConfig& other455) {
+  base = other455.base;
+  version = other455.version;
+  set_routes = other455.set_routes;
+  removed_routes = other455.removed_routes;
+  set_services = other455.set_services;
+  removed_services = other455.removed_services;
+  limits = other455.limits;
+  set_accounts = other455.set_accounts;
+  removed_accounts = other455.removed_accounts;
+  __isset = other455.__isset;
+  return *this;
+}
+LinkConfig& LinkConfig::operator=(LinkConfig&& other456) noexcept {
+  base = other456.base;
+  version = other456.version;
+  set_routes = std::move(other456.set_routes);
+  removed_routes = std::move(other456.removed_routes);
+  set_services = std::move(other456.set_services);
+  removed_services = std::move(other456.removed_services);
+  limits = std::move(other456.limits);
+  set_accounts = std::move(other456.set_accounts);
+  removed_accounts = std::move(other456.removed_accounts);
+  __isset = other456.__isset;
+  return *this;
+}
+void LinkConfig::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "LinkConfig(";
   out << "base=" << to_string(base);
@@ -10138,6 +10561,8 @@
   out << ", " << "set_services=" << to_string(set_services);
   out << ", " << "removed_services=" << to_string(removed_services);
   out << ", " << "limits=" << to_string(limits);
+  out << ", " << "set_accounts=" << to_string(set_accounts);
+  out << ", " << "removed_accounts=" << to_string(removed_accounts);
   out << ")";
 }
 
@@ -10217,22 +10642,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LinkConfigRequest::LinkConfigRequest(const LinkConfigRequest& other435) noexcept {
-  have = other435.have;
-  __isset = other435.__isset;
+LinkConfigRequest::LinkConfigRequest(const LinkConfigRequest& other457) noexcept {
+  have = other457.have;
+  __isset = other457.__isset;
 }
-LinkConfigRequest::LinkConfigRequest(LinkConfigRequest&& other436) noexcept {
-  have = other436.have;
-  __isset = other436.__isset;
+LinkConfigRequest::LinkConfigRequest(LinkConfigRequest&& other458) noexcept {
+  have = other458.have;
+  __isset = other458.__isset;
 }
-LinkConfigRequest& LinkConfigRequest::operator=(const LinkConfigRequest& other437) noexcept {
-  have = other437.have;
-  __isset = other437.__isset;
+LinkConfigRequest& LinkConfigRequest::operator=(const LinkConfigRequest& other459) noexcept {
+  have = other459.have;
+  __isset = other459.__isset;
   return *this;
 }
-LinkConfigRequest& LinkConfigRequest::operator=(LinkConfigRequest&& other438) noexcept {
-  have = other438.have;
-  __isset = other438.__isset;
+LinkConfigRequest& LinkConfigRequest::operator=(LinkConfigRequest&& other460) noexcept {
+  have = other460.have;
+  __isset = other460.__isset;
   return *this;
 }
 void LinkConfigRequest::printTo(std::ostream& out) const {
@@ -10262,6 +10687,15 @@
 void LinkProbe::__set_store_fails(const bool val) {
   this->store_fails = val;
 }
+
+void LinkProbe::__set_knowledge_age_us(const int64_t val) {
+  this->knowledge_age_us = val;
+__isset.knowledge_age_us = true;
+}
+
+void LinkProbe::__set_operator_digest(const int64_t val) {
+  this->operator_digest = val;
+}
 std::ostream& operator<<(std::ostream& out, const LinkProbe& obj)
 {
   obj.printTo(out);
@@ -10300,24 +10734,1229 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->answer);
-          this->__isset.answer = true;
+          xfer += iprot->readBool(this->answer);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config_version);
+          this->__isset.config_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->store_fails);
+          this->__isset.store_fails = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->knowledge_age_us);
+          this->__isset.knowledge_age_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->operator_digest);
+          this->__isset.operator_digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkProbe::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkProbe");
+
+  xfer += oprot->writeFieldBegin("nonce", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->nonce);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->answer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->config_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("store_fails", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->store_fails);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.knowledge_age_us) {
+    xfer += oprot->writeFieldBegin("knowledge_age_us", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->knowledge_age_us);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("operator_digest", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->operator_digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkProbe &a, LinkProbe &b) {
+  using ::std::swap;
+  swap(a.nonce, b.nonce);
+  swap(a.answer, b.answer);
+  swap(a.config_version, b.config_version);
+  swap(a.store_fails, b.store_fails);
+  swap(a.knowledge_age_us, b.knowledge_age_us);
+  swap(a.operator_digest, b.operator_digest);
+  swap(a.__isset, b.__isset);
+}
+
+LinkProbe::LinkProbe(const LinkProbe& other461) noexcept {
+  nonce = other461.nonce;
+  answer = other461.answer;
+  config_version = other461.config_version;
+  store_fails = other461.store_fails;
+  knowledge_age_us = other461.knowledge_age_us;
+  operator_digest = other461.operator_digest;
+  __isset = other461.__isset;
+}
+LinkProbe::LinkProbe(LinkProbe&& other462) noexcept {
+  nonce = other462.nonce;
+  answer = other462.answer;
+  config_version = other462.config_version;
+  store_fails = other462.store_fails;
+  knowledge_age_us = other462.knowledge_age_us;
+  operator_digest = other462.operator_digest;
+  __isset = other462.__isset;
+}
+LinkProbe& LinkProbe::operator=(const LinkProbe& other463) noexcept {
+  nonce = other463.nonce;
+  answer = other463.answer;
+  config_version = other463.config_version;
+  store_fails = other463.store_fails;
+  knowledge_age_us = other463.knowledge_age_us;
+  operator_digest = other463.operator_digest;
+  __isset = other463.__isset;
+  return *this;
+}
+LinkProbe& LinkProbe::operator=(LinkProbe&& other464) noexcept {
+  nonce = other464.nonce;
+  answer = other464.answer;
+  config_version = other464.config_version;
+  store_fails = other464.store_fails;
+  knowledge_age_us = other464.knowledge_age_us;
+  operator_digest = other464.operator_digest;
+  __isset = other464.__isset;
+  return *this;
+}
+void LinkProbe::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkProbe(";
+  out << "nonce=" << to_string(nonce);
+  out << ", " << "answer=" << to_string(answer);
+  out << ", " << "config_version=" << to_string(config_version);
+  out << ", " << "store_fails=" << to_string(store_fails);
+  out << ", " << "knowledge_age_us="; (__isset.knowledge_age_us ? (out << to_string(knowledge_age_us)) : (out << "<null>"));
+  out << ", " << "operator_digest=" << to_string(operator_digest);
+  out << ")";
+}
+
+
+LinkChunk::~LinkChunk() noexcept {
+}
+
+
+void LinkChunk::__set_transfer_id(const int64_t val) {
+  this->transfer_id = val;
+}
+
+void LinkChunk::__set_last(const bool val) {
+  this->last = val;
+}
+
+void LinkChunk::__set_call_id(const int64_t val) {
+  this->call_id = val;
+}
+std::ostream& operator<<(std::ostream& out, const LinkChunk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkChunk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->transfer_id);
+          this->__isset.transfer_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->last);
+          this->__isset.last = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call_id);
+          this->__isset.call_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkChunk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkChunk");
+
+  xfer += oprot->writeFieldBegin("transfer_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->transfer_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->last);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("call_id", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->call_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkChunk &a, LinkChunk &b) {
+  using ::std::swap;
+  swap(a.transfer_id, b.transfer_id);
+  swap(a.last, b.last);
+  swap(a.call_id, b.call_id);
+  swap(a.__isset, b.__isset);
+}
+
+LinkChunk::LinkChunk(const LinkChunk& other465) noexcept {
+  transfer_id = other465.transfer_id;
+  last = other465.last;
+  call_id = other465.call_id;
+  __isset = other465.__isset;
+}
+LinkChunk::LinkChunk(LinkChunk&& other466) noexcept {
+  transfer_id = other466.transfer_id;
+  last = other466.last;
+  call_id = other466.call_id;
+  __isset = other466.__isset;
+}
+LinkChunk& LinkChunk::operator=(const LinkChunk& other467) noexcept {
+  transfer_id = other467.transfer_id;
+  last = other467.last;
+  call_id = other467.call_id;
+  __isset = other467.__isset;
+  return *this;
+}
+LinkChunk& LinkChunk::operator=(LinkChunk&& other468) noexcept {
+  transfer_id = other468.transfer_id;
+  last = other468.last;
+  call_id = other468.call_id;
+  __isset = other468.__isset;
+  return *this;
+}
+void LinkChunk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkChunk(";
+  out << "transfer_id=" << to_string(transfer_id);
+  out << ", " << "last=" << to_string(last);
+  out << ", " << "call_id=" << to_string(call_id);
+  out << ")";
+}
+
+
+LinkKeepalive::~LinkKeepalive() noexcept {
+}
+
+
+void LinkKeepalive::__set_interval_ms(const int32_t val) {
+  this->interval_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const LinkKeepalive& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LinkKeepalive::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->interval_ms);
+          this->__isset.interval_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LinkKeepalive::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LinkKeepalive");
+
+  xfer += oprot->writeFieldBegin("interval_ms", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->interval_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LinkKeepalive &a, LinkKeepalive &b) {
+  using ::std::swap;
+  swap(a.interval_ms, b.interval_ms);
+  swap(a.__isset, b.__isset);
+}
+
+LinkKeepalive::LinkKeepalive(const LinkKeepalive& other469) noexcept {
+  interval_ms = other469.interval_ms;
+  __isset = other469.__isset;
+}
+LinkKeepalive::LinkKeepalive(LinkKeepalive&& other470) noexcept {
+  interval_ms = other470.interval_ms;
+  __isset = other470.__isset;
+}
+LinkKeepalive& LinkKeepalive::operator=(const LinkKeepalive& other471) noexcept {
+  interval_ms = other471.interval_ms;
+  __isset = other471.__isset;
+  return *this;
+}
+LinkKeepalive& LinkKeepalive::operator=(LinkKeepalive&& other472) noexcept {
+  interval_ms = other472.interval_ms;
+  __isset = other472.__isset;
+  return *this;
+}
+void LinkKeepalive::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LinkKeepalive(";
+  out << "interval_ms=" << to_string(interval_ms);
+  out << ")";
+}
+
+
+SharedEntry::~SharedEntry() noexcept {
+}
+
+
+void SharedEntry::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void SharedEntry::__set_token(const int64_t val) {
+  this->token = val;
+}
+
+void SharedEntry::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void SharedEntry::__set_value(const std::string& val) {
+  this->value = val;
+}
+std::ostream& operator<<(std::ostream& out, const SharedEntry& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SharedEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->token);
+          this->__isset.token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SharedEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SharedEntry");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->token);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SharedEntry &a, SharedEntry &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.token, b.token);
+  swap(a.sequence, b.sequence);
+  swap(a.value, b.value);
+  swap(a.__isset, b.__isset);
+}
+
+SharedEntry::SharedEntry(const SharedEntry& other473) {
+  key = other473.key;
+  token = other473.token;
+  sequence = other473.sequence;
+  value = other473.value;
+  __isset = other473.__isset;
+}
+SharedEntry::SharedEntry(SharedEntry&& other474) noexcept {
+  key = std::move(other474.key);
+  token = other474.token;
+  sequence = other474.sequence;
+  value = std::move(other474.value);
+  __isset = other474.__isset;
+}
+SharedEntry& SharedEntry::operator=(const SharedEntry& other475) {
+  key = other475.key;
+  token = other475.token;
+  sequence = other475.sequence;
+  value = other475.value;
+  __isset = other475.__isset;
+  return *this;
+}
+SharedEntry& SharedEntry::operator=(SharedEntry&& other476) noexcept {
+  key = std::move(other476.key);
+  token = other476.token;
+  sequence = other476.sequence;
+  value = std::move(other476.value);
+  __isset = other476.__isset;
+  return *this;
+}
+void SharedEntry::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SharedEntry(";
+  out << "key=" << to_string(key);
+  out << ", " << "token=" << to_string(token);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "value=" << to_string(value);
+  out << ")";
+}
+
+
+SharedState::~SharedState() noexcept {
+}
+
+
+void SharedState::__set_entries(const std::vector<SharedEntry> & val) {
+  this->entries = val;
+}
+
+void SharedState::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+std::ostream& operator<<(std::ostream& out, const SharedState& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SharedState::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size477;
+            ::apache::thrift::protocol::TType _etype480;
+            xfer += iprot->readListBegin(_etype480, _size477);
+            this->entries.resize(_size477);
+            uint32_t _i481;
+            for (_i481 = 0; _i481 < _size477; ++_i481)
+            {
+              xfer += this->entries[_i481].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SharedState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SharedState");
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<SharedEntry> ::const_iterator _iter482;
+    for (_iter482 = this->entries.begin(); _iter482 != this->entries.end(); ++_iter482)
+    {
+      xfer += (*_iter482).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SharedState &a, SharedState &b) {
+  using ::std::swap;
+  swap(a.entries, b.entries);
+  swap(a.digest, b.digest);
+  swap(a.__isset, b.__isset);
+}
+
+SharedState::SharedState(const SharedState& other483) {
+  entries = other483.entries;
+  digest = other483.digest;
+  __isset = other483.__isset;
+}
+SharedState::SharedState(SharedState&& other484) noexcept {
+  entries = std::move(other484.entries);
+  digest = other484.digest;
+  __isset = other484.__isset;
+}
+SharedState& SharedState::operator=(const SharedState& other485) {
+  entries = other485.entries;
+  digest = other485.digest;
+  __isset = other485.__isset;
+  return *this;
+}
+SharedState& SharedState::operator=(SharedState&& other486) noexcept {
+  entries = std::move(other486.entries);
+  digest = other486.digest;
+  __isset = other486.__isset;
+  return *this;
+}
+void SharedState::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SharedState(";
+  out << "entries=" << to_string(entries);
+  out << ", " << "digest=" << to_string(digest);
+  out << ")";
+}
+
+
+QuotaAsk::~QuotaAsk() noexcept {
+}
+
+
+void QuotaAsk::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void QuotaAsk::__set_wanted(const int32_t val) {
+  this->wanted = val;
+}
+
+void QuotaAsk::__set_unused(const int32_t val) {
+  this->unused = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaAsk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wanted);
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->unused);
+          this->__isset.unused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuotaAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaAsk");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unused", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->unused);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaAsk &a, QuotaAsk &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.wanted, b.wanted);
+  swap(a.unused, b.unused);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaAsk::QuotaAsk(const QuotaAsk& other487) {
+  account = other487.account;
+  wanted = other487.wanted;
+  unused = other487.unused;
+  __isset = other487.__isset;
+}
+QuotaAsk::QuotaAsk(QuotaAsk&& other488) noexcept {
+  account = std::move(other488.account);
+  wanted = other488.wanted;
+  unused = other488.unused;
+  __isset = other488.__isset;
+}
+QuotaAsk& QuotaAsk::operator=(const QuotaAsk& other489) {
+  account = other489.account;
+  wanted = other489.wanted;
+  unused = other489.unused;
+  __isset = other489.__isset;
+  return *this;
+}
+QuotaAsk& QuotaAsk::operator=(QuotaAsk&& other490) noexcept {
+  account = std::move(other490.account);
+  wanted = other490.wanted;
+  unused = other490.unused;
+  __isset = other490.__isset;
+  return *this;
+}
+void QuotaAsk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaAsk(";
+  out << "account=" << to_string(account);
+  out << ", " << "wanted=" << to_string(wanted);
+  out << ", " << "unused=" << to_string(unused);
+  out << ")";
+}
+
+
+QuotaRequest::~QuotaRequest() noexcept {
+}
+
+
+void QuotaRequest::__set_request_id(const int64_t val) {
+  this->request_id = val;
+}
+
+void QuotaRequest::__set_asks(const std::vector<QuotaAsk> & val) {
+  this->asks = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request_id);
+          this->__isset.request_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->asks.clear();
+            uint32_t _size491;
+            ::apache::thrift::protocol::TType _etype494;
+            xfer += iprot->readListBegin(_etype494, _size491);
+            this->asks.resize(_size491);
+            uint32_t _i495;
+            for (_i495 = 0; _i495 < _size491; ++_i495)
+            {
+              xfer += this->asks[_i495].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.asks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuotaRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaRequest");
+
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->request_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
+    std::vector<QuotaAsk> ::const_iterator _iter496;
+    for (_iter496 = this->asks.begin(); _iter496 != this->asks.end(); ++_iter496)
+    {
+      xfer += (*_iter496).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaRequest &a, QuotaRequest &b) {
+  using ::std::swap;
+  swap(a.request_id, b.request_id);
+  swap(a.asks, b.asks);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaRequest::QuotaRequest(const QuotaRequest& other497) {
+  request_id = other497.request_id;
+  asks = other497.asks;
+  __isset = other497.__isset;
+}
+QuotaRequest::QuotaRequest(QuotaRequest&& other498) noexcept {
+  request_id = other498.request_id;
+  asks = std::move(other498.asks);
+  __isset = other498.__isset;
+}
+QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other499) {
+  request_id = other499.request_id;
+  asks = other499.asks;
+  __isset = other499.__isset;
+  return *this;
+}
+QuotaRequest& QuotaRequest::operator=(QuotaRequest&& other500) noexcept {
+  request_id = other500.request_id;
+  asks = std::move(other500.asks);
+  __isset = other500.__isset;
+  return *this;
+}
+void QuotaRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaRequest(";
+  out << "request_id=" << to_string(request_id);
+  out << ", " << "asks=" << to_string(asks);
+  out << ")";
+}
+
+
+QuotaGrant::~QuotaGrant() noexcept {
+}
+
+
+void QuotaGrant::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void QuotaGrant::__set_granted(const int32_t val) {
+  this->granted = val;
+}
+
+void QuotaGrant::__set_retry_after_ms(const int32_t val) {
+  this->retry_after_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retry_after_ms);
+          this->__isset.retry_after_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuotaGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaGrant");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retry_after_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->retry_after_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaGrant &a, QuotaGrant &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.granted, b.granted);
+  swap(a.retry_after_ms, b.retry_after_ms);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaGrant::QuotaGrant(const QuotaGrant& other501) {
+  account = other501.account;
+  granted = other501.granted;
+  retry_after_ms = other501.retry_after_ms;
+  __isset = other501.__isset;
+}
+QuotaGrant::QuotaGrant(QuotaGrant&& other502) noexcept {
+  account = std::move(other502.account);
+  granted = other502.granted;
+  retry_after_ms = other502.retry_after_ms;
+  __isset = other502.__isset;
+}
+QuotaGrant& QuotaGrant::operator=(const QuotaGrant& other503) {
+  account = other503.account;
+  granted = other503.granted;
+  retry_after_ms = other503.retry_after_ms;
+  __isset = other503.__isset;
+  return *this;
+}
+QuotaGrant& QuotaGrant::operator=(QuotaGrant&& other504) noexcept {
+  account = std::move(other504.account);
+  granted = other504.granted;
+  retry_after_ms = other504.retry_after_ms;
+  __isset = other504.__isset;
+  return *this;
+}
+void QuotaGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaGrant(";
+  out << "account=" << to_string(account);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
+  out << ")";
+}
+
+
+QuotaReply::~QuotaReply() noexcept {
+}
+
+
+void QuotaReply::__set_request_id(const int64_t val) {
+  this->request_id = val;
+}
+
+void QuotaReply::__set_not_holder(const bool val) {
+  this->not_holder = val;
+}
+
+void QuotaReply::__set_term_ms(const int32_t val) {
+  this->term_ms = val;
+}
+
+void QuotaReply::__set_grants(const std::vector<QuotaGrant> & val) {
+  this->grants = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request_id);
+          this->__isset.request_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->not_holder);
+          this->__isset.not_holder = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->config_version);
-          this->__isset.config_version = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->term_ms);
+          this->__isset.term_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->store_fails);
-          this->__isset.store_fails = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size505;
+            ::apache::thrift::protocol::TType _etype508;
+            xfer += iprot->readListBegin(_etype508, _size505);
+            this->grants.resize(_size505);
+            uint32_t _i509;
+            for (_i509 = 0; _i509 < _size505; ++_i509)
+            {
+              xfer += this->grants[_i509].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.grants = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -10334,25 +11973,33 @@
   return xfer;
 }
 
-uint32_t LinkProbe::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t QuotaReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LinkProbe");
+  xfer += oprot->writeStructBegin("QuotaReply");
 
-  xfer += oprot->writeFieldBegin("nonce", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->nonce);
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->request_id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->answer);
+  xfer += oprot->writeFieldBegin("not_holder", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->not_holder);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->config_version);
+  xfer += oprot->writeFieldBegin("term_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->term_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("store_fails", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->store_fails);
+  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+    std::vector<QuotaGrant> ::const_iterator _iter510;
+    for (_iter510 = this->grants.begin(); _iter510 != this->grants.end(); ++_iter510)
+    {
+      xfer += (*_iter510).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -10360,79 +12007,83 @@
   return xfer;
 }
 
-void swap(LinkProbe &a, LinkProbe &b) {
+void swap(QuotaReply &a, QuotaReply &b) {
   using ::std::swap;
-  swap(a.nonce, b.nonce);
-  swap(a.answer, b.answer);
-  swap(a.config_version, b.config_version);
-  swap(a.store_fails, b.store_fails);
+  swap(a.request_id, b.request_id);
+  swap(a.not_holder, b.not_holder);
+  swap(a.term_ms, b.term_ms);
+  swap(a.grants, b.grants);
   swap(a.__isset, b.__isset);
 }
 
-LinkProbe::LinkProbe(const LinkProbe& other439) noexcept {
-  nonce = other439.nonce;
-  answer = other439.answer;
-  config_version = other439.config_version;
-  store_fails = other439.store_fails;
-  __isset = other439.__isset;
-}
-LinkProbe::LinkProbe(LinkProbe&& other440) noexcept {
-  nonce = other440.nonce;
-  answer = other440.answer;
-  config_version = other440.config_version;
-  store_fails = other440.store_fails;
-  __isset = other440.__isset;
-}
-LinkProbe& LinkProbe::operator=(const LinkProbe& other441) noexcept {
-  nonce = other441.nonce;
-  answer = other441.answer;
-  config_version = other441.config_version;
-  store_fails = other441.store_fails;
-  __isset = other441.__isset;
+QuotaReply::QuotaReply(const QuotaReply& other511) {
+  request_id = other511.request_id;
+  not_holder = other511.not_holder;
+  term_ms = other511.term_ms;
+  grants = other511.grants;
+  __isset = other511.__isset;
+}
+QuotaReply::QuotaReply(QuotaReply&& other512) noexcept {
+  request_id = other512.request_id;
+  not_holder = other512.not_holder;
+  term_ms = other512.term_ms;
+  grants = std::move(other512.grants);
+  __isset = other512.__isset;
+}
+QuotaReply& QuotaReply::operator=(const QuotaReply& other513) {
+  request_id = other513.request_id;
+  not_holder = other513.not_holder;
+  term_ms = other513.term_ms;
+  grants = other513.grants;
+  __isset = other513.__isset;
   return *this;
 }
-LinkProbe& LinkProbe::operator=(LinkProbe&& other442) noexcept {
-  nonce = other442.nonce;
-  answer = other442.answer;
-  config_version = other442.config_version;
-  store_fails = other442.store_fails;
-  __isset = other442.__isset;
+QuotaReply& QuotaReply::operator=(QuotaReply&& other514) noexcept {
+  request_id = other514.request_id;
+  not_holder = other514.not_holder;
+  term_ms = other514.term_ms;
+  grants = std::move(other514.grants);
+  __isset = other514.__isset;
   return *this;
 }
-void LinkProbe::printTo(std::ostream& out) const {
+void QuotaReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LinkProbe(";
-  out << "nonce=" << to_string(nonce);
-  out << ", " << "answer=" << to_string(answer);
-  out << ", " << "config_version=" << to_string(config_version);
-  out << ", " << "store_fails=" << to_string(store_fails);
+  out << "QuotaReply(";
+  out << "request_id=" << to_string(request_id);
+  out << ", " << "not_holder=" << to_string(not_holder);
+  out << ", " << "term_ms=" << to_string(term_ms);
+  out << ", " << "grants=" << to_string(grants);
   out << ")";
 }
 
 
-LinkChunk::~LinkChunk() noexcept {
+RolloutRouteResults::~RolloutRouteResults() noexcept {
 }
 
 
-void LinkChunk::__set_transfer_id(const int64_t val) {
-  this->transfer_id = val;
+void RolloutRouteResults::__set_route(const std::string& val) {
+  this->route = val;
 }
 
-void LinkChunk::__set_last(const bool val) {
-  this->last = val;
+void RolloutRouteResults::__set_requests(const int64_t val) {
+  this->requests = val;
 }
 
-void LinkChunk::__set_call_id(const int64_t val) {
-  this->call_id = val;
+void RolloutRouteResults::__set_failures(const int64_t val) {
+  this->failures = val;
 }
-std::ostream& operator<<(std::ostream& out, const LinkChunk& obj)
+
+void RolloutRouteResults::__set_service_time_us(const int64_t val) {
+  this->service_time_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutRouteResults& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LinkChunk::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RolloutRouteResults::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -10454,25 +12105,33 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->transfer_id);
-          this->__isset.transfer_id = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->route);
+          this->__isset.route = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->last);
-          this->__isset.last = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requests);
+          this->__isset.requests = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->call_id);
-          this->__isset.call_id = true;
+          xfer += iprot->readI64(this->failures);
+          this->__isset.failures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->service_time_us);
+          this->__isset.service_time_us = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -10489,21 +12148,25 @@
   return xfer;
 }
 
-uint32_t LinkChunk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RolloutRouteResults::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LinkChunk");
+  xfer += oprot->writeStructBegin("RolloutRouteResults");
 
-  xfer += oprot->writeFieldBegin("transfer_id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->transfer_id);
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->route);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("last", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->last);
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->requests);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("call_id", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->call_id);
+  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->failures);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_time_us", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->service_time_us);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -10511,65 +12174,95 @@
   return xfer;
 }
 
-void swap(LinkChunk &a, LinkChunk &b) {
+void swap(RolloutRouteResults &a, RolloutRouteResults &b) {
   using ::std::swap;
-  swap(a.transfer_id, b.transfer_id);
-  swap(a.last, b.last);
-  swap(a.call_id, b.call_id);
+  swap(a.route, b.route);
+  swap(a.requests, b.requests);
+  swap(a.failures, b.failures);
+  swap(a.service_time_us, b.service_time_us);
   swap(a.__isset, b.__isset);
 }
 
-LinkChunk::LinkChunk(const LinkChunk& other443) noexcept {
-  transfer_id = other443.transfer_id;
-  last = other443.last;
-  call_id = other443.call_id;
-  __isset = other443.__isset;
-}
-LinkChunk::LinkChunk(LinkChunk&& other444) noexcept {
-  transfer_id = other444.transfer_id;
-  last = other444.last;
-  call_id = other444.call_id;
-  __isset = other444.__isset;
-}
-LinkChunk& LinkChunk::operator=(const LinkChunk& other445) noexcept {
-  transfer_id = other445.transfer_id;
-  last = other445.last;
-  call_id = other445.call_id;
-  __isset = other445.__isset;
+RolloutRouteResults::RolloutRouteResults(const RolloutRouteResults& other515) {
+  route = other515.route;
+  requests = other515.requests;
+  failures = other515.failures;
+  service_time_us = other515.service_time_us;
+  __isset = other515.__isset;
+}
+RolloutRouteResults::RolloutRouteResults(RolloutRouteResults&& other516) noexcept {
+  route = std::move(other516.route);
+  requests = other516.requests;
+  failures = other516.failures;
+  service_time_us = other516.service_time_us;
+  __isset = other516.__isset;
+}
+RolloutRouteResults& RolloutRouteResults::operator=(const RolloutRouteResults& other517) {
+  route = other517.route;
+  requests = other517.requests;
+  failures = other517.failures;
+  service_time_us = other517.service_time_us;
+  __isset = other517.__isset;
   return *this;
 }
-LinkChunk& LinkChunk::operator=(LinkChunk&& other446) noexcept {
-  transfer_id = other446.transfer_id;
-  last = other446.last;
-  call_id = other446.call_id;
-  __isset = other446.__isset;
+RolloutRouteResults& RolloutRouteResults::operator=(RolloutRouteResults&& other518) noexcept {
+  route = std::move(other518.route);
+  requests = other518.requests;
+  failures = other518.failures;
+  service_time_us = other518.service_time_us;
+  __isset = other518.__isset;
   return *this;
 }
-void LinkChunk::printTo(std::ostream& out) const {
+void RolloutRouteResults::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LinkChunk(";
-  out << "transfer_id=" << to_string(transfer_id);
-  out << ", " << "last=" << to_string(last);
-  out << ", " << "call_id=" << to_string(call_id);
+  out << "RolloutRouteResults(";
+  out << "route=" << to_string(route);
+  out << ", " << "requests=" << to_string(requests);
+  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "service_time_us=" << to_string(service_time_us);
   out << ")";
 }
 
 
-LinkKeepalive::~LinkKeepalive() noexcept {
+RolloutReport::~RolloutReport() noexcept {
 }
 
 
-void LinkKeepalive::__set_interval_ms(const int32_t val) {
-  this->interval_ms = val;
+void RolloutReport::__set_service_name(const std::string& val) {
+  this->service_name = val;
 }
-std::ostream& operator<<(std::ostream& out, const LinkKeepalive& obj)
+
+void RolloutReport::__set_instance(const std::string& val) {
+  this->instance = val;
+}
+
+void RolloutReport::__set_software(const std::string& val) {
+  this->software = val;
+}
+
+void RolloutReport::__set_order(const int64_t val) {
+  this->order = val;
+}
+
+void RolloutReport::__set_applied_sequence(const int64_t val) {
+  this->applied_sequence = val;
+}
+
+void RolloutReport::__set_closed(const bool val) {
+  this->closed = val;
+}
+
+void RolloutReport::__set_routes(const std::vector<RolloutRouteResults> & val) {
+  this->routes = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutReport& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LinkKeepalive::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RolloutReport::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -10591,9 +12284,69 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->interval_ms);
-          this->__isset.interval_ms = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance);
+          this->__isset.instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->software);
+          this->__isset.software = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->order);
+          this->__isset.order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->applied_sequence);
+          this->__isset.applied_sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->closed);
+          this->__isset.closed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->routes.clear();
+            uint32_t _size519;
+            ::apache::thrift::protocol::TType _etype522;
+            xfer += iprot->readListBegin(_etype522, _size519);
+            this->routes.resize(_size519);
+            uint32_t _i523;
+            for (_i523 = 0; _i523 < _size519; ++_i523)
+            {
+              xfer += this->routes[_i523].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.routes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -10610,13 +12363,45 @@
   return xfer;
 }
 
-uint32_t LinkKeepalive::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RolloutReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LinkKeepalive");
+  xfer += oprot->writeStructBegin("RolloutReport");
 
-  xfer += oprot->writeFieldBegin("interval_ms", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->interval_ms);
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->instance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("software", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->software);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->order);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("applied_sequence", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->applied_sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("closed", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->closed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
+    std::vector<RolloutRouteResults> ::const_iterator _iter524;
+    for (_iter524 = this->routes.begin(); _iter524 != this->routes.end(); ++_iter524)
+    {
+      xfer += (*_iter524).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -10624,34 +12409,70 @@
   return xfer;
 }
 
-void swap(LinkKeepalive &a, LinkKeepalive &b) {
+void swap(RolloutReport &a, RolloutReport &b) {
   using ::std::swap;
-  swap(a.interval_ms, b.interval_ms);
+  swap(a.service_name, b.service_name);
+  swap(a.instance, b.instance);
+  swap(a.software, b.software);
+  swap(a.order, b.order);
+  swap(a.applied_sequence, b.applied_sequence);
+  swap(a.closed, b.closed);
+  swap(a.routes, b.routes);
   swap(a.__isset, b.__isset);
 }
 
-LinkKeepalive::LinkKeepalive(const LinkKeepalive& other447) noexcept {
-  interval_ms = other447.interval_ms;
-  __isset = other447.__isset;
-}
-LinkKeepalive::LinkKeepalive(LinkKeepalive&& other448) noexcept {
-  interval_ms = other448.interval_ms;
-  __isset = other448.__isset;
-}
-LinkKeepalive& LinkKeepalive::operator=(const LinkKeepalive& other449) noexcept {
-  interval_ms = other449.interval_ms;
-  __isset = other449.__isset;
+RolloutReport::RolloutReport(const RolloutReport& other525) {
+  service_name = other525.service_name;
+  instance = other525.instance;
+  software = other525.software;
+  order = other525.order;
+  applied_sequence = other525.applied_sequence;
+  closed = other525.closed;
+  routes = other525.routes;
+  __isset = other525.__isset;
+}
+RolloutReport::RolloutReport(RolloutReport&& other526) noexcept {
+  service_name = std::move(other526.service_name);
+  instance = std::move(other526.instance);
+  software = std::move(other526.software);
+  order = other526.order;
+  applied_sequence = other526.applied_sequence;
+  closed = other526.closed;
+  routes = std::move(other526.routes);
+  __isset = other526.__isset;
+}
+RolloutReport& RolloutReport::operator=(const RolloutReport& other527) {
+  service_name = other527.service_name;
+  instance = other527.instance;
+  software = other527.software;
+  order = other527.order;
+  applied_sequence = other527.applied_sequence;
+  closed = other527.closed;
+  routes = other527.routes;
+  __isset = other527.__isset;
   return *this;
 }
-LinkKeepalive& LinkKeepalive::operator=(LinkKeepalive&& other450) noexcept {
-  interval_ms = other450.interval_ms;
-  __isset = other450.__isset;
+RolloutReport& RolloutReport::operator=(RolloutReport&& other528) noexcept {
+  service_name = std::move(other528.service_name);
+  instance = std::move(other528.instance);
+  software = std::move(other528.software);
+  order = other528.order;
+  applied_sequence = other528.applied_sequence;
+  closed = other528.closed;
+  routes = std::move(other528.routes);
+  __isset = other528.__isset;
   return *this;
 }
-void LinkKeepalive::printTo(std::ostream& out) const {
+void RolloutReport::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LinkKeepalive(";
-  out << "interval_ms=" << to_string(interval_ms);
+  out << "RolloutReport(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "instance=" << to_string(instance);
+  out << ", " << "software=" << to_string(software);
+  out << ", " << "order=" << to_string(order);
+  out << ", " << "applied_sequence=" << to_string(applied_sequence);
+  out << ", " << "closed=" << to_string(closed);
+  out << ", " << "routes=" << to_string(routes);
   out << ")";
 }
 
@@ -10731,22 +12552,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LinkSilence::LinkSilence(const LinkSilence& other451) {
-  node = other451.node;
-  __isset = other451.__isset;
+LinkSilence::LinkSilence(const LinkSilence& other529) {
+  node = other529.node;
+  __isset = other529.__isset;
 }
-LinkSilence::LinkSilence(LinkSilence&& other452) noexcept {
-  node = std::move(other452.node);
-  __isset = other452.__isset;
+LinkSilence::LinkSilence(LinkSilence&& other530) noexcept {
+  node = std::move(other530.node);
+  __isset = other530.__isset;
 }
-LinkSilence& LinkSilence::operator=(const LinkSilence& other453) {
-  node = other453.node;
-  __isset = other453.__isset;
+LinkSilence& LinkSilence::operator=(const LinkSilence& other531) {
+  node = other531.node;
+  __isset = other531.__isset;
   return *this;
 }
-LinkSilence& LinkSilence::operator=(LinkSilence&& other454) noexcept {
-  node = std::move(other454.node);
-  __isset = other454.__isset;
+LinkSilence& LinkSilence::operator=(LinkSilence&& other532) noexcept {
+  node = std::move(other532.node);
+  __isset = other532.__isset;
   return *this;
 }
 void LinkSilence::printTo(std::ostream& out) const {
@@ -10825,6 +12646,26 @@
   this->silence = val;
 __isset.silence = true;
 }
+
+void LinkMessage::__set_shared_state(const SharedState& val) {
+  this->shared_state = val;
+__isset.shared_state = true;
+}
+
+void LinkMessage::__set_quota_request(const QuotaRequest& val) {
+  this->quota_request = val;
+__isset.quota_request = true;
+}
+
+void LinkMessage::__set_quota_reply(const QuotaReply& val) {
+  this->quota_reply = val;
+__isset.quota_reply = true;
+}
+
+void LinkMessage::__set_rollout_report(const RolloutReport& val) {
+  this->rollout_report = val;
+__isset.rollout_report = true;
+}
 std::ostream& operator<<(std::ostream& out, const LinkMessage& obj)
 {
   obj.printTo(out);
@@ -10957,6 +12798,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->shared_state.read(iprot);
+          this->__isset.shared_state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quota_request.read(iprot);
+          this->__isset.quota_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quota_reply.read(iprot);
+          this->__isset.quota_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->rollout_report.read(iprot);
+          this->__isset.rollout_report = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11039,6 +12912,26 @@
     xfer += this->silence.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.shared_state) {
+    xfer += oprot->writeFieldBegin("shared_state", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->shared_state.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.quota_request) {
+    xfer += oprot->writeFieldBegin("quota_request", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->quota_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.quota_reply) {
+    xfer += oprot->writeFieldBegin("quota_reply", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->quota_reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rollout_report) {
+    xfer += oprot->writeFieldBegin("rollout_report", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->rollout_report.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11059,73 +12952,93 @@
   swap(a.body_part, b.body_part);
   swap(a.keepalive, b.keepalive);
   swap(a.silence, b.silence);
+  swap(a.shared_state, b.shared_state);
+  swap(a.quota_request, b.quota_request);
+  swap(a.quota_reply, b.quota_reply);
+  swap(a.rollout_report, b.rollout_report);
   swap(a.__isset, b.__isset);
 }
 
-LinkMessage::LinkMessage(const LinkMessage& other455) {
-  hello = other455.hello;
-  status = other455.status;
-  call = other455.call;
-  reply = other455.reply;
-  cancel = other455.cancel;
-  config = other455.config;
-  config_request = other455.config_request;
-  probe = other455.probe;
-  chunk = other455.chunk;
-  body_request = other455.body_request;
-  body_part = other455.body_part;
-  keepalive = other455.keepalive;
-  silence = other455.silence;
-  __isset = other455.__isset;
-}
-LinkMessage::LinkMessage(LinkMessage&& other456) noexcept {
-  hello = std::move(other456.hello);
-  status = std::move(other456.status);
-  call = std::move(other456.call);
-  reply = std::move(other456.reply);
-  cancel = std::move(other456.cancel);
-  config = std::move(other456.config);
-  config_request = std::move(other456.config_request);
-  probe = std::move(other456.probe);
-  chunk = std::move(other456.chunk);
-  body_request = std::move(other456.body_request);
-  body_part = std::move(other456.body_part);
-  keepalive = std::move(other456.keepalive);
-  silence = std::move(other456.silence);
-  __isset = other456.__isset;
-}
-LinkMessage& LinkMessage::operator=(const LinkMessage& other457) {
-  hello = other457.hello;
-  status = other457.status;
-  call = other457.call;
-  reply = other457.reply;
-  cancel = other457.cancel;
-  config = other457.config;
-  config_request = other457.config_request;
-  probe = other457.probe;
-  chunk = other457.chunk;
-  body_request = other457.body_request;
-  body_part = other457.body_part;
-  keepalive = other457.keepalive;
-  silence = other457.silence;
-  __isset = other457.__isset;
+LinkMessage::LinkMessage(const LinkMessage& other533) {
+  hello = other533.hello;
+  status = other533.status;
+  call = other533.call;
+  reply = other533.reply;
+  cancel = other533.cancel;
+  config = other533.config;
+  config_request = other533.config_request;
+  probe = other533.probe;
+  chunk = other533.chunk;
+  body_request = other533.body_request;
+  body_part = other533.body_part;
+  keepalive = other533.keepalive;
+  silence = other533.silence;
+  shared_state = other533.shared_state;
+  quota_request = other533.quota_request;
+  quota_reply = other533.quota_reply;
+  rollout_report = other533.rollout_report;
+  __isset = other533.__isset;
+}
+LinkMessage::LinkMessage(LinkMessage&& other534) noexcept {
+  hello = std::move(other534.hello);
+  status = std::move(other534.status);
+  call = std::move(other534.call);
+  reply = std::move(other534.reply);
+  cancel = std::move(other534.cancel);
+  config = std::move(other534.config);
+  config_request = std::move(other534.config_request);
+  probe = std::move(other534.probe);
+  chunk = std::move(other534.chunk);
+  body_request = std::move(other534.body_request);
+  body_part = std::move(other534.body_part);
+  keepalive = std::move(other534.keepalive);
+  silence = std::move(other534.silence);
+  shared_state = std::move(other534.shared_state);
+  quota_request = std::move(other534.quota_request);
+  quota_reply = std::move(other534.quota_reply);
+  rollout_report = std::move(other534.rollout_report);
+  __isset = other534.__isset;
+}
+LinkMessage& LinkMessage::operator=(const LinkMessage& other535) {
+  hello = other535.hello;
+  status = other535.status;
+  call = other535.call;
+  reply = other535.reply;
+  cancel = other535.cancel;
+  config = other535.config;
+  config_request = other535.config_request;
+  probe = other535.probe;
+  chunk = other535.chunk;
+  body_request = other535.body_request;
+  body_part = other535.body_part;
+  keepalive = other535.keepalive;
+  silence = other535.silence;
+  shared_state = other535.shared_state;
+  quota_request = other535.quota_request;
+  quota_reply = other535.quota_reply;
+  rollout_report = other535.rollout_report;
+  __isset = other535.__isset;
   return *this;
 }
-LinkMessage& LinkMessage::operator=(LinkMessage&& other458) noexcept {
-  hello = std::move(other458.hello);
-  status = std::move(other458.status);
-  call = std::move(other458.call);
-  reply = std::move(other458.reply);
-  cancel = std::move(other458.cancel);
-  config = std::move(other458.config);
-  config_request = std::move(other458.config_request);
-  probe = std::move(other458.probe);
-  chunk = std::move(other458.chunk);
-  body_request = std::move(other458.body_request);
-  body_part = std::move(other458.body_part);
-  keepalive = std::move(other458.keepalive);
-  silence = std::move(other458.silence);
-  __isset = other458.__isset;
+LinkMessage& LinkMessage::operator=(LinkMessage&& other536) noexcept {
+  hello = std::move(other536.hello);
+  status = std::move(other536.status);
+  call = std::move(other536.call);
+  reply = std::move(other536.reply);
+  cancel = std::move(other536.cancel);
+  config = std::move(other536.config);
+  config_request = std::move(other536.config_request);
+  probe = std::move(other536.probe);
+  chunk = std::move(other536.chunk);
+  body_request = std::move(other536.body_request);
+  body_part = std::move(other536.body_part);
+  keepalive = std::move(other536.keepalive);
+  silence = std::move(other536.silence);
+  shared_state = std::move(other536.shared_state);
+  quota_request = std::move(other536.quota_request);
+  quota_reply = std::move(other536.quota_reply);
+  rollout_report = std::move(other536.rollout_report);
+  __isset = other536.__isset;
   return *this;
 }
 void LinkMessage::printTo(std::ostream& out) const {
@@ -11144,6 +13057,10 @@
   out << ", " << "body_part="; (__isset.body_part ? (out << to_string(body_part)) : (out << "<null>"));
   out << ", " << "keepalive="; (__isset.keepalive ? (out << to_string(keepalive)) : (out << "<null>"));
   out << ", " << "silence="; (__isset.silence ? (out << to_string(silence)) : (out << "<null>"));
+  out << ", " << "shared_state="; (__isset.shared_state ? (out << to_string(shared_state)) : (out << "<null>"));
+  out << ", " << "quota_request="; (__isset.quota_request ? (out << to_string(quota_request)) : (out << "<null>"));
+  out << ", " << "quota_reply="; (__isset.quota_reply ? (out << to_string(quota_reply)) : (out << "<null>"));
+  out << ", " << "rollout_report="; (__isset.rollout_report ? (out << to_string(rollout_report)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/limpet_types.h
+++ b/src/gen/limpet_types.h
@@ -188,6 +188,8 @@
 
 class MeshServiceRecord;
 
+class MeshAccountRecord;
+
 class CallerLimitsRecord;
 
 class LinkConfig;
@@ -200,6 +202,22 @@
 
 class LinkKeepalive;
 
+class SharedEntry;
+
+class SharedState;
+
+class QuotaAsk;
+
+class QuotaRequest;
+
+class QuotaGrant;
+
+class QuotaReply;
+
+class RolloutRouteResults;
+
+class RolloutReport;
+
 class LinkSilence;
 
 class LinkMessage;
@@ -2753,7 +2771,7 @@
 std::ostream& operator<<(std::ostream& out, const CallReply& obj);
 
 typedef struct _TargetStatus__isset {
-  _TargetStatus__isset() : instance(false), service_name(false), state(false), slots(false), cold_ms(false), load(false), failure_permille(false), egress_wait_us(false), egress_us_per_kib(false), slowdown_permille(false), ingress_wait_us(false) {}
+  _TargetStatus__isset() : instance(false), service_name(false), state(false), slots(false), cold_ms(false), load(false), failure_permille(false), egress_wait_us(false), egress_us_per_kib(false), slowdown_permille(false), ingress_wait_us(false), software(false), trial_due(false), next_trial_ms(false) {}
   bool instance :1;
   bool service_name :1;
   bool state :1;
@@ -2765,6 +2783,9 @@
   bool egress_us_per_kib :1;
   bool slowdown_permille :1;
   bool ingress_wait_us :1;
+  bool software :1;
+  bool trial_due :1;
+  bool next_trial_ms :1;
 } _TargetStatus__isset;
 
 class TargetStatus : public virtual ::apache::thrift::TBase {
@@ -2784,7 +2805,10 @@
                  egress_wait_us(0),
                  egress_us_per_kib(0),
                  slowdown_permille(0),
-                 ingress_wait_us(0) {
+                 ingress_wait_us(0),
+                 software(),
+                 trial_due(0),
+                 next_trial_ms(0) {
   }
 
   virtual ~TargetStatus() noexcept;
@@ -2803,6 +2827,9 @@
   int32_t egress_us_per_kib;
   int32_t slowdown_permille;
   int32_t ingress_wait_us;
+  std::string software;
+  bool trial_due;
+  int32_t next_trial_ms;
 
   _TargetStatus__isset __isset;
 
@@ -2828,6 +2855,12 @@
 
   void __set_ingress_wait_us(const int32_t val);
 
+  void __set_software(const std::string& val);
+
+  void __set_trial_due(const bool val);
+
+  void __set_next_trial_ms(const int32_t val);
+
   bool operator == (const TargetStatus & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -2852,6 +2885,12 @@
       return false;
     if (!(ingress_wait_us == rhs.ingress_wait_us))
       return false;
+    if (!(software == rhs.software))
+      return false;
+    if (!(trial_due == rhs.trial_due))
+      return false;
+    if (!(next_trial_ms == rhs.next_trial_ms))
+      return false;
     return true;
   }
   bool operator != (const TargetStatus &rhs) const {
@@ -3035,7 +3074,7 @@
 std::ostream& operator<<(std::ostream& out, const LinkHello& obj);
 
 typedef struct _LinkCall__isset {
-  _LinkCall__isset() : call_id(false), request_id(false), service_name(false), instance(false), method(false), path(false), headers(false), idempotent(false), priority(false), deadline_ms(false), latency_target_ms(false), route(false), accepts_late(false), free_slot_only(false), usual_run_us(false), expected_response_bytes(false), body_bytes(false) {}
+  _LinkCall__isset() : call_id(false), request_id(false), service_name(false), instance(false), method(false), path(false), headers(false), idempotent(false), priority(false), deadline_ms(false), latency_target_ms(false), route(false), accepts_late(false), free_slot_only(false), usual_run_us(false), expected_response_bytes(false), body_bytes(false), account(false) {}
   bool call_id :1;
   bool request_id :1;
   bool service_name :1;
@@ -3053,6 +3092,7 @@
   bool usual_run_us :1;
   bool expected_response_bytes :1;
   bool body_bytes :1;
+  bool account :1;
 } _LinkCall__isset;
 
 class LinkCall : public virtual ::apache::thrift::TBase {
@@ -3078,7 +3118,8 @@
              free_slot_only(0),
              usual_run_us(0),
              expected_response_bytes(0),
-             body_bytes(0) {
+             body_bytes(0),
+             account() {
   }
 
   virtual ~LinkCall() noexcept;
@@ -3099,6 +3140,7 @@
   int32_t usual_run_us;
   int32_t expected_response_bytes;
   int32_t body_bytes;
+  std::string account;
 
   _LinkCall__isset __isset;
 
@@ -3136,6 +3178,8 @@
 
   void __set_body_bytes(const int32_t val);
 
+  void __set_account(const std::string& val);
+
   bool operator == (const LinkCall & rhs) const
   {
     if (!(call_id == rhs.call_id))
@@ -3172,6 +3216,8 @@
       return false;
     if (!(body_bytes == rhs.body_bytes))
       return false;
+    if (!(account == rhs.account))
+      return false;
     return true;
   }
   bool operator != (const LinkCall &rhs) const {
@@ -3447,7 +3493,7 @@
 std::ostream& operator<<(std::ostream& out, const LinkCancel& obj);
 
 typedef struct _MeshRouteRecord__isset {
-  _MeshRouteRecord__isset() : name(false), host(false), path_prefix(false), kind(false), timeout_us(false), target_latency_us(false), priority(false), max_attempts(false), services(false), weights(false) {}
+  _MeshRouteRecord__isset() : name(false), host(false), path_prefix(false), kind(false), timeout_us(false), target_latency_us(false), priority(false), max_attempts(false), services(false), weights(false), is_public(false) {}
   bool name :1;
   bool host :1;
   bool path_prefix :1;
@@ -3458,6 +3504,7 @@
   bool max_attempts :1;
   bool services :1;
   bool weights :1;
+  bool is_public :1;
 } _MeshRouteRecord__isset;
 
 class MeshRouteRecord : public virtual ::apache::thrift::TBase {
@@ -3475,7 +3522,8 @@
                     timeout_us(0),
                     target_latency_us(0),
                     priority(0),
-                    max_attempts(0) {
+                    max_attempts(0),
+                    is_public(0) {
   }
 
   virtual ~MeshRouteRecord() noexcept;
@@ -3489,6 +3537,7 @@
   int32_t max_attempts;
   std::vector<std::string>  services;
   std::vector<int32_t>  weights;
+  bool is_public;
 
   _MeshRouteRecord__isset __isset;
 
@@ -3512,6 +3561,8 @@
 
   void __set_weights(const std::vector<int32_t> & val);
 
+  void __set_is_public(const bool val);
+
   bool operator == (const MeshRouteRecord & rhs) const
   {
     if (!(name == rhs.name))
@@ -3534,6 +3585,8 @@
       return false;
     if (!(weights == rhs.weights))
       return false;
+    if (!(is_public == rhs.is_public))
+      return false;
     return true;
   }
   bool operator != (const MeshRouteRecord &rhs) const {
@@ -3611,6 +3664,85 @@
 
 std::ostream& operator<<(std::ostream& out, const MeshServiceRecord& obj);
 
+typedef struct _MeshAccountRecord__isset {
+  _MeshAccountRecord__isset() : name(false), keys(false), priority(false), has_priority(false), requests_per_s(false), burst(false) {}
+  bool name :1;
+  bool keys :1;
+  bool priority :1;
+  bool has_priority :1;
+  bool requests_per_s :1;
+  bool burst :1;
+} _MeshAccountRecord__isset;
+
+class MeshAccountRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  MeshAccountRecord(const MeshAccountRecord&);
+  MeshAccountRecord(MeshAccountRecord&&) noexcept;
+  MeshAccountRecord& operator=(const MeshAccountRecord&);
+  MeshAccountRecord& operator=(MeshAccountRecord&&) noexcept;
+  MeshAccountRecord() noexcept
+                    : name(),
+                      priority(0),
+                      has_priority(0),
+                      requests_per_s(0),
+                      burst(0) {
+  }
+
+  virtual ~MeshAccountRecord() noexcept;
+  std::string name;
+  std::vector<std::string>  keys;
+  int32_t priority;
+  bool has_priority;
+  double requests_per_s;
+  double burst;
+
+  _MeshAccountRecord__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_keys(const std::vector<std::string> & val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_has_priority(const bool val);
+
+  void __set_requests_per_s(const double val);
+
+  void __set_burst(const double val);
+
+  bool operator == (const MeshAccountRecord & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(keys == rhs.keys))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(has_priority == rhs.has_priority))
+      return false;
+    if (!(requests_per_s == rhs.requests_per_s))
+      return false;
+    if (!(burst == rhs.burst))
+      return false;
+    return true;
+  }
+  bool operator != (const MeshAccountRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const MeshAccountRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(MeshAccountRecord &a, MeshAccountRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const MeshAccountRecord& obj);
+
 typedef struct _CallerLimitsRecord__isset {
   _CallerLimitsRecord__isset() : max_header_bytes(false), max_body_bytes(false), header_timeout_us(false), idle_timeout_us(false) {}
   bool max_header_bytes :1;
@@ -3678,7 +3810,7 @@
 std::ostream& operator<<(std::ostream& out, const CallerLimitsRecord& obj);
 
 typedef struct _LinkConfig__isset {
-  _LinkConfig__isset() : base(false), version(false), set_routes(false), removed_routes(false), set_services(false), removed_services(false), limits(false) {}
+  _LinkConfig__isset() : base(false), version(false), set_routes(false), removed_routes(false), set_services(false), removed_services(false), limits(false), set_accounts(false), removed_accounts(false) {}
   bool base :1;
   bool version :1;
   bool set_routes :1;
@@ -3686,6 +3818,8 @@
   bool set_services :1;
   bool removed_services :1;
   bool limits :1;
+  bool set_accounts :1;
+  bool removed_accounts :1;
 } _LinkConfig__isset;
 
 class LinkConfig : public virtual ::apache::thrift::TBase {
@@ -3708,6 +3842,8 @@
   std::vector<MeshServiceRecord>  set_services;
   std::vector<std::string>  removed_services;
   CallerLimitsRecord limits;
+  std::vector<MeshAccountRecord>  set_accounts;
+  std::vector<std::string>  removed_accounts;
 
   _LinkConfig__isset __isset;
 
@@ -3725,6 +3861,10 @@
 
   void __set_limits(const CallerLimitsRecord& val);
 
+  void __set_set_accounts(const std::vector<MeshAccountRecord> & val);
+
+  void __set_removed_accounts(const std::vector<std::string> & val);
+
   bool operator == (const LinkConfig & rhs) const
   {
     if (!(base == rhs.base))
@@ -3741,6 +3881,10 @@
       return false;
     if (!(limits == rhs.limits))
       return false;
+    if (!(set_accounts == rhs.set_accounts))
+      return false;
+    if (!(removed_accounts == rhs.removed_accounts))
+      return false;
     return true;
   }
   bool operator != (const LinkConfig &rhs) const {
@@ -3805,11 +3949,13 @@
 std::ostream& operator<<(std::ostream& out, const LinkConfigRequest& obj);
 
 typedef struct _LinkProbe__isset {
-  _LinkProbe__isset() : nonce(false), answer(false), config_version(false), store_fails(false) {}
+  _LinkProbe__isset() : nonce(false), answer(false), config_version(false), store_fails(false), knowledge_age_us(false), operator_digest(false) {}
   bool nonce :1;
   bool answer :1;
   bool config_version :1;
   bool store_fails :1;
+  bool knowledge_age_us :1;
+  bool operator_digest :1;
 } _LinkProbe__isset;
 
 class LinkProbe : public virtual ::apache::thrift::TBase {
@@ -3823,7 +3969,9 @@
             : nonce(0),
               answer(0),
               config_version(0),
-              store_fails(0) {
+              store_fails(0),
+              knowledge_age_us(0),
+              operator_digest(0) {
   }
 
   virtual ~LinkProbe() noexcept;
@@ -3831,6 +3979,8 @@
   bool answer;
   int64_t config_version;
   bool store_fails;
+  int64_t knowledge_age_us;
+  int64_t operator_digest;
 
   _LinkProbe__isset __isset;
 
@@ -3842,6 +3992,10 @@
 
   void __set_store_fails(const bool val);
 
+  void __set_knowledge_age_us(const int64_t val);
+
+  void __set_operator_digest(const int64_t val);
+
   bool operator == (const LinkProbe & rhs) const
   {
     if (!(nonce == rhs.nonce))
@@ -3852,6 +4006,12 @@
       return false;
     if (!(store_fails == rhs.store_fails))
       return false;
+    if (__isset.knowledge_age_us != rhs.__isset.knowledge_age_us)
+      return false;
+    else if (__isset.knowledge_age_us && !(knowledge_age_us == rhs.knowledge_age_us))
+      return false;
+    if (!(operator_digest == rhs.operator_digest))
+      return false;
     return true;
   }
   bool operator != (const LinkProbe &rhs) const {
@@ -3974,6 +4134,509 @@
 
 std::ostream& operator<<(std::ostream& out, const LinkKeepalive& obj);
 
+typedef struct _SharedEntry__isset {
+  _SharedEntry__isset() : key(false), token(false), sequence(false), value(false) {}
+  bool key :1;
+  bool token :1;
+  bool sequence :1;
+  bool value :1;
+} _SharedEntry__isset;
+
+class SharedEntry : public virtual ::apache::thrift::TBase {
+ public:
+
+  SharedEntry(const SharedEntry&);
+  SharedEntry(SharedEntry&&) noexcept;
+  SharedEntry& operator=(const SharedEntry&);
+  SharedEntry& operator=(SharedEntry&&) noexcept;
+  SharedEntry() noexcept
+              : key(),
+                token(0),
+                sequence(0),
+                value() {
+  }
+
+  virtual ~SharedEntry() noexcept;
+  std::string key;
+  int64_t token;
+  int64_t sequence;
+  std::string value;
+
+  _SharedEntry__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_token(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_value(const std::string& val);
+
+  bool operator == (const SharedEntry & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(token == rhs.token))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    return true;
+  }
+  bool operator != (const SharedEntry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SharedEntry & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SharedEntry &a, SharedEntry &b);
+
+std::ostream& operator<<(std::ostream& out, const SharedEntry& obj);
+
+typedef struct _SharedState__isset {
+  _SharedState__isset() : entries(false), digest(false) {}
+  bool entries :1;
+  bool digest :1;
+} _SharedState__isset;
+
+class SharedState : public virtual ::apache::thrift::TBase {
+ public:
+
+  SharedState(const SharedState&);
+  SharedState(SharedState&&) noexcept;
+  SharedState& operator=(const SharedState&);
+  SharedState& operator=(SharedState&&) noexcept;
+  SharedState() noexcept
+              : digest(0) {
+  }
+
+  virtual ~SharedState() noexcept;
+  std::vector<SharedEntry>  entries;
+  int64_t digest;
+
+  _SharedState__isset __isset;
+
+  void __set_entries(const std::vector<SharedEntry> & val);
+
+  void __set_digest(const int64_t val);
+
+  bool operator == (const SharedState & rhs) const
+  {
+    if (!(entries == rhs.entries))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    return true;
+  }
+  bool operator != (const SharedState &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SharedState & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SharedState &a, SharedState &b);
+
+std::ostream& operator<<(std::ostream& out, const SharedState& obj);
+
+typedef struct _QuotaAsk__isset {
+  _QuotaAsk__isset() : account(false), wanted(false), unused(false) {}
+  bool account :1;
+  bool wanted :1;
+  bool unused :1;
+} _QuotaAsk__isset;
+
+class QuotaAsk : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaAsk(const QuotaAsk&);
+  QuotaAsk(QuotaAsk&&) noexcept;
+  QuotaAsk& operator=(const QuotaAsk&);
+  QuotaAsk& operator=(QuotaAsk&&) noexcept;
+  QuotaAsk() noexcept
+           : account(),
+             wanted(0),
+             unused(0) {
+  }
+
+  virtual ~QuotaAsk() noexcept;
+  std::string account;
+  int32_t wanted;
+  int32_t unused;
+
+  _QuotaAsk__isset __isset;
+
+  void __set_account(const std::string& val);
+
+  void __set_wanted(const int32_t val);
+
+  void __set_unused(const int32_t val);
+
+  bool operator == (const QuotaAsk & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(wanted == rhs.wanted))
+      return false;
+    if (!(unused == rhs.unused))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaAsk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaAsk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaAsk &a, QuotaAsk &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaAsk& obj);
+
+typedef struct _QuotaRequest__isset {
+  _QuotaRequest__isset() : request_id(false), asks(false) {}
+  bool request_id :1;
+  bool asks :1;
+} _QuotaRequest__isset;
+
+class QuotaRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaRequest(const QuotaRequest&);
+  QuotaRequest(QuotaRequest&&) noexcept;
+  QuotaRequest& operator=(const QuotaRequest&);
+  QuotaRequest& operator=(QuotaRequest&&) noexcept;
+  QuotaRequest() noexcept
+               : request_id(0) {
+  }
+
+  virtual ~QuotaRequest() noexcept;
+  int64_t request_id;
+  std::vector<QuotaAsk>  asks;
+
+  _QuotaRequest__isset __isset;
+
+  void __set_request_id(const int64_t val);
+
+  void __set_asks(const std::vector<QuotaAsk> & val);
+
+  bool operator == (const QuotaRequest & rhs) const
+  {
+    if (!(request_id == rhs.request_id))
+      return false;
+    if (!(asks == rhs.asks))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaRequest &a, QuotaRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaRequest& obj);
+
+typedef struct _QuotaGrant__isset {
+  _QuotaGrant__isset() : account(false), granted(false), retry_after_ms(false) {}
+  bool account :1;
+  bool granted :1;
+  bool retry_after_ms :1;
+} _QuotaGrant__isset;
+
+class QuotaGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaGrant(const QuotaGrant&);
+  QuotaGrant(QuotaGrant&&) noexcept;
+  QuotaGrant& operator=(const QuotaGrant&);
+  QuotaGrant& operator=(QuotaGrant&&) noexcept;
+  QuotaGrant() noexcept
+             : account(),
+               granted(0),
+               retry_after_ms(0) {
+  }
+
+  virtual ~QuotaGrant() noexcept;
+  std::string account;
+  int32_t granted;
+  int32_t retry_after_ms;
+
+  _QuotaGrant__isset __isset;
+
+  void __set_account(const std::string& val);
+
+  void __set_granted(const int32_t val);
+
+  void __set_retry_after_ms(const int32_t val);
+
+  bool operator == (const QuotaGrant & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(granted == rhs.granted))
+      return false;
+    if (!(retry_after_ms == rhs.retry_after_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaGrant &a, QuotaGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaGrant& obj);
+
+typedef struct _QuotaReply__isset {
+  _QuotaReply__isset() : request_id(false), not_holder(false), term_ms(false), grants(false) {}
+  bool request_id :1;
+  bool not_holder :1;
+  bool term_ms :1;
+  bool grants :1;
+} _QuotaReply__isset;
+
+class QuotaReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaReply(const QuotaReply&);
+  QuotaReply(QuotaReply&&) noexcept;
+  QuotaReply& operator=(const QuotaReply&);
+  QuotaReply& operator=(QuotaReply&&) noexcept;
+  QuotaReply() noexcept
+             : request_id(0),
+               not_holder(0),
+               term_ms(0) {
+  }
+
+  virtual ~QuotaReply() noexcept;
+  int64_t request_id;
+  bool not_holder;
+  int32_t term_ms;
+  std::vector<QuotaGrant>  grants;
+
+  _QuotaReply__isset __isset;
+
+  void __set_request_id(const int64_t val);
+
+  void __set_not_holder(const bool val);
+
+  void __set_term_ms(const int32_t val);
+
+  void __set_grants(const std::vector<QuotaGrant> & val);
+
+  bool operator == (const QuotaReply & rhs) const
+  {
+    if (!(request_id == rhs.request_id))
+      return false;
+    if (!(not_holder == rhs.not_holder))
+      return false;
+    if (!(term_ms == rhs.term_ms))
+      return false;
+    if (!(grants == rhs.grants))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaReply &a, QuotaReply &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaReply& obj);
+
+typedef struct _RolloutRouteResults__isset {
+  _RolloutRouteResults__isset() : route(false), requests(false), failures(false), service_time_us(false) {}
+  bool route :1;
+  bool requests :1;
+  bool failures :1;
+  bool service_time_us :1;
+} _RolloutRouteResults__isset;
+
+class RolloutRouteResults : public virtual ::apache::thrift::TBase {
+ public:
+
+  RolloutRouteResults(const RolloutRouteResults&);
+  RolloutRouteResults(RolloutRouteResults&&) noexcept;
+  RolloutRouteResults& operator=(const RolloutRouteResults&);
+  RolloutRouteResults& operator=(RolloutRouteResults&&) noexcept;
+  RolloutRouteResults() noexcept
+                      : route(),
+                        requests(0),
+                        failures(0),
+                        service_time_us(0) {
+  }
+
+  virtual ~RolloutRouteResults() noexcept;
+  std::string route;
+  int64_t requests;
+  int64_t failures;
+  int64_t service_time_us;
+
+  _RolloutRouteResults__isset __isset;
+
+  void __set_route(const std::string& val);
+
+  void __set_requests(const int64_t val);
+
+  void __set_failures(const int64_t val);
+
+  void __set_service_time_us(const int64_t val);
+
+  bool operator == (const RolloutRouteResults & rhs) const
+  {
+    if (!(route == rhs.route))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    if (!(failures == rhs.failures))
+      return false;
+    if (!(service_time_us == rhs.service_time_us))
+      return false;
+    return true;
+  }
+  bool operator != (const RolloutRouteResults &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RolloutRouteResults & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RolloutRouteResults &a, RolloutRouteResults &b);
+
+std::ostream& operator<<(std::ostream& out, const RolloutRouteResults& obj);
+
+typedef struct _RolloutReport__isset {
+  _RolloutReport__isset() : service_name(false), instance(false), software(false), order(false), applied_sequence(false), closed(false), routes(false) {}
+  bool service_name :1;
+  bool instance :1;
+  bool software :1;
+  bool order :1;
+  bool applied_sequence :1;
+  bool closed :1;
+  bool routes :1;
+} _RolloutReport__isset;
+
+class RolloutReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  RolloutReport(const RolloutReport&);
+  RolloutReport(RolloutReport&&) noexcept;
+  RolloutReport& operator=(const RolloutReport&);
+  RolloutReport& operator=(RolloutReport&&) noexcept;
+  RolloutReport() noexcept
+                : service_name(),
+                  instance(),
+                  software(),
+                  order(0),
+                  applied_sequence(0),
+                  closed(0) {
+  }
+
+  virtual ~RolloutReport() noexcept;
+  std::string service_name;
+  std::string instance;
+  std::string software;
+  int64_t order;
+  int64_t applied_sequence;
+  bool closed;
+  std::vector<RolloutRouteResults>  routes;
+
+  _RolloutReport__isset __isset;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_instance(const std::string& val);
+
+  void __set_software(const std::string& val);
+
+  void __set_order(const int64_t val);
+
+  void __set_applied_sequence(const int64_t val);
+
+  void __set_closed(const bool val);
+
+  void __set_routes(const std::vector<RolloutRouteResults> & val);
+
+  bool operator == (const RolloutReport & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(software == rhs.software))
+      return false;
+    if (!(order == rhs.order))
+      return false;
+    if (!(applied_sequence == rhs.applied_sequence))
+      return false;
+    if (!(closed == rhs.closed))
+      return false;
+    if (!(routes == rhs.routes))
+      return false;
+    return true;
+  }
+  bool operator != (const RolloutReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RolloutReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RolloutReport &a, RolloutReport &b);
+
+std::ostream& operator<<(std::ostream& out, const RolloutReport& obj);
+
 typedef struct _LinkSilence__isset {
   _LinkSilence__isset() : node(false) {}
   bool node :1;
@@ -4020,7 +4683,7 @@
 std::ostream& operator<<(std::ostream& out, const LinkSilence& obj);
 
 typedef struct _LinkMessage__isset {
-  _LinkMessage__isset() : hello(false), status(false), call(false), reply(false), cancel(false), config(false), config_request(false), probe(false), chunk(false), body_request(false), body_part(false), keepalive(false), silence(false) {}
+  _LinkMessage__isset() : hello(false), status(false), call(false), reply(false), cancel(false), config(false), config_request(false), probe(false), chunk(false), body_request(false), body_part(false), keepalive(false), silence(false), shared_state(false), quota_request(false), quota_reply(false), rollout_report(false) {}
   bool hello :1;
   bool status :1;
   bool call :1;
@@ -4034,6 +4697,10 @@
   bool body_part :1;
   bool keepalive :1;
   bool silence :1;
+  bool shared_state :1;
+  bool quota_request :1;
+  bool quota_reply :1;
+  bool rollout_report :1;
 } _LinkMessage__isset;
 
 class LinkMessage : public virtual ::apache::thrift::TBase {
@@ -4060,6 +4727,10 @@
   LinkBodyPart body_part;
   LinkKeepalive keepalive;
   LinkSilence silence;
+  SharedState shared_state;
+  QuotaRequest quota_request;
+  QuotaReply quota_reply;
+  RolloutReport rollout_report;
 
   _LinkMessage__isset __isset;
 
@@ -4089,6 +4760,14 @@
 
   void __set_silence(const LinkSilence& val);
 
+  void __set_shared_state(const SharedState& val);
+
+  void __set_quota_request(const QuotaRequest& val);
+
+  void __set_quota_reply(const QuotaReply& val);
+
+  void __set_rollout_report(const RolloutReport& val);
+
   bool operator == (const LinkMessage & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -4143,6 +4822,22 @@
       return false;
     else if (__isset.silence && !(silence == rhs.silence))
       return false;
+    if (__isset.shared_state != rhs.__isset.shared_state)
+      return false;
+    else if (__isset.shared_state && !(shared_state == rhs.shared_state))
+      return false;
+    if (__isset.quota_request != rhs.__isset.quota_request)
+      return false;
+    else if (__isset.quota_request && !(quota_request == rhs.quota_request))
+      return false;
+    if (__isset.quota_reply != rhs.__isset.quota_reply)
+      return false;
+    else if (__isset.quota_reply && !(quota_reply == rhs.quota_reply))
+      return false;
+    if (__isset.rollout_report != rhs.__isset.rollout_report)
+      return false;
+    else if (__isset.rollout_report && !(rollout_report == rhs.rollout_report))
+      return false;
     return true;
   }
   bool operator != (const LinkMessage &rhs) const {
--- a/src/routing/mesh_config.cc
+++ b/src/routing/mesh_config.cc
@@ -1,6 +1,7 @@
 #include "limpet/routing/mesh_config.h"
 
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace limpet {
@@ -29,6 +30,27 @@
   Require(total > 0, route, "all weights are 0");
 }
 
+void CheckAccounts(const std::vector<ClientAccount>& accounts) {
+  std::set<std::string_view> names;
+  std::set<std::string_view> keys;
+  for (const ClientAccount& account : accounts) {
+    const auto require = [&account](bool condition, const std::string& problem) {
+      if (!condition) {
+        throw InvalidMeshConfig("client account " + account.name + ": " + problem);
+      }
+    };
+    const auto is_limit = [](double value) { return value >= 0 && value <= kMaxAccountLimit; };
+    require(!account.name.empty(), "the name is empty");
+    require(names.insert(account.name).second, "the name is used twice");
+    for (const std::string& key : account.keys) {
+      require(!key.empty(), "a key is empty");
+      require(keys.insert(key).second, "a key is used twice");
+    }
+    require(is_limit(account.requests_per_s), "the request rate is not from 0 to 1e9");
+    require(is_limit(account.burst), "the burst is not from 0 to 1e9");
+  }
+}
+
 }  // namespace
 
 void ValidateMeshConfig(const MeshConfig& config) {
@@ -46,6 +68,7 @@
     Require(hosts_and_prefixes.emplace(route.host, route.path_prefix).second, route,
             "another route has the same host and prefix");
   }
+  CheckAccounts(config.accounts);
 }
 
 }  // namespace limpet
--- a/src/routing/mesh_delta.cc
+++ b/src/routing/mesh_delta.cc
@@ -19,6 +19,7 @@
   record.target_latency_us = route.target_latency.count();
   record.priority = route.priority;
   record.max_attempts = route.max_attempts;
+  record.is_public = route.is_public;
   for (const WeightedService& entry : route.weighted_services) {
     record.services.push_back(entry.service);
     record.weights.push_back(entry.weight);
@@ -43,6 +44,7 @@
   route.target_latency = Duration(record.target_latency_us);
   route.priority = record.priority;
   route.max_attempts = record.max_attempts;
+  route.is_public = record.is_public;
   for (std::size_t i = 0; i < record.services.size(); ++i) {
     route.weighted_services.push_back({record.services[i], record.weights[i]});
   }
@@ -61,6 +63,29 @@
   return {record.name, record.health_path, record.max_connections};
 }
 
+wire::MeshAccountRecord ToRecord(const ClientAccount& account) {
+  wire::MeshAccountRecord record;
+  record.name = account.name;
+  record.keys = account.keys;
+  record.has_priority = account.priority.has_value();
+  record.priority = account.priority.value_or(0);
+  record.requests_per_s = account.requests_per_s;
+  record.burst = account.burst;
+  return record;
+}
+
+ClientAccount FromRecord(const wire::MeshAccountRecord& record) {
+  ClientAccount account;
+  account.name = record.name;
+  account.keys = record.keys;
+  if (record.has_priority) {
+    account.priority = record.priority;
+  }
+  account.requests_per_s = record.requests_per_s;
+  account.burst = record.burst;
+  return account;
+}
+
 /// Appends the items of `to` that are missing or different in `from` to `set`, and the names that
 /// only `from` has to `removed`.
 template <typename Item, typename Record>
@@ -112,6 +137,7 @@
   change.version = to.version;
   AppendDifferences(from.routes, to.routes, change.set_routes, change.removed_routes);
   AppendDifferences(from.services, to.services, change.set_services, change.removed_services);
+  AppendDifferences(from.accounts, to.accounts, change.set_accounts, change.removed_accounts);
   change.limits.max_header_bytes = static_cast<int64_t>(to.limits.max_header_bytes);
   change.limits.max_body_bytes = static_cast<int64_t>(to.limits.max_body_bytes);
   change.limits.header_timeout_us = to.limits.header_timeout.count();
@@ -124,6 +150,7 @@
   next.version = change.version;
   next.routes = ApplyDifferences(config.routes, change.set_routes, change.removed_routes);
   next.services = ApplyDifferences(config.services, change.set_services, change.removed_services);
+  next.accounts = ApplyDifferences(config.accounts, change.set_accounts, change.removed_accounts);
   next.limits.max_header_bytes = static_cast<std::size_t>(change.limits.max_header_bytes);
   next.limits.max_body_bytes = static_cast<std::size_t>(change.limits.max_body_bytes);
   next.limits.header_timeout = Duration(change.limits.header_timeout_us);
