Send trial requests to targets that are down

Cause: the gate of a target that failed three times would admit a trial, but reported the target as down, and placement sends nothing to such a target. The question IsDown changed the time of the next trial. Now the gate states when it takes a trial, placement sends one, and the gate admits one at a time with a bounded back-off. If all targets of a service are down, callers are told the time until the next trial. Ruled out: health checks as trials, which pass while a target fails requests. The log event target_state tells since when a target is down and when the next trial is.

--- a/include/limpet/traffic/target_gate.h
+++ b/include/limpet/traffic/target_gate.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "limpet/core/random.h"
 #include "limpet/core/time.h"
 #include "limpet/registry/target_registry.h"
 #include "limpet/traffic/deduplication_table.h"
@@ -26,8 +27,15 @@
   Duration deduplication_margin = std::chrono::seconds(5);
   /// Number of consecutive requests without a valid response after which the target counts as down.
   int failures_until_down = 3;
-  /// While the target counts as down, one request per interval is admitted as a trial.
-  Duration trial_interval = std::chrono::milliseconds(500);
+  /// Time until the first trial request after the target counts as down. It doubles with each
+  /// further trial up to `max_trial_interval`, which bounds the time until a sound target is used
+  /// again; both are spread by `trial_jitter`, because targets often fail together.
+  Duration trial_interval = std::chrono::milliseconds(400);
+  Duration max_trial_interval = std::chrono::milliseconds(1300);
+  double trial_jitter = 0.2;
+  /// A trial without a result for this long no longer keeps the next one back: the target may have
+  /// lost its response.
+  Duration trial_timeout = std::chrono::seconds(1);
 };
 
 /// A request for admission to the target.
@@ -103,7 +111,7 @@
 /// use.
 class TargetGate {
  public:
-  explicit TargetGate(TargetGateOptions options);
+  explicit TargetGate(TargetGateOptions options, Random random = Random(0));
 
   /// Sets the target of this node; null if there is none. Refuses all queued calls if there is no
   /// target, if it is another target instance than before, or if it is draining. Returns the queued
@@ -128,6 +136,8 @@
   std::vector<GateEvent> Tick(TimePoint now);
 
   wire::TargetStatus Status(TimePoint now) const;
+  /// Time since which the target has counted as down; zero if it does not.
+  TimePoint down_since() const { return down_since_; }
   int running() const { return static_cast<int>(running_.size()); }
   size_t queued() const { return queue_.size(); }
 
@@ -150,7 +160,7 @@
     TimePoint updated{};
   };
 
-  /// Returns the reason why the target cannot take the call, `kNone` if it can.
+  /// Returns the reason why the target cannot take the call, `kNone` if it can or is down.
   wire::RefusalReason::type CheckTarget(TimePoint now, const GateCall& call) const;
   /// Expected service time of the call. Without a sample of the target it is the average of the
   /// route over all targets or, if that is unknown, a share of the time until the latency target.
@@ -170,9 +180,13 @@
   double UrgentSlotShare(int priority) const;
   void Start(TimePoint now, const GateCall& call);
   void RecordResult(TimePoint now, const Running& running, TargetResult result);
-  /// Whether the target counts as down. While it does, returns false once per `trial_interval`, so
-  /// that one request is admitted as a trial.
-  bool IsDown(TimePoint now) const;
+  /// Whether the target counts as down: it takes nothing but trial requests then.
+  bool IsDown() const { return consecutive_failures_ >= options_.failures_until_down; }
+  /// Time at which the target, which is down, may get the next trial request.
+  TimePoint NextTrial() const;
+  void StartTrial(TimePoint now, const std::string& key);
+  /// Counts a request without a valid response (`responded` is false) or with one.
+  void RecordResponse(TimePoint now, bool responded);
   using Queue = std::map<QueueKey, GateCall>;
   /// Removes an entry of the queue. Returns the position after it.
   Queue::iterator Dequeue(Queue::iterator entry);
@@ -182,6 +196,7 @@
   void StartQueued(TimePoint now, std::vector<GateEvent>& events);
 
   TargetGateOptions options_;
+  Random random_;
   DeduplicationTable deduplication_;
   ServiceTimes service_times_;
   std::optional<TargetAnnouncement> target_;
@@ -201,7 +216,12 @@
   double failure_share_ = 0;
   /// Consecutive requests without a valid response.
   int consecutive_failures_ = 0;
-  mutable TimePoint next_trial_{};
+  /// Trial request that is running; empty if there is none.
+  std::string trial_key_;
+  TimePoint trial_started_{};
+  Duration trial_backoff_{0};
+  TimePoint next_trial_{};
+  TimePoint down_since_{};
 };
 
 }  // namespace limpet
--- a/include/limpet/traffic/target_placement.h
+++ b/include/limpet/traffic/target_placement.h
@@ -32,6 +32,9 @@
   std::size_t candidates_compared = 4;
   /// A node that was found unresponsive during a probe or a request is avoided for this long.
   Duration unresponsive_penalty = std::chrono::seconds(1);
+  /// After a trial request, this node sends no further one to the target before the target's reply
+  /// or this time.
+  Duration trial_reply_wait = std::chrono::milliseconds(500);
 };
 
 /// Properties of a request that the choice of its target depends on.
@@ -43,6 +46,9 @@
   /// Moving average of the service time of the route over all targets.
   Duration typical_service_time = kAssumedServiceTime;
   size_t request_bytes = 0;
+  /// The caller would not lose much if the request is sent to a target that is down, as a trial,
+  /// although others are up: it can be repeated.
+  bool may_be_trial = false;
 };
 
 struct PlacedTarget {
@@ -56,7 +62,9 @@
 
 /// Selects the target of each attempt: the one with the shortest expected completion time (join the
 /// shortest queue, weighted by speed). The load of the targets is taken from replies, from status
-/// messages and from this node's own open attempts. Not safe for concurrent use.
+/// messages and from this node's own open attempts. A target that is down takes only trial
+/// requests, at times that its gate states: one that may be a trial, or any if no target is up. Not
+/// safe for concurrent use.
 class TargetPlacement {
  public:
   TargetPlacement(PlacementOptions options, std::string data_centre, Random random);
@@ -76,6 +84,10 @@
                                      const PlacementRequest& request,
                                      const std::vector<std::string>& excluded);
 
+  /// Time until a target of the service, all of which are down, may get a trial request. Nullopt if
+  /// none of them states it.
+  std::optional<Duration> UntilNextTrial(TimePoint now, const std::string& service) const;
+
   /// Smallest number of slots among the usable targets of a service; 0 if there is none.
   int MinSlots(const std::string& service) const;
 
@@ -95,8 +107,17 @@
     bool reachable = false;
     int open_attempts = 0;
     TimePoint unresponsive_until{};
+    /// Time from which a target that is down takes a trial request; zero if unknown.
+    TimePoint next_trial{};
   };
 
+  bool Serves(const Entry& entry, const std::string& service) const;
+  /// Whether the target is down and takes a trial request.
+  bool IsTrialDue(TimePoint now, const Entry& entry, const std::string& service) const;
+  /// Returns a target that takes a trial request, chosen at random.
+  std::optional<PlacedTarget> ChooseTrial(TimePoint now,
+                                          const std::string& service,
+                                          const std::vector<std::string>& excluded);
   /// Whether the node is reachable and its target is up and serves `service`.
   bool IsUsable(const Entry& entry, const std::string& service) const;
   struct Candidate {
--- a/src/edge/inbound_proxy.cc
+++ b/src/edge/inbound_proxy.cc
@@ -479,6 +479,14 @@
   const int reported_load = reported_status_.load.in_flight + reported_status_.load.queued;
   const bool load_changed =
       std::abs(load - reported_load) >= std::max(1.0, kReportedLoadChange * status.slots);
+  if (status.state != reported_status_.state) {
+    const TimePoint now = MonotonicNow();
+    LogEvent("target_state")
+        .Add("instance", status.instance)
+        .Add("state", wire::_TargetState_VALUES_TO_NAMES.at(status.state))
+        .Add("down_ms", gate_.down_since() == TimePoint{} ? Duration(0) : now - gate_.down_since())
+        .Add("next_trial_ms", static_cast<int64_t>(status.next_trial_ms));
+  }
   if (status.state != reported_status_.state || status.instance != reported_status_.instance ||
       load_changed) {
     reported_status_ = status;
--- a/src/traffic/mesh_call.cc
+++ b/src/traffic/mesh_call.cc
@@ -30,6 +30,9 @@
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(150);
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(30);
 constexpr Duration kMaxRetryAfter = std::chrono::milliseconds(1000);
+/// A request may be the trial of a target that is down if this many typical service times remain
+/// until its latency target: a trial without a response costs some of them.
+constexpr int kMinServiceTimesForTrial = 5;
 
 }  // namespace
 
@@ -52,6 +55,12 @@
   if (options_.typical_service_time > Duration(0)) {
     request.typical_service_time = options_.typical_service_time;
   }
+  const bool has_another_attempt =
+      attempts_reached_target_ + static_cast<int>(open_attempts_.size()) + 1 <
+      options_.max_attempts;
+  request.may_be_trial =
+      options_.idempotent && has_another_attempt && open_attempts_.empty() &&
+      request.remaining_latency > request.typical_service_time * kMinServiceTimesForTrial;
   if (!free_slot_only) {
     return placement_.Choose(now, request, excluded_nodes_);
   }
@@ -73,6 +82,9 @@
     }
   }
   if (!target) {
+    if (retry_after_ == Duration(0)) {
+      retry_after_ = placement_.UntilNextTrial(now, options_.service).value_or(Duration(0));
+    }
     return FinishIfNoneOpen(queue_refusals_ > 0 ? Reason::kOverloaded : Reason::kNoEndpoint);
   }
   ++attempts_sent_;
--- a/src/traffic/target_gate.cc
+++ b/src/traffic/target_gate.cc
@@ -33,8 +33,8 @@
 
 }  // namespace
 
-TargetGate::TargetGate(TargetGateOptions options)
-    : options_(options), deduplication_(options.deduplication_capacity) {}
+TargetGate::TargetGate(TargetGateOptions options, Random random)
+    : options_(options), random_(random), deduplication_(options.deduplication_capacity) {}
 
 std::vector<GateEvent> TargetGate::SetTarget(TimePoint now, const TargetAnnouncement* target) {
   if (target == nullptr) {
@@ -49,6 +49,8 @@
     slowdown_ = 0;
     failure_share_ = 0;
     consecutive_failures_ = 0;
+    down_since_ = {};
+    trial_key_.clear();
     return RefuseAll(Reason::kTargetUnavailable);
   }
   if (target->draining) {
@@ -79,15 +81,31 @@
   return queue_.erase(entry);
 }
 
-bool TargetGate::IsDown(TimePoint now) const {
-  if (consecutive_failures_ < options_.failures_until_down) {
-    return false;
+TimePoint TargetGate::NextTrial() const {
+  return trial_key_.empty() ? next_trial_
+                            : std::max(next_trial_, trial_started_ + options_.trial_timeout);
+}
+
+void TargetGate::StartTrial(TimePoint now, const std::string& key) {
+  trial_key_ = key;
+  trial_started_ = now;
+  next_trial_ = now + random_.Jitter(trial_backoff_, options_.trial_jitter);
+  trial_backoff_ = std::min(trial_backoff_ * 2, options_.max_trial_interval);
+}
+
+void TargetGate::RecordResponse(TimePoint now, bool responded) {
+  if (responded) {
+    consecutive_failures_ = 0;
+    down_since_ = {};
+    return;
   }
-  if (now < next_trial_) {
-    return true;
+  const bool was_down = IsDown();
+  ++consecutive_failures_;
+  if (IsDown() && !was_down) {
+    down_since_ = now;
+    trial_backoff_ = options_.trial_interval;
+    next_trial_ = now + random_.Jitter(trial_backoff_, options_.trial_jitter);
   }
-  next_trial_ = now + options_.trial_interval;
-  return false;
 }
 
 Reason::type TargetGate::CheckTarget(TimePoint now, const GateCall& call) const {
@@ -100,10 +118,7 @@
   if (target_->instance != call.instance) {
     return Reason::kWrongIncarnation;
   }
-  if (now >= call.deadline) {
-    return Reason::kDeadlinePassed;
-  }
-  return IsDown(now) ? Reason::kTargetUnavailable : Reason::kNone;
+  return now >= call.deadline ? Reason::kDeadlinePassed : Reason::kNone;
 }
 
 Duration TargetGate::EstimateServiceTime(TimePoint now, const GateCall& call) const {
@@ -183,6 +198,9 @@
   if (const auto reason = CheckTarget(now, call); reason != Reason::kNone) {
     return {.reason = reason};
   }
+  if (IsDown() && now < NextTrial()) {
+    return {.reason = Reason::kTargetUnavailable, .retry_after = NextTrial() - now};
+  }
   if (!call.idempotent && !deduplication_.HasRoom(1)) {
     return {.reason = Reason::kOverloaded};
   }
@@ -195,6 +213,9 @@
   // Calls whose bodies are still to be received do not need their slots yet.
   const bool slot_is_free = running() < target_->slots && !HasStartable();
   if (slot_is_free && !call.body_pending && !link_too_busy) {
+    if (IsDown()) {
+      StartTrial(now, call.key);
+    }
     Start(now, call);
     return {.verdict = GateVerdict::kStart};
   }
@@ -233,10 +254,7 @@
   const bool succeeded = result == TargetResult::kSucceeded;
   failure_share_ += kFailureWeight * ((succeeded ? 0.0 : 1.0) - failure_share_);
   const bool responded = completed || result == TargetResult::kNotExecuted;
-  consecutive_failures_ = responded ? 0 : consecutive_failures_ + 1;
-  if (!responded) {
-    next_trial_ = now + options_.trial_interval;
-  }
+  RecordResponse(now, responded);
 }
 
 std::vector<GateEvent> TargetGate::Finish(TimePoint now,
@@ -248,6 +266,9 @@
   }
   const Running running = found->second;
   running_.erase(found);
+  if (key == trial_key_) {
+    trial_key_.clear();
+  }
   RecordResult(now, running, result);
   return Tick(now);
 }
@@ -307,10 +328,15 @@
   status.service_name = target_->service;
   status.slots = target_->slots;
   const bool draining = draining_ || target_->draining;
-  const bool down = consecutive_failures_ >= options_.failures_until_down;
-  status.state = draining ? wire::TargetState::kDraining
-                 : down   ? wire::TargetState::kDown
-                          : wire::TargetState::kUp;
+  status.state = draining   ? wire::TargetState::kDraining
+                 : IsDown() ? wire::TargetState::kDown
+                            : wire::TargetState::kUp;
+  if (status.state == wire::TargetState::kDown) {
+    const Duration until_trial = std::max(Duration(0), NextTrial() - now);
+    status.trial_due = until_trial == Duration(0);
+    status.next_trial_ms =
+        static_cast<int32_t>(std::chrono::ceil<std::chrono::milliseconds>(until_trial).count());
+  }
   const Duration cold = std::max(Duration(0), cold_until_ - now);
   status.cold_ms = static_cast<int32_t>(cold.count() / 1000);
   status.load.in_flight = running();
--- a/src/traffic/target_placement.cc
+++ b/src/traffic/target_placement.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "limpet/core/fault.h"
 #include "limpet/traffic/link_schedule.h"
 
 namespace limpet {
@@ -40,6 +41,9 @@
   entry.status = status;
   entry.cold_until = now + std::chrono::milliseconds(status.cold_ms);
   entry.unresponsive_until = {};
+  const bool states_trial = status.trial_due || status.next_trial_ms > 0;
+  entry.next_trial =
+      states_trial ? now + std::chrono::milliseconds(status.next_trial_ms) : TimePoint{};
 }
 
 void TargetPlacement::SetReachable(const std::string& node, bool reachable) {
@@ -50,9 +54,53 @@
   entries_[node].unresponsive_until = now + options_.unresponsive_penalty;
 }
 
+bool TargetPlacement::Serves(const Entry& entry, const std::string& service) const {
+  return entry.reachable && entry.status.service_name == service && entry.status.slots > 0;
+}
+
 bool TargetPlacement::IsUsable(const Entry& entry, const std::string& service) const {
-  return entry.reachable && entry.status.state == wire::TargetState::kUp &&
-         entry.status.service_name == service && entry.status.slots > 0;
+  return entry.status.state == wire::TargetState::kUp && Serves(entry, service);
+}
+
+bool TargetPlacement::IsTrialDue(TimePoint now,
+                                 const Entry& entry,
+                                 const std::string& service) const {
+  return entry.status.state == wire::TargetState::kDown && Serves(entry, service) &&
+         entry.next_trial != TimePoint{} && now >= entry.next_trial &&
+         !IsFaultActive(Fault::kNoTrialFromPlacement);
+}
+
+std::optional<PlacedTarget> TargetPlacement::ChooseTrial(TimePoint now,
+                                                         const std::string& service,
+                                                         const std::vector<std::string>& excluded) {
+  std::vector<std::string> nodes;
+  for (const auto& [node, entry] : entries_) {
+    if (IsTrialDue(now, entry, service) && std::ranges::find(excluded, node) == excluded.end()) {
+      nodes.push_back(node);
+    }
+  }
+  if (nodes.empty()) {
+    return std::nullopt;
+  }
+  const std::string& node = nodes[random_.NextBelow(nodes.size())];
+  Entry& entry = entries_.at(node);
+  // The gate admits one trial only; its reply states when the next one is due.
+  entry.next_trial = now + options_.trial_reply_wait;
+  return PlacedTarget{node, entry.status.instance, entry.data_centre == data_centre_, false};
+}
+
+std::optional<Duration> TargetPlacement::UntilNextTrial(TimePoint now,
+                                                        const std::string& service) const {
+  std::optional<Duration> until;
+  for (const auto& [node, entry] : entries_) {
+    const bool states_trial = entry.status.state == wire::TargetState::kDown &&
+                              Serves(entry, service) && entry.next_trial != TimePoint{};
+    if (states_trial) {
+      const Duration wait = std::max(Duration(0), entry.next_trial - now);
+      until = until ? std::min(*until, wait) : wait;
+    }
+  }
+  return until;
 }
 
 double TargetPlacement::EstimateCompletionUs(TimePoint now,
@@ -126,6 +174,12 @@
       candidates.push_back({&node, &entry, 0});
     }
   }
+  const bool none_up = local_candidates.empty() && remote_candidates.empty();
+  if (none_up || request.may_be_trial) {
+    if (auto trial = ChooseTrial(now, request.service, excluded)) {
+      return trial;
+    }
+  }
   const Candidate local = SelectBest(now, local_candidates, request);
   const Candidate remote = SelectBest(now, remote_candidates, request);
   const std::size_t bytes = request.request_bytes + request.expected_response_bytes;
--- a/tests/platform/mesh_test.cc
+++ b/tests/platform/mesh_test.cc
@@ -123,6 +123,8 @@
   /// Whether the health endpoint responds with 200.
   std::atomic<bool> healthy{false};
   std::atomic<bool> unresponsive{false};
+  /// Number of further responses without a signature, which are not valid.
+  std::atomic<int> invalid_responses{0};
   /// Body of the request that the target received last.
   std::string seen_body;
   std::string seen_caller;
@@ -155,7 +157,11 @@
     }
     HttpResponse response = TextResponse(responds_500 ? 500 : 200, "from " + name_);
     response.headers.push_back(MakeHeader("X-Request-Id", request.Header("X-Request-Id")));
-    response.headers.push_back(MakeHeader("X-Server-Signature", "signed"));
+    if (invalid_responses == 0) {
+      response.headers.push_back(MakeHeader("X-Server-Signature", "signed"));
+    } else {
+      --invalid_responses;
+    }
     session->Respond(std::move(response));
   }
 
@@ -450,6 +456,20 @@
   }
 }
 
+// Guards against a target that no node uses again after three invalid responses in a row: the state
+// "down" keeps away the requests that would end it.
+TEST_CASE_FIXTURE(Fixture, "three invalid responses are followed by service within 2 s") {
+  StartMesh();
+  desk.invalid_responses = 3;
+  for (int i = 0; i < 3; ++i) {
+    CHECK(caller.Call("/lots/1").starts_with("HTTP/1.1 502"));
+  }
+  const auto start = std::chrono::steady_clock::now();
+  CHECK(caller.Call("/lots/1").starts_with("HTTP/1.1 503"));
+  CHECK(caller.CallUntil("/lots/1", "200"));
+  CHECK(std::chrono::steady_clock::now() - start < seconds(2));
+}
+
 TEST_CASE_FIXTURE(Fixture,
                   "a request to a target that does not respond times out at the route's limit") {
   StartMesh();
