--- a/src/edge/peer_links.cc
+++ b/src/edge/peer_links.cc
@@ -114,6 +114,8 @@
 
 void PeerLinks::Connect(const std::string& name) {
   Peer& peer = peers_.at(name);
+  // A timer of an earlier attempt would open a second link.
+  peer.retry_timer.reset();
   ErrorCode error;
   const auto address = asio::ip::make_address(peer.address.host, error);
   if (error) {
