Share the slots of a target fairly between client accounts

Within one priority, the queue of a gate was ordered by latency target alone, so an account with many times its usual load delayed all others. It is ordered by start-time fair queueing between accounts now; calls without an account keep their order. A queued call that cannot end before its deadline is refused then, not at its deadline; it took a slot for nothing before. Tests: target_gate_test.cc, three new cases (hot account, priority before fairness, call that cannot end in time).

--- a/include/limpet/traffic/target_gate.h
+++ b/include/limpet/traffic/target_gate.h
@@ -50,6 +50,8 @@
   bool idempotent = false;
   /// 0 is the most urgent.
   int priority = 0;
+  /// Client account that made the request; empty if it has none.
+  std::string account;
   /// Moving average of the service time of the route over all targets; 0 if unknown.
   Duration typical_service_time{0};
   TimePoint deadline{};
@@ -106,9 +108,10 @@
 
 /// Admission control for the target of this node. All requests to the target pass through this
 /// gate, so its count of running requests is exact. Calls beyond the target's slots wait in a
-/// priority queue. A call that is predicted to miss its time limit is refused on arrival (load
-/// shedding), so that the node that sent it can try another target at once. Not safe for concurrent
-/// use.
+/// priority queue; within one priority, client accounts get equal shares of the slot time while
+/// they wait (start-time fair queueing), so that the load of one account does not delay the others.
+/// A call that is predicted to miss its time limit is refused on arrival (load shedding), so that
+/// the node that sent it can try another target at once. Not safe for concurrent use.
 class TargetGate {
  public:
   explicit TargetGate(TargetGateOptions options, Random random = Random(0));
@@ -131,8 +134,8 @@
   std::vector<GateEvent> OnBody(TimePoint now, const std::string& key);
   /// Removes a call from the queue. Returns false if it is not queued.
   bool RemoveQueued(const std::string& key);
-  /// Refuses queued calls whose deadline has passed and starts queued calls in free slots. Returns
-  /// both.
+  /// Refuses queued calls that cannot end before their deadline any more and starts queued calls in
+  /// free slots. Returns both.
   std::vector<GateEvent> Tick(TimePoint now);
 
   wire::TargetStatus Status(TimePoint now) const;
@@ -144,6 +147,8 @@
  private:
   struct QueueKey {
     int priority = 0;
+    /// Start tag of fair queueing between accounts; 0 for requests without an account.
+    Duration start_tag{0};
     TimePoint latency_target{};
     uint64_t sequence = 0;
     auto operator<=>(const QueueKey&) const = default;
@@ -173,6 +178,10 @@
                            const GateCall& call,
                            Duration wait,
                            Duration service_time) const;
+  /// Start tag of the next call of the account.
+  Duration StartTag(const std::string& account) const;
+  /// Moves the account's next start tag on by the service time of one call.
+  void ChargeAccount(const std::string& account, Duration service_time);
   void RecordSlotUse(TimePoint now, int priority, Duration service_time);
   void RecordSlowdown(Duration service_time, Duration typical);
   /// Share of the slot time that requests more urgent than `priority` have used recently: 0 to 1,
@@ -209,6 +218,11 @@
   std::unordered_map<std::string, Running> running_;
   uint64_t next_sequence_ = 0;
   std::map<int, SlotUse> slot_use_by_priority_;
+  /// Fair queueing since the last time at which a slot was free: the highest start tag of a call
+  /// that left the queue, and the tag with which the next call of an account starts at the
+  /// earliest.
+  Duration virtual_time_{0};
+  std::unordered_map<std::string, Duration> account_tags_;
   /// Moving average of service times relative to the typical ones of their routes; 0 without a
   /// sample.
   double slowdown_ = 0;
--- a/src/edge/inbound_proxy.cc
+++ b/src/edge/inbound_proxy.cc
@@ -90,6 +90,7 @@
   gate_call.route = call.route;
   gate_call.idempotent = call.idempotent;
   gate_call.priority = call.priority;
+  gate_call.account = call.account;
   gate_call.typical_service_time = Duration(call.usual_run_us);
   gate_call.deadline = now + std::chrono::milliseconds(call.deadline_ms);
   gate_call.latency_target = now + std::chrono::milliseconds(call.latency_target_ms);
--- a/src/traffic/target_gate.cc
+++ b/src/traffic/target_gate.cc
@@ -30,6 +30,9 @@
 /// Upper limit of the slot share that is attributed to more urgent requests. The predicted wait is
 /// divided by one minus this share, so it would grow without bound as the share approaches 1.
 constexpr double kMaxUrgentSlotShare = 0.8;
+/// A queued call is refused once less than this share of its expected service time remains until
+/// its deadline: it would end without a response. Below 1, because service times vary.
+constexpr double kMinServiceTimeShare = 0.7;
 
 }  // namespace
 
@@ -159,6 +162,20 @@
          limit;
 }
 
+Duration TargetGate::StartTag(const std::string& account) const {
+  if (account.empty()) {
+    return Duration(0);
+  }
+  const auto found = account_tags_.find(account);
+  return found == account_tags_.end() ? virtual_time_ : std::max(virtual_time_, found->second);
+}
+
+void TargetGate::ChargeAccount(const std::string& account, Duration service_time) {
+  if (!account.empty()) {
+    account_tags_[account] = StartTag(account) + service_time;
+  }
+}
+
 void TargetGate::RecordSlotUse(TimePoint now, int priority, Duration service_time) {
   SlotUse& use = slot_use_by_priority_[priority];
   const double windows = std::chrono::duration<double>(now - use.updated) /
@@ -204,8 +221,9 @@
   if (!call.idempotent && !deduplication_.HasRoom(1)) {
     return {.reason = Reason::kOverloaded};
   }
-  const QueueKey position{call.priority, call.latency_target, next_sequence_++};
   const Duration service_time = EstimateServiceTime(now, call);
+  const QueueKey position{call.priority, StartTag(call.account), call.latency_target,
+                          next_sequence_++};
   const Duration wait = PredictWait(position, service_time);
   const Duration lateness =
       PredictLateness(now, call, std::max(wait, call.body_delay), service_time);
@@ -213,6 +231,9 @@
   // Calls whose bodies are still to be received do not need their slots yet.
   const bool slot_is_free = running() < target_->slots && !HasStartable();
   if (slot_is_free && !call.body_pending && !link_too_busy) {
+    // No call waits, so no account has a backlog.
+    account_tags_.clear();
+    virtual_time_ = Duration(0);
     if (IsDown()) {
       StartTrial(now, call.key);
     }
@@ -223,6 +244,7 @@
   if (must_not_wait || lateness > Duration(0) || queue_.size() >= options_.queue_capacity) {
     return {.reason = Reason::kOverloaded, .retry_after = std::max(wait, lateness)};
   }
+  ChargeAccount(call.account, service_time);
   queue_.emplace(position, call);
   queued_keys_.emplace(call.key, position);
   bodies_pending_ += call.body_pending ? 1 : 0;
@@ -296,8 +318,10 @@
 std::vector<GateEvent> TargetGate::Tick(TimePoint now) {
   std::vector<GateEvent> events;
   for (auto it = queue_.begin(); it != queue_.end();) {
-    if (now >= it->second.deadline) {
-      events.push_back({it->second.key, false, Reason::kQueueTimeout});
+    const GateCall& call = it->second;
+    const Duration needed = Scale(EstimateServiceTime(now, call), kMinServiceTimeShare);
+    if (now + needed >= call.deadline) {
+      events.push_back({call.key, false, Reason::kQueueTimeout});
       it = Dequeue(it);
     } else {
       ++it;
@@ -312,6 +336,7 @@
     const auto first =
         std::ranges::find_if(queue_, [](const auto& entry) { return !entry.second.body_pending; });
     const GateCall call = first->second;
+    virtual_time_ = std::max(virtual_time_, first->first.start_tag);
     Dequeue(first);
     Start(now, call);
     events.push_back({call.key, true, Reason::kNone});
--- a/tests/traffic/target_gate_test.cc
+++ b/tests/traffic/target_gate_test.cc
@@ -321,5 +321,72 @@
   CHECK(events[0].reason == Reason::kQueueTimeout);
 }
 
+// Guards against an account with many times its usual load that takes all slots of a target while
+// the others wait behind its backlog.
+TEST_CASE_FIXTURE(Fixture, "a hot account does not delay the calls of another account") {
+  const auto call_of = [](const std::string& key, const std::string& account) {
+    GateCall call = MakeCall(key);
+    call.account = account;
+    call.typical_service_time = milliseconds(100);
+    call.latency_target = kStart + seconds(10);
+    call.deadline = kStart + seconds(20);
+    return call;
+  };
+  REQUIRE(gate.Admit(kStart, call_of("hot-0", "hot")).verdict == GateVerdict::kStart);
+  REQUIRE(gate.Admit(kStart, call_of("hot-1", "hot")).verdict == GateVerdict::kStart);
+  for (int i = 2; i < 12; ++i) {
+    REQUIRE(gate.Admit(kStart, call_of("hot-" + std::to_string(i), "hot")).verdict ==
+            GateVerdict::kQueue);
+  }
+  REQUIRE(gate.Admit(kStart, call_of("other-0", "other")).verdict == GateVerdict::kQueue);
+  REQUIRE(gate.Admit(kStart, call_of("other-1", "other")).verdict == GateVerdict::kQueue);
+  const auto first = gate.Finish(kStart + milliseconds(10), "hot-0", TargetResult::kSucceeded);
+  const auto second = gate.Finish(kStart + milliseconds(10), "hot-1", TargetResult::kSucceeded);
+  REQUIRE(first.size() == 1);
+  REQUIRE(second.size() == 1);
+  CHECK(first[0].key == "hot-2");
+  CHECK(second[0].key == "other-0");
+}
+
+// Guards against a more urgent account that waits behind the fair share of a less urgent one.
+TEST_CASE_FIXTURE(Fixture, "priority goes before fairness between accounts") {
+  const auto call_of = [](const std::string& key, const std::string& account, int priority) {
+    GateCall call = MakeCall(key);
+    call.account = account;
+    call.priority = priority;
+    call.typical_service_time = milliseconds(100);
+    call.latency_target = kStart + seconds(10);
+    call.deadline = kStart + seconds(20);
+    return call;
+  };
+  gate.Admit(kStart, call_of("a", "urgent", 0));
+  gate.Admit(kStart, call_of("b", "urgent", 0));
+  gate.Admit(kStart, call_of("c", "urgent", 0));
+  gate.Admit(kStart, call_of("d", "other", 1));
+  gate.Admit(kStart, call_of("e", "urgent", 0));
+  const auto first = gate.Finish(kStart + milliseconds(10), "a", TargetResult::kSucceeded);
+  const auto second = gate.Finish(kStart + milliseconds(10), "b", TargetResult::kSucceeded);
+  REQUIRE(first.size() == 1);
+  REQUIRE(second.size() == 1);
+  CHECK(first[0].key == "c");
+  CHECK(second[0].key == "e");
+}
+
+// Guards against a call that occupies a slot although its deadline passes before it can end.
+TEST_CASE_FIXTURE(Fixture, "a queued call that cannot end before its deadline is refused at once") {
+  GateCall call = MakeCall("c");
+  call.typical_service_time = milliseconds(300);
+  call.accepts_late = true;
+  call.deadline = kStart + milliseconds(1000);
+  gate.Admit(kStart, MakeCall("a"));
+  gate.Admit(kStart, MakeCall("b"));
+  REQUIRE(gate.Admit(kStart, call).verdict == GateVerdict::kQueue);
+  CHECK(gate.Tick(kStart + milliseconds(700)).empty());
+  const auto events = gate.Tick(kStart + milliseconds(800));
+  REQUIRE(events.size() == 1);
+  CHECK(events[0].key == "c");
+  CHECK(events[0].reason == Reason::kQueueTimeout);
+}
+
 }  // namespace
 }  // namespace limpet
