Bound the memory and the connections of callers by one budget

Cause, from the code: Dispatch started a read for each request, whatever was buffered, so a caller that sends ahead got 4 kB of buffer for each 50 bytes that were parsed, up to all that it had sent; the buffers (doubled when they grow) were never released. Responses were held whole for any number of slow readers. Open connections had no bound; at the limit on descriptors nobody else was accepted, and limpetd ended because cxxtools could not create a pipe. Ruled out: log lines (bounded by 256 KiB, 200 a second) and the accept loop (it waits 50 ms after EMFILE and does not spin; its log lines are now at most one a second).

Change: CallerMemory accounts for received bytes, heads, bodies and responses of all servers of a process. While it is short, nothing is read ahead, requests get 503 with Retry-After, and the connections whose responses have been waiting longest are closed, then the idle ones. Nothing is read while a response is being written; a request that is answered at once causes no reading ahead. Connections are bounded below the limit on descriptors.

--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -35,9 +35,10 @@
   kAcceptMisplacedBody,
   kUseUnconfirmedTarget,
   kTrustEarlierCheck,
+  kSkipCallerMemory,
 };
 
-inline constexpr EnumNames<Fault, 27> kFaultNames = {{
+inline constexpr EnumNames<Fault, 28> kFaultNames = {{
     {Fault::kNone, "none"},
     {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
@@ -65,6 +66,7 @@
     {Fault::kAcceptMisplacedBody, "accept_misplaced_body"},
     {Fault::kUseUnconfirmedTarget, "use_unconfirmed_target"},
     {Fault::kTrustEarlierCheck, "trust_earlier_check"},
+    {Fault::kSkipCallerMemory, "skip_caller_memory"},
 }};
 
 #ifdef LIMPET_FAULTS
--- a/include/limpet/edge/edge_node.h
+++ b/include/limpet/edge/edge_node.h
@@ -10,6 +10,7 @@
 #include "limpet/core/counters.h"
 #include "limpet/core/pause_monitor.h"
 #include "limpet/distribution/store_readers.h"
+#include "limpet/edge/caller_memory_report.h"
 #include "limpet/edge/coordination.h"
 #include "limpet/edge/http_header_names.h"
 #include "limpet/edge/link_server.h"
@@ -122,6 +123,7 @@
   std::unique_ptr<InboundProxy> inbound_;
   std::unique_ptr<OutboundProxy> outbound_;
   std::unique_ptr<LinkServer> link_server_;
+  std::unique_ptr<CallerMemoryReport> memory_report_;
   HttpSessionOptions caller_sessions_;
   HttpSessionOptions readiness_sessions_;
   HttpSessionOptions announcement_sessions_;
--- a/include/limpet/edge/http_session.h
+++ b/include/limpet/edge/http_session.h
@@ -12,6 +12,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "limpet/edge/asio.h"
+#include "limpet/edge/caller_memory.h"
 #include "limpet/net/http_message.h"
 #include "limpet/routing/mesh_config.h"
 
@@ -20,13 +21,6 @@
 class HttpSession;
 using HttpSessionPtr = std::shared_ptr<HttpSession>;
 
-/// Limits the bytes of request bodies that all sessions of a server hold together, including those
-/// that are still being received.
-struct BodyBudget {
-  std::size_t limit_bytes = std::size_t{64} << 20;
-  std::size_t used_bytes = 0;
-};
-
 /// Handlers and limits that a server passes to its sessions.
 struct HttpSessionOptions {
   /// Called for each complete request. The handler calls `Respond` immediately or later.
@@ -38,18 +32,23 @@
   std::function<HttpResponse(int status, const std::string& reason)> make_refusal = TextResponse;
   /// Number of requests that were read completely and whose responses are not yet written.
   std::shared_ptr<int> pending_requests = std::make_shared<int>(0);
-  std::shared_ptr<BodyBudget> body_budget = std::make_shared<BodyBudget>();
+  /// Shared by all servers of a process.
+  std::shared_ptr<CallerMemory> memory = std::make_shared<CallerMemory>(CallerMemoryLimits{});
 };
 
 /// One connection of a caller. Serves one request at a time and detects immediately when the caller
 /// disconnects while its request is pending. Malformed requests get 400, oversized headers 431,
-/// oversized bodies 413, requests that arrive too slowly 408, and bodies beyond the `BodyBudget`
-/// 503 as soon as they exceed it; the connection is then closed.
+/// oversized bodies 413, requests that arrive too slowly 408, and requests for which the
+/// `CallerMemory` has no room 503; the connection is then closed. It is also closed without a
+/// response if the memory is short while it is idle or its caller does not read.
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
  public:
   /// `options` must outlive the session.
   HttpSession(TcpSocket socket, const HttpSessionOptions& options);
 
+  /// Serves a new connection, or closes it if the limits of `options.memory` are reached.
+  static void Accept(TcpSocket socket, const HttpSessionOptions& options);
+
   void Start();
 
   /// The pending request; valid until `Respond`.
@@ -70,13 +69,19 @@
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   void Read();
+  /// Reads while a request is pending, to detect that the caller disconnects. Stops when enough
+  /// bytes of later requests are buffered or the memory is short.
+  void ReadAhead();
   void OnRead(ErrorCode error, std::size_t bytes);
   void Parse();
   void BeginRequest();
   void Dispatch();
   void RefuseMalformed(const ErrorCode& error);
-  /// Counts the body that was received so far. Returns false if it exceeds the budget.
-  bool ReserveBody(std::size_t bytes);
+  void SetState(State state);
+  /// Counts the bytes that this connection holds now.
+  void UpdateMemory();
+  /// Counts the part of the request that the parser holds. Returns false if there is no room.
+  bool ReserveRequest(std::size_t consumed);
   void RespondAndClose(int status, const std::string& text);
   void OnWritten(bool keep_alive);
   void BeginClose();
@@ -94,8 +99,12 @@
   State state_ = State::kIdle;
   bool reading_ = false;
   bool keep_alive_ = true;
-  /// Part of the body budget that this session uses.
-  std::size_t reserved_bytes_ = 0;
+  CallerMemory::Account memory_account_;
+  /// Bytes of the head of the current request, and an estimate of the memory that the head takes.
+  std::size_t head_length_ = 0;
+  std::size_t head_bytes_ = 0;
+  std::size_t body_bytes_ = 0;
+  std::size_t response_bytes_ = 0;
   /// Destination of a pending read. Separate from `buffer_`, which is parsed while a read is
   /// pending.
   std::array<char, 4096> read_buffer_;
--- a/include/limpet/edge/listener.h
+++ b/include/limpet/edge/listener.h
@@ -18,11 +18,13 @@
 
  private:
   void Accept();
+  void LogFailure(const ErrorCode& error);
 
   Executor executor_;
   TcpAcceptor acceptor_;
   Timer retry_timer_;
   Handler on_connection_;
+  TimePoint last_failure_log_{};
 };
 
 }  // namespace limpet::edge
--- a/include/limpet/net/http_server.h
+++ b/include/limpet/net/http_server.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "limpet/core/error.h"
+#include "limpet/edge/caller_memory.h"
 #include "limpet/net/http_message.h"
 
 namespace limpet {
@@ -39,6 +40,8 @@
   size_t max_body_bytes = size_t{4} * 1024 * 1024;
   /// Larger headers get a response with status 431, and the connection is closed.
   size_t max_header_bytes = 4096;
+  /// Limits on the memory and the connections of all callers together.
+  edge::CallerMemoryLimits memory;
 };
 
 /// HTTP server with one handler for all paths. The handler is called concurrently on several
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -137,10 +137,6 @@
   return high > low * kConsiderableSlowdownRatio || failure_change >= kConsiderableFailurePermille;
 }
 
-constexpr double kBytesPerMegabyte = 1e6;
-/// Share of the process's memory for request bodies of callers.
-constexpr double kBodyMemoryShare = 0.25;
-
 CallerLimits AdminLimits() {
   return {};
 }
@@ -219,23 +215,24 @@
   started_ = MonotonicNow();
   const auto is_closing = [this] { return stopping_; };
   const auto never_closing = [] { return false; };
+  const auto memory = std::make_shared<CallerMemory>(
+      MakeCallerMemoryLimits(settings_.memory_mb, MaxDescriptors(), 1));
+  memory_report_ = std::make_unique<CallerMemoryReport>(executor_, memory);
   caller_sessions_ = {
       [this](const HttpSessionPtr& session) { OnCallerRequest(session); },
       [this] { return config_.routes() ? config_.routes()->config().limits : CallerLimits{}; },
       is_closing};
-  caller_sessions_.body_budget->limit_bytes =
-      static_cast<std::size_t>(settings_.memory_mb * kBytesPerMegabyte * kBodyMemoryShare);
   readiness_sessions_ = {[this](const HttpSessionPtr& session) { OnReadiness(session); },
                          AdminLimits, never_closing};
   announcement_sessions_ = {[this](const HttpSessionPtr& session) { OnAnnouncement(session); },
                             AdminLimits, never_closing};
   metrics_sessions_ = {[this](const HttpSessionPtr& session) { OnMetrics(session); }, AdminLimits,
                        never_closing};
-  const auto serve = [this](const PeerAddress& address, const HttpSessionOptions& options) {
-    listeners_.push_back(
-        std::make_unique<Listener>(executor_, address, [&options](TcpSocket socket) {
-          std::make_shared<HttpSession>(std::move(socket), options)->Start();
-        }));
+  const auto serve = [this, &memory](const PeerAddress& address, HttpSessionOptions& options) {
+    options.memory = memory;
+    listeners_.push_back(std::make_unique<Listener>(
+        executor_, address,
+        [&options](TcpSocket socket) { HttpSession::Accept(std::move(socket), options); }));
   };
   serve(settings_.readiness, readiness_sessions_);
   serve(settings_.announcements, announcement_sessions_);
@@ -516,6 +513,7 @@
     session->Respond(TextResponse(404, "unknown path\n"));
     return;
   }
+  memory_report_->SetCounters(counters_);
   counters_.Get("log_lines_dropped").Set(DroppedLogLines());
   counters_.Get("unexpected_errors").Set(UnexpectedErrors());
   counters_.Get("inbound_running").Set(gate_.running());
--- a/src/edge/listener.cc
+++ b/src/edge/listener.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "limpet/edge/event_log.h"
+#include "limpet/edge/guard.h"
+#include "limpet/net/clock.h"
 #include "limpet/net/http_server.h"
 
 namespace limpet::edge {
@@ -14,6 +16,7 @@
 constexpr int kBacklog = 1024;
 /// Delay before accepting again after a failure, which is usually a lack of file descriptors.
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
+constexpr Duration kMinLogInterval = std::chrono::seconds(1);
 
 void ThrowOnError(const ErrorCode& error, const PeerAddress& address) {
   if (error) {
@@ -50,7 +53,7 @@
       return;
     }
     if (error) {
-      LogEvent("accept_failed").Add("error", error.message());
+      LogFailure(error);
       retry_timer_.expires_after(kAcceptRetryDelay);
       retry_timer_.async_wait([this](ErrorCode stopped) {
         if (!stopped) {
@@ -59,9 +62,18 @@
       });
       return;
     }
-    on_connection_(std::move(socket));
+    // An exception must not end the acceptance of connections.
+    RunGuarded("accept", [this, &socket] { on_connection_(std::move(socket)); });
     Accept();
   });
 }
 
+void Listener::LogFailure(const ErrorCode& error) {
+  const TimePoint now = MonotonicNow();
+  if (now - last_failure_log_ >= kMinLogInterval) {
+    last_failure_log_ = now;
+    LogEvent("accept_failed").Add("error", error.message());
+  }
+}
+
 }  // namespace limpet::edge
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -9,6 +9,7 @@
 #include <thread>
 #include <utility>
 
+#include "limpet/edge/caller_memory_report.h"
 #include "limpet/edge/http_session.h"
 #include "limpet/edge/listener.h"
 #include "net/worker_pool.h"
@@ -72,10 +73,13 @@
     sessions_.limits = [limits] { return limits; };
     sessions_.is_closing = [this] { return stopping_; };
     sessions_.make_refusal = MakeNotAcceptedResponse;
+    sessions_.memory = std::make_shared<edge::CallerMemory>(options.memory);
+    memory_report_ =
+        std::make_unique<edge::CallerMemoryReport>(context_.get_executor(), sessions_.memory);
     listener_ = std::make_unique<edge::Listener>(
         context_.get_executor(), PeerAddress{options.host, options.port},
         [this](edge::TcpSocket socket) {
-          std::make_shared<edge::HttpSession>(std::move(socket), sessions_)->Start();
+          edge::HttpSession::Accept(std::move(socket), sessions_);
         });
     thread_ = std::thread([this] { context_.run(); });
   }
@@ -98,11 +102,13 @@
  private:
   void OnRequest(const edge::HttpSessionPtr& session) {
     auto descriptor = std::make_shared<DuplicateDescriptor>(session->descriptor());
-    workers_.Post([this, session, descriptor = std::move(descriptor)] {
+    workers_.Post([this, session, descriptor = std::move(descriptor)]() mutable {
       HttpResponse response = MakeResponse(session->request(), ConnectionWatch(descriptor->fd()));
-      edge::asio::post(context_, [session, response = std::move(response)]() mutable {
-        session->Respond(std::move(response));
-      });
+      // Moved, because only the thread of the event loop may destroy a session.
+      edge::asio::post(context_,
+                       [session = std::move(session), response = std::move(response)]() mutable {
+                         session->Respond(std::move(response));
+                       });
     });
   }
 
@@ -133,6 +139,7 @@
   edge::HttpSessionOptions sessions_;
   edge::asio::io_context context_;
   edge::asio::executor_work_guard<edge::Executor> work_;
+  std::unique_ptr<edge::CallerMemoryReport> memory_report_;
   std::unique_ptr<edge::Listener> listener_;
   bool stopping_ = false;
   std::thread thread_;
--- a/src/net/node.cc
+++ b/src/net/node.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "limpet/core/fault.h"
+#include "limpet/edge/caller_memory_report.h"
 #include "limpet/net/clock.h"
 
 namespace limpet {
@@ -102,6 +103,8 @@
   http.port = settings.http_port;
   http.max_threads = settings.connections + kSpareHttpThreads;
   http.max_body_bytes = static_cast<size_t>(settings.max_body_bytes);
+  // A request takes a second descriptor, on which its handler sees that the caller disconnects.
+  http.memory = edge::MakeCallerMemoryLimits(settings.memory_mb, edge::MaxDescriptors(), 2);
   http_server_ = std::make_unique<HttpServer>(
       http, [this](const HttpRequest& request, const ConnectionWatch& watch) {
         return OnHttp(request, watch);
--- a/tests/edge/loop_thread.h
+++ b/tests/edge/loop_thread.h
@@ -54,7 +54,8 @@
              CallerLimits limits = {},
              std::size_t body_budget_bytes = std::size_t{64} << 20)
       : loop_(loop), address_(std::move(address)) {
-    options_.body_budget->limit_bytes = body_budget_bytes;
+    options_.memory =
+        std::make_shared<CallerMemory>(CallerMemoryLimits{.body_bytes = body_budget_bytes});
     options_.on_request = std::move(handler);
     options_.limits = [limits] { return limits; };
     options_.is_closing = [] { return false; };
