Run safe requests of one connection side by side

Some callers send further requests before the first response. One at a time, eight requests of 1 s took 8 s. GET, HEAD and OPTIONS of one connection now run side by side, up to eight, and are answered in order; any other request waits for all before it. Tests: seven cases in http_session_test.cc.

--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -137,6 +137,9 @@
   return high > low * kConsiderableSlowdownRatio || failure_change >= kConsiderableFailurePermille;
 }
 
+/// Requests of one caller connection that run side by side.
+constexpr std::size_t kMaxPipelinedRequests = 8;
+
 CallerLimits AdminLimits() {
   return {};
 }
@@ -222,6 +225,7 @@
       [this](const HttpSessionPtr& session) { OnCallerRequest(session); },
       [this] { return config_.routes() ? config_.routes()->config().limits : CallerLimits{}; },
       is_closing};
+  caller_sessions_.max_pipelined = kMaxPipelinedRequests;
   readiness_sessions_ = {[this](const HttpSessionPtr& session) { OnReadiness(session); },
                          AdminLimits, never_closing};
   announcement_sessions_ = {[this](const HttpSessionPtr& session) { OnAnnouncement(session); },
--- a/tests/edge/http_session_test.cc
+++ b/tests/edge/http_session_test.cc
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <map>
 #include <string>
 #include <thread>
 #include <vector>
@@ -200,5 +201,141 @@
   });
 }
 
+/// A server that keeps its requests until the test answers them, up to eight of one connection.
+struct PipelineFixture {
+  LoopThread loop;
+  std::vector<std::string> targets;
+  std::map<std::string, HttpSessionPtr> pending;
+  int disconnects = 0;
+  TestServer server{loop,
+                    {"127.0.0.1", FreePort()},
+                    [this](const HttpSessionPtr& session) {
+                      const std::string target = session->request().target;
+                      targets.push_back(target);
+                      pending[target] = session;
+                      session->SetDisconnectHandler([this] { ++disconnects; });
+                    },
+                    {},
+                    std::size_t{64} << 20,
+                    8};
+  RawClient client{server.port()};
+
+  ~PipelineFixture() { loop.Stop(); }
+
+  void Send(const std::string& method, const std::string& target, const std::string& headers = "") {
+    client.Send(method + " " + target + " HTTP/1.1\r\nHost: h\r\n" + headers + "\r\n");
+  }
+  void Respond(const std::string& target) {
+    loop.Run([&] {
+      const HttpSessionPtr session = pending.at(target);
+      pending.erase(target);
+      session->Respond(TextResponse(200, "to " + target));
+    });
+  }
+  /// Waits until `count` requests were passed on, and some time for any further ones.
+  std::vector<std::string> WaitForTargets(std::size_t count) {
+    for (int i = 0; i < 200 && loop.Run([&] { return targets.size(); }) < count; ++i) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    std::this_thread::sleep_for(milliseconds(50));
+    return loop.Run([&] { return targets; });
+  }
+};
+
+using Targets = std::vector<std::string>;
+
+// Guards against requests of one connection that wait for each other although their order does not
+// matter, and against responses that are written in the order in which they become ready.
+TEST_CASE_FIXTURE(PipelineFixture, "safe requests run side by side and are answered in order") {
+  Send("GET", "/a");
+  Send("GET", "/b");
+  Send("HEAD", "/c");
+  CHECK(WaitForTargets(3) == Targets{"/a", "/b", "/c"});
+  Respond("/c");
+  Respond("/b");
+  Respond("/a");
+  CHECK(client.ReadResponse().ends_with("to /a"));
+  CHECK(client.ReadResponse().ends_with("to /b"));
+}
+
+// Guards against a request that changes something running before or beside an earlier one.
+TEST_CASE_FIXTURE(PipelineFixture, "an unsafe request waits for the responses before it") {
+  Send("GET", "/a");
+  Send("POST", "/b", "Content-Length: 0\r\n");
+  Send("GET", "/c");
+  CHECK(WaitForTargets(1) == Targets{"/a"});
+  Respond("/a");
+  CHECK(WaitForTargets(2) == Targets{"/a", "/b"});
+  Respond("/b");
+  CHECK(WaitForTargets(3) == Targets{"/a", "/b", "/c"});
+  Respond("/c");
+  CHECK(client.ReadResponse().ends_with("to /a"));
+  CHECK(client.ReadResponse().ends_with("to /b"));
+  CHECK(client.ReadResponse().ends_with("to /c"));
+}
+
+// Guards against a caller that takes any number of requests at once.
+TEST_CASE_FIXTURE(PipelineFixture, "eight requests of one connection run at once") {
+  for (int i = 0; i < 12; ++i) {
+    Send("GET", "/" + std::to_string(i));
+  }
+  CHECK(WaitForTargets(8).size() == 8);
+  Respond("/7");
+  CHECK(WaitForTargets(8).size() == 8);
+  Respond("/0");
+  CHECK(WaitForTargets(9).size() == 9);
+}
+
+// Guards against requests that are passed on behind a response that closes the connection: the
+// caller sends them again.
+TEST_CASE_FIXTURE(PipelineFixture, "nothing is passed on behind the end of a connection") {
+  Send("GET", "/a");
+  Send("GET", "/b", "Connection: close\r\n");
+  Send("GET", "/c");
+  CHECK(WaitForTargets(2) == Targets{"/a", "/b"});
+  Respond("/b");
+  Respond("/a");
+  CHECK(client.ReadResponse().ends_with("to /a"));
+  CHECK(client.ReadResponse().find("Connection: close") != std::string::npos);
+  CHECK(WaitForTargets(2) == Targets{"/a", "/b"});
+}
+
+// Guards against a planned stop that closes a connection before all requests that were passed on
+// have their responses, or passes further ones on.
+TEST_CASE_FIXTURE(PipelineFixture, "a stopping server answers what it has passed on") {
+  Send("GET", "/a");
+  Send("GET", "/b");
+  CHECK(WaitForTargets(2) == Targets{"/a", "/b"});
+  loop.Run([this] { server.set_closing(true); });
+  Send("GET", "/c");
+  Respond("/a");
+  CHECK(client.ReadResponse().find("Connection: close") == std::string::npos);
+  Respond("/b");
+  CHECK(client.ReadResponse().find("Connection: close") != std::string::npos);
+  CHECK(WaitForTargets(2) == Targets{"/a", "/b"});
+}
+
+// Guards against requests that go on at the target after their caller has left.
+TEST_CASE_FIXTURE(PipelineFixture, "a disconnect ends all requests of the connection") {
+  Send("GET", "/a");
+  Send("GET", "/b");
+  CHECK(WaitForTargets(2).size() == 2);
+  client.Close();
+  for (int i = 0; i < 200 && loop.Run([this] { return disconnects; }) < 2; ++i) {
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  CHECK(loop.Run([this] { return disconnects; }) == 2);
+}
+
+// Guards against a refusal that is taken for the response to an earlier request.
+TEST_CASE_FIXTURE(PipelineFixture, "a malformed request is refused after the responses before it") {
+  Send("GET", "/a");
+  client.Send("nonsense\r\n\r\n");
+  CHECK(WaitForTargets(1) == Targets{"/a"});
+  Respond("/a");
+  CHECK(client.ReadResponse().ends_with("to /a"));
+  CHECK(client.ReadResponse().starts_with("HTTP/1.1 400"));
+}
+
 }  // namespace
 }  // namespace limpet::edge
