--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -36,9 +36,10 @@
   kUseUnconfirmedTarget,
   kTrustEarlierCheck,
   kNoTrialFromPlacement,  // no request is sent to a target that is down
+  kSkipCallerMemory,
 };
 
-inline constexpr EnumNames<Fault, 28> kFaultNames = {{
+inline constexpr EnumNames<Fault, 29> kFaultNames = {{
     {Fault::kNone, "none"},
     {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
@@ -67,6 +68,7 @@
     {Fault::kUseUnconfirmedTarget, "use_unconfirmed_target"},
     {Fault::kTrustEarlierCheck, "trust_earlier_check"},
     {Fault::kNoTrialFromPlacement, "no_trial_from_placement"},
+    {Fault::kSkipCallerMemory, "skip_caller_memory"},
 }};
 
 #ifdef LIMPET_FAULTS
