Test the accounting of callers' memory and its use by sessions

The order of closing, refusals, the memory of closed connections whose requests are still handled, and that nothing is read while a response waits.

--- a/tests/edge/http_session_test.cc
+++ b/tests/edge/http_session_test.cc
@@ -153,7 +153,7 @@
   TestServer server(
       loop, {"127.0.0.1", FreePort()},
       [&pending](const HttpSessionPtr& session) { pending.push_back(session); }, limits,
-      std::size_t{300'000});
+      CallerMemoryLimits{.body_bytes = 300'000});
   const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n";
   RawClient first(server.port());
   first.Send(head + std::string(200'000, 'x'));
@@ -181,6 +181,100 @@
   loop.Stop();
 }
 
+constexpr const char* kGetLong = "GET /long HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// Sends requests until the responses fill the buffers of the kernel and one of them waits, so that
+/// the server holds at least `min_bytes` for 50 turns of its loop.
+void SendUntilStalled(LoopThread& loop,
+                      const TestServer& server,
+                      RawClient& client,
+                      std::size_t min_bytes) {
+  constexpr int kTurns = 50;
+  for (int i = 0; i < 200; ++i) {
+    client.Send(kGetLong);
+    int turns = 0;
+    do {
+      std::this_thread::sleep_for(milliseconds(2));
+    } while (loop.Run([&server] { return server.memory().bytes(); }) >= min_bytes &&
+             ++turns < kTurns);
+    if (turns == kTurns) {
+      return;
+    }
+  }
+  FAIL("no response waits for its caller");
+}
+
+/// A server with room for two responses of 400 kB.
+struct LongResponseFixture {
+  LoopThread loop;
+  TestServer server{loop,
+                    {"127.0.0.1", FreePort()},
+                    [](const HttpSessionPtr& session) {
+                      session->Respond(TextResponse(200, std::string(400'000, 'x')));
+                    },
+                    {},
+                    CallerMemoryLimits{.total_bytes = 1'000'000}};
+};
+
+// Guards against responses that are held for any number of callers that do not read.
+TEST_CASE_FIXTURE(LongResponseFixture,
+                  "the caller that does not read for longest is closed first") {
+  RawClient first(server.port());
+  SendUntilStalled(loop, server, first, 400'000);
+  RawClient second(server.port());
+  SendUntilStalled(loop, server, second, 800'000);
+  RawClient third(server.port());
+  third.Send(kGetLong);
+  CHECK(third.ReadResponse().ends_with("xxx"));
+  loop.Run([this] {
+    CHECK(server.memory().totals().closed_writing == 1);
+    CHECK(server.memory().connections() == 2);
+  });
+}
+
+// Guards against a node that reads what it cannot serve: requests sent ahead stay in the kernel.
+TEST_CASE_FIXTURE(LongResponseFixture, "nothing is read while a response waits for its caller") {
+  RawClient client(server.port());
+  SendUntilStalled(loop, server, client, 400'000);
+  const auto bytes = [this] { return loop.Run([this] { return server.memory().bytes(); }); };
+  const std::size_t before = bytes();
+  for (int i = 0; i < 20; ++i) {
+    client.Send("GET /" + std::string(5000, 'y') + " HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(milliseconds(2));
+  }
+  CHECK(bytes() <= before + 16'384);
+}
+
+// Guards against a request that is taken in while other requests hold the memory. Its refusal tells
+// the caller that it did not run.
+TEST_CASE("a request is refused with 503 while pending requests hold the memory") {
+  LoopThread loop;
+  std::vector<HttpSessionPtr> pending;
+  TestServer server(
+      loop, {"127.0.0.1", FreePort()},
+      [&pending](const HttpSessionPtr& session) { pending.push_back(session); }, {},
+      CallerMemoryLimits{.total_bytes = 300'000});
+  RawClient first(server.port());
+  RawClient second(server.port());
+  first.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" +
+             std::string(200'000, 'x'));
+  for (int i = 0; i < 1000 && loop.Run([&pending] { return pending.empty(); }); ++i) {
+    std::this_thread::sleep_for(milliseconds(2));
+  }
+  second.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n" +
+              std::string(60'000, 'x'));
+  const std::string refusal = second.ReadAll();
+  CHECK(refusal.starts_with("HTTP/1.1 503"));
+  CHECK(refusal.find("Retry-After: 0.") != std::string::npos);
+  loop.Run([&pending] {
+    REQUIRE(pending.size() == 1);
+    pending[0]->Respond(TextResponse(200, "ok"));
+    pending.clear();
+  });
+  CHECK(first.ReadResponse().starts_with("HTTP/1.1 200"));
+  loop.Stop();
+}
+
 TEST_CASE("a disconnect of the caller is detected while its request is pending") {
   LoopThread loop;
   std::promise<void> disconnected;
--- a/tests/edge/loop_thread.h
+++ b/tests/edge/loop_thread.h
@@ -52,10 +52,9 @@
              PeerAddress address,
              std::function<void(const HttpSessionPtr&)> handler,
              CallerLimits limits = {},
-             std::size_t body_budget_bytes = std::size_t{64} << 20)
+             const CallerMemoryLimits& memory_limits = {})
       : loop_(loop), address_(std::move(address)) {
-    options_.memory =
-        std::make_shared<CallerMemory>(CallerMemoryLimits{.body_bytes = body_budget_bytes});
+    options_.memory = std::make_shared<CallerMemory>(memory_limits);
     options_.on_request = std::move(handler);
     options_.limits = [limits] { return limits; };
     options_.is_closing = [] { return false; };
@@ -67,6 +66,8 @@
   }
 
   int port() const { return address_.port; }
+  /// Used on the event loop only.
+  const CallerMemory& memory() const { return *options_.memory; }
   void Close() {
     loop_.Run([this] { listener_.reset(); });
   }
