--- a/include/limpet/settings/node_settings.h
+++ b/include/limpet/settings/node_settings.h
@@ -95,7 +95,7 @@
   /// Bandwidth of this VM's network link in Mbit/s. The nodes with the highest bandwidth read the
   /// store for the others.
   double link_mbps = 1000;
-  /// Memory limit of this process in MB. A quarter of it may hold request bodies of callers.
+  /// Memory limit of this process in MB; callers may cause 0.4 of it, their bodies 0.25.
   double memory_mb = 260;
   /// TCP port for links that this node announces to other nodes.
   int link_port = 7401;
--- a/src/settings/node_settings.cc
+++ b/src/settings/node_settings.cc
@@ -150,7 +150,8 @@
     {"edge",
      "memory_mb",
      &S::memory_mb,
-     "Memory limit of the process in MB; a quarter of it may hold request bodies of callers",
+     "Memory limit of the process in MB; four tenths of it may hold requests and responses of "
+     "callers, a quarter request bodies",
      {16, 1'000'000}},
     {"edge", "link_port", &S::link_port, "TCP port for links from other nodes", kPortRange},
     {"edge",
