--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -37,9 +37,11 @@
   kTrustEarlierCheck,
   kNoTrialFromPlacement,  // no request is sent to a target that is down
   kSkipCallerMemory,
+  kSkipResponseCheck,
+  kAcceptResponseAfterError,
 };
 
-inline constexpr EnumNames<Fault, 29> kFaultNames = {{
+inline constexpr EnumNames<Fault, 31> kFaultNames = {{
     {Fault::kNone, "none"},
     {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
@@ -69,6 +71,8 @@
     {Fault::kTrustEarlierCheck, "trust_earlier_check"},
     {Fault::kNoTrialFromPlacement, "no_trial_from_placement"},
     {Fault::kSkipCallerMemory, "skip_caller_memory"},
+    {Fault::kSkipResponseCheck, "skip_response_check"},
+    {Fault::kAcceptResponseAfterError, "accept_response_after_error"},
 }};
 
 #ifdef LIMPET_FAULTS
