Check keys of client accounts and refuse them without a freshness proof

The configuration had client accounts, but nodes ignored them. AccessPolicy now decides on each request in OutboundProxy::Handle: 401 without exactly one known key, the account's priority and name otherwise. The key and the caller's own X-Tenant never reach a target.

KnowledgeClock holds the instant up to which a node knows every acknowledged record. Store readers derive it from their reads (ReadProof), other nodes take it over from replies to probes, counted from the sending of the probe. Without a proof of the last 2 s a wrong key gets 503, with strict revocation a known key gets 503 without one of the last revoke_ms. A store epoch (Store-Era) that is new, or above 1 at the start of a process, proves nothing until a configuration is written in it.

RepeatedExchange reports which attempt got the response: with the time of the first one, the proof after an outage was older than the outage.

Parse errors of the JSON library quoted parts of a configuration, and so keys, in the log; they now state the position only. Malformed bodies of the store are not logged any more.

Ruled out: a 401 that waits for a proof (holds memory), shorter long polls (reads are charged), the arrival of a reply as its time (wrong after a pause).

--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -35,9 +35,13 @@
   kAcceptMisplacedBody,
   kUseUnconfirmedTarget,
   kTrustEarlierCheck,
+  kSkipKnowledgeCheck,
+  kAdoptUnknownKnowledge,
+  kIgnoreStoreEpoch,
+  kKeepCallersAccount,
 };
 
-inline constexpr EnumNames<Fault, 27> kFaultNames = {{
+inline constexpr EnumNames<Fault, 31> kFaultNames = {{
     {Fault::kNone, "none"},
     {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
@@ -65,6 +69,10 @@
     {Fault::kAcceptMisplacedBody, "accept_misplaced_body"},
     {Fault::kUseUnconfirmedTarget, "use_unconfirmed_target"},
     {Fault::kTrustEarlierCheck, "trust_earlier_check"},
+    {Fault::kSkipKnowledgeCheck, "skip_knowledge_check"},
+    {Fault::kAdoptUnknownKnowledge, "adopt_unknown_knowledge"},
+    {Fault::kIgnoreStoreEpoch, "ignore_store_epoch"},
+    {Fault::kKeepCallersAccount, "keep_callers_account"},
 }};
 
 #ifdef LIMPET_FAULTS
--- a/include/limpet/edge/coordination.h
+++ b/include/limpet/edge/coordination.h
@@ -19,6 +19,8 @@
   using ConfigCallback = std::function<void(MeshConfig)>;
   /// Called with the cause when a configuration in the store cannot be used.
   using UnusableConfigCallback = std::function<void(const std::string& problem)>;
+  /// Every record of the operator that the store had acknowledged by `proven` has been delivered.
+  using ProofCallback = std::function<void(TimePoint proven)>;
   using NodesCallback = std::function<void(std::vector<wire::NodeAddress>)>;
 
   virtual ~Coordination() = default;
@@ -27,6 +29,8 @@
   /// Versions that are replaced before they are read may be skipped; an older version or the same
   /// one may be delivered again. Continues after store outages.
   virtual void WatchConfig(ConfigCallback on_config, UnusableConfigCallback on_unusable) = 0;
+  /// Sets the callback for freshness proofs. Call it before `WatchConfig`.
+  virtual void WatchFreshness(ProofCallback on_proof) = 0;
   /// Sets whether and how this node reads the configuration from the store. A node need not read
   /// when other nodes read it and send it the changes.
   virtual void SetRole(ReaderRole role) = 0;
--- a/include/limpet/edge/edge_node.h
+++ b/include/limpet/edge/edge_node.h
@@ -11,6 +11,7 @@
 #include "limpet/core/pause_monitor.h"
 #include "limpet/distribution/store_readers.h"
 #include "limpet/edge/coordination.h"
+#include "limpet/edge/freshness_agent.h"
 #include "limpet/edge/http_header_names.h"
 #include "limpet/edge/link_server.h"
 #include "limpet/edge/listener.h"
@@ -75,12 +76,15 @@
                      bool store_unreachable) override;
   void OnPeerConfig(const std::string& node, const wire::LinkConfig& change) override;
   void OnPeerAddresses(const std::vector<wire::NodeAddress>& nodes) override;
+  int64_t OnProbe(const std::string& node) override { return freshness_->OnProbe(node); }
+  void OnProbeReply(const std::string& node, const wire::LinkProbe& reply) override {
+    freshness_->OnProbeReply(node, reply);
+  }
 
   LinkServerHooks MakeLinkHooks();
   void OnStoreConfig(MeshConfig config);
   void RecordConfigUpdate(ConfigUpdateResult result, std::string_view source);
   void RequestNewerConfig(const std::string& node, const std::string& data_centre, int64_t version);
-  void ProbeReaders(TimePoint now);
   void OnStatusChanged();
   void OnAnnouncement(const HttpSessionPtr& session);
   void ApplyAnnouncement(const TargetAnnouncement& announcement);
@@ -119,6 +123,7 @@
   PauseMonitor pause_monitor_;
   std::shared_ptr<LinkTraffic> traffic_;
   std::unique_ptr<PeerLinks> links_;
+  std::unique_ptr<FreshnessAgent> freshness_;
   std::unique_ptr<InboundProxy> inbound_;
   std::unique_ptr<OutboundProxy> outbound_;
   std::unique_ptr<LinkServer> link_server_;
@@ -137,8 +142,6 @@
   wire::TargetStatus last_remote_status_;
   TimePoint last_remote_push_{};
   TimePoint last_traffic_log_{};
-  TimePoint last_probe_{};
-  TimePoint last_reader_probe_{};
   TimePoint config_requested_{};
   /// Time at which a newer configuration was first reported; zero if this node is up to date.
   TimePoint behind_since_{};
--- a/include/limpet/edge/http_connection.h
+++ b/include/limpet/edge/http_connection.h
@@ -36,6 +36,10 @@
   HttpResponse response;
   /// At least one byte was received in response.
   bool response_begun = false;
+  /// Set by `RepeatedExchange`: start of the attempt that ended.
+  TimePoint sent_at{};
+  /// Set by `RepeatedExchange`: the attempt sent the repeated request, not the first one.
+  bool repeated = false;
   /// Cause of a failure, for logs.
   ErrorCode error;
 };
--- a/include/limpet/edge/http_header_names.h
+++ b/include/limpet/edge/http_header_names.h
@@ -22,6 +22,10 @@
   std::string response_signature;
   /// Service that runs on the VM from which the request came.
   std::string caller_service = "X-Limpet-Caller-Service";
+  /// Key of a client account, on requests of callers; never passed on. Empty: not used.
+  std::string api_key;
+  /// Name of the client account, set by the node on requests to targets. Empty: not used.
+  std::string account;
 };
 
 }  // namespace limpet::edge
--- a/include/limpet/edge/link_server.h
+++ b/include/limpet/edge/link_server.h
@@ -27,6 +27,8 @@
   /// Longest time for which a message that is read now may have waited.
   std::function<Duration()> max_input_age;
   std::function<bool()> store_unreachable;
+  /// Adds the freshness proof of this node to the reply to a probe.
+  std::function<void(wire::LinkProbe&)> complete_probe_reply = [](wire::LinkProbe&) {};
   /// Receives the messages of a peer that belong to other parts of the node: shared state, quotas
   /// and roll-outs. Replies are sent with `PeerLinks::Send`.
   std::function<void(const std::string& node, const wire::LinkMessage& message)> on_message;
--- a/include/limpet/edge/outbound_proxy.h
+++ b/include/limpet/edge/outbound_proxy.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "limpet/access/access_policy.h"
 #include "limpet/core/counters.h"
 #include "limpet/core/latency_buckets.h"
 #include "limpet/edge/http_header_names.h"
@@ -43,6 +44,7 @@
                 PeerLinks& links,
                 InboundProxy& inbound,
                 Counters& counters,
+                AccessPolicy& access,
                 Random random);
   ~OutboundProxy();
 
@@ -58,6 +60,8 @@
   class ActiveCall;
 
   void Respond(const HttpSessionPtr& session, int status, std::string_view reason, Duration retry);
+  /// Removes the key and a name of an account that the caller sent, and adds the name of `account`.
+  void ReplaceCredentials(HttpHeaders& headers, const std::string& account) const;
   MeshCallOptions MakeCallOptions(const MeshRoute& route, const HttpRequest& request);
 
   Executor executor_;
@@ -69,6 +73,7 @@
   PeerLinks& links_;
   InboundProxy& inbound_;
   Counters& counters_;
+  AccessPolicy& access_;
   TrafficSplitter traffic_splitter_;
   ServiceTimes route_latencies_;
   /// Service times by route. Samples of fast and slow targets mix, so a small weight of new samples
--- a/include/limpet/edge/peer_links.h
+++ b/include/limpet/edge/peer_links.h
@@ -37,6 +37,9 @@
                              bool store_unreachable) = 0;
   virtual void OnPeerConfig(const std::string& node, const wire::LinkConfig& change) = 0;
   virtual void OnPeerAddresses(const std::vector<wire::NodeAddress>& nodes) = 0;
+  /// A probe is about to be sent to the node. Returns the nonce, which the reply repeats.
+  virtual int64_t OnProbe(const std::string& /*node*/) { return 0; }
+  virtual void OnProbeReply(const std::string& /*node*/, const wire::LinkProbe& /*reply*/) {}
 };
 
 struct PeerLinksOptions {
--- a/include/limpet/net/http_message.h
+++ b/include/limpet/net/http_message.h
@@ -53,6 +53,8 @@
 
 wire::Header MakeHeader(std::string_view name, std::string_view value);
 
+void RemoveHeader(HttpHeaders& headers, std::string_view name);
+
 /// Replaces all headers with this name by a single one.
 void SetHeader(HttpHeaders& headers, std::string_view name, std::string_view value);
 
--- a/include/limpet/routing/mesh_config.h
+++ b/include/limpet/routing/mesh_config.h
@@ -121,7 +121,8 @@
 /// have the same host and prefix, and every route has a host, a prefix that begins and ends with a
 /// slash, a positive timeout, at least one attempt, and only services that the configuration
 /// contains, whose weights are not negative and not all 0. The names of accounts and their keys
-/// must be unique and not empty, and their limits from 0 to `kMaxAccountLimit`.
+/// must be unique and not empty, names without control characters, and their limits from 0 to
+/// `kMaxAccountLimit`.
 void ValidateMeshConfig(const MeshConfig& config);
 
 }  // namespace limpet
--- a/include/limpet/routing/route_table.h
+++ b/include/limpet/routing/route_table.h
@@ -15,6 +15,8 @@
  public:
   /// Validates `config`; throws `InvalidMeshConfig`.
   explicit RouteTable(MeshConfig config);
+  RouteTable(const RouteTable&) = delete;
+  RouteTable& operator=(const RouteTable&) = delete;
 
   /// Returns the route of `host` with the longest prefix that matches `path`; null if there is
   /// none. Upper case and a port in `host` and a query or fragment in `path` are ignored.
@@ -22,6 +24,9 @@
   /// Returns null for an unknown service.
   const MeshService* FindService(std::string_view name) const;
 
+  /// Returns the account that has this key; null for an unknown key.
+  const ClientAccount* FindAccountByKey(std::string_view key) const;
+
   int64_t version() const { return config_.version; }
   const MeshConfig& config() const { return config_; }
 
@@ -30,6 +35,7 @@
 
   MeshConfig config_;
   std::unordered_map<std::string, PrefixMap> hosts_;
+  std::unordered_map<std::string_view, const ClientAccount*> accounts_by_key_;
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
--- a/include/limpet/settings/node_settings.h
+++ b/include/limpet/settings/node_settings.h
@@ -112,6 +112,12 @@
   double retry_extra = 10;
   int retry_window_ms = 10'000;
 
+  // [access]
+  /// A request with a key is served only if this node knows every configuration that the store had
+  /// acknowledged `revoke_ms` ago.
+  bool strict_revocation = false;
+  double revoke_ms = 5000;
+
   // [stop]
   /// Time from the request to stop until the process is killed.
   double grace_period_ms = 6000;
--- a/include/limpet/traffic/mesh_call.h
+++ b/include/limpet/traffic/mesh_call.h
@@ -15,6 +15,10 @@
 
 struct MeshCallOptions {
   std::string service;
+  /// Client account that made the request; empty without one.
+  std::string account;
+  /// 0 is the most urgent.
+  int priority = 0;
   bool idempotent = false;
   /// Maximum number of targets that may receive the request, including the first.
   int max_attempts = 1;
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -30,13 +30,6 @@
 /// Interval of the log line with the bytes sent on links since the start of the node.
 constexpr Duration kTrafficLogInterval = std::chrono::seconds(10);
 constexpr Duration kMinPushInterval = std::chrono::milliseconds(100);
-/// Interval at which a random peer is asked for its configuration version. This brings a node up to
-/// date when the nodes that read the store for it cannot reach it.
-constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
-constexpr int kProbedPeers = 1;
-/// Less than half of `StoreReadersOptions::max_report_age`, so that a reader is probed twice within
-/// that time.
-constexpr Duration kReaderProbeInterval = std::chrono::milliseconds(400);
 /// Minimum time between requests for a full configuration.
 constexpr Duration kConfigRequestInterval = std::chrono::milliseconds(200);
 /// A newer configuration is requested from another data centre only if none has arrived within this
@@ -171,6 +164,8 @@
   links_ = std::make_unique<PeerLinks>(
       executor_, PeerLinksOptions{MakeNodeAddress(settings_), incarnation_, vm_link}, observer,
       counters_, Random(GenerateSeed()));
+  freshness_ =
+      std::make_unique<FreshnessAgent>(settings_, header_names_, config_, readers_, *links_);
   inbound_ = std::make_unique<InboundProxy>(executor_, header_names_, gate_, counters_, vm_link,
                                             [this] { OnStatusChanged(); });
   outbound_ = std::make_unique<OutboundProxy>(
@@ -178,7 +173,7 @@
       OutboundProxyOptions{settings_.name, settings_.data_centre, settings_.service,
                            [this] { return pause_monitor_.MaxInputAge(MonotonicNow()); }},
       header_names_, [this] { return config_.routes(); }, placement_, budget_, *links_, *inbound_,
-      counters_, Random(GenerateSeed()));
+      counters_, freshness_->policy(), Random(GenerateSeed()));
   link_server_ = std::make_unique<LinkServer>(*inbound_, MakeLinkHooks(), settings_.data_centre,
                                               vm_link, Random(GenerateSeed()));
 }
@@ -211,6 +206,7 @@
   hooks.config_version = [this] { return config_.version(); };
   hooks.max_input_age = [this] { return pause_monitor_.MaxInputAge(MonotonicNow()); };
   hooks.store_unreachable = [this] { return coordination_.IsStoreUnreachable(); };
+  hooks.complete_probe_reply = [this](wire::LinkProbe& reply) { freshness_->CompleteReply(reply); };
   hooks.full_config = [this] { return config_.FullUpdate(); };
   return hooks;
 }
@@ -244,6 +240,7 @@
       executor_, PeerAddress{settings_.host, LinkListenPort(settings_)},
       [this](TcpSocket socket) { link_server_->Accept(std::move(socket)); }));
   serve(settings_.outbound, caller_sessions_);
+  coordination_.WatchFreshness([this](TimePoint proven) { freshness_->clock().OnProof(proven); });
   coordination_.WatchConfig(
       [this](MeshConfig config) { OnStoreConfig(std::move(config)); },
       [this](const std::string& /*problem*/) { counters_.Get("config_malformed").Add(); });
@@ -268,7 +265,10 @@
   settings_.retry_extra = settings.retry_extra;
   settings_.retry_window_ms = settings.retry_window_ms;
   settings_.grace_period_ms = settings.grace_period_ms;
+  settings_.strict_revocation = settings.strict_revocation;
+  settings_.revoke_ms = settings.revoke_ms;
   budget_.set_options(MakeBudgetOptions(settings_));
+  freshness_->Reload(settings_);
   outbound_->set_service(settings_.service);
   settings_.target = settings.target;
   registry_.set_address(FormatAddress(settings.target));
@@ -307,6 +307,7 @@
   placement_.SetReachable(node, reachable);
   if (!reachable) {
     readers_.Remove(node);
+    freshness_->OnUnreachable(node);
   }
   budget_.set_nodes(links_->CountReachable() + 1);
 }
@@ -355,16 +356,6 @@
   }
 }
 
-void EdgeNode::ProbeReaders(TimePoint now) {
-  if (now - last_reader_probe_ < kReaderProbeInterval) {
-    return;
-  }
-  last_reader_probe_ = now;
-  for (const std::string& node : readers_.NodesToProbe()) {
-    links_->Probe(node, config_.version());
-  }
-}
-
 void EdgeNode::OnPeerAddresses(const std::vector<wire::NodeAddress>& nodes) {
   for (const wire::NodeAddress& node : nodes) {
     links_->Add(node);
@@ -526,6 +517,7 @@
       .Set(std::chrono::duration_cast<std::chrono::milliseconds>(
                coordination_.StoreSilence(MonotonicNow()))
                .count());
+  freshness_->Report(counters_);
   for (const auto& [kind, name] : kFrameKindNames) {
     counters_.Get("link_sent_bytes_" + std::string(name)).Set(traffic_->bytes(kind, false));
     counters_.Get("link_sent_remote_bytes_" + std::string(name)).Set(traffic_->bytes(kind, true));
@@ -589,11 +581,7 @@
   link_server_->Tick(now);
   CheckTarget(now);
   PushStatus(now);
-  if (now - last_probe_ >= kProbeInterval) {
-    last_probe_ = now;
-    links_->ProbeRandomPeers(kProbedPeers, config_.version());
-  }
-  ProbeReaders(now);
+  freshness_->Tick(now);
   coordination_.SetRole(readers_.Role(now, config_.version() > 0));
   FlushEventLog();
   if (stopping_) {
--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -185,8 +185,10 @@
     wire::LinkMessage message;
     message.__isset.probe = true;
     message.probe.answer = true;
+    message.probe.nonce = probe.nonce;
     message.probe.config_version = server_.hooks_.config_version();
     message.probe.store_fails = server_.hooks_.store_unreachable();
+    server_.hooks_.complete_probe_reply(message.probe);
     link_->Send(message);
     server_.hooks_.on_peer_version(name_, data_centre_, probe.config_version);
   }
--- a/src/edge/outbound_proxy.cc
+++ b/src/edge/outbound_proxy.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <utility>
 
+#include "limpet/core/fault.h"
 #include "limpet/edge/event_log.h"
 #include "limpet/net/clock.h"
 #include "limpet/wire/names.h"
@@ -58,7 +59,6 @@
       : proxy_(proxy),
         session_(std::move(session)),
         route_(route.name),
-        priority_(route.priority),
         started_(MonotonicNow()),
         call_(std::move(options), proxy.placement_, proxy.budget_),
         deadline_timer_(proxy.executor_),
@@ -69,9 +69,8 @@
     method_ = request.method;
     path_ = request.target;
     request_id_ = std::string(request.Header(proxy_.header_names_.request_id));
-    for (const wire::Header& header : request.headers) {
-      headers_.push_back(header);
-    }
+    headers_ = request.headers;
+    proxy_.ReplaceCredentials(headers_, call_.options().account);
     SetHeader(headers_, proxy_.header_names_.caller_service, proxy_.options_.service);
     body_ = std::make_shared<const std::string>(session_->TakeBody());
     session_->SetDisconnectHandler([self = shared_from_this()] { self->OnCallerDisconnected(); });
@@ -140,7 +139,8 @@
     call.headers = headers_;
     call.route = route_;
     call.idempotent = call_.options().idempotent;
-    call.priority = priority_;
+    call.priority = call_.options().priority;
+    call.account = call_.options().account;
     call.deadline_ms = remaining_ms(call_.options().deadline - kDeadlineMargin);
     call.accepts_late = target.wait_beyond_latency_target;
     call.latency_target_ms = remaining_ms(call_.options().latency_target);
@@ -309,7 +309,6 @@
   OutboundProxy& proxy_;
   HttpSessionPtr session_;
   std::string route_;
-  int priority_;
   TimePoint started_;
   MeshCall call_;
   Timer deadline_timer_;
@@ -335,6 +334,7 @@
                              PeerLinks& links,
                              InboundProxy& inbound,
                              Counters& counters,
+                             AccessPolicy& access,
                              Random random)
     : executor_(executor),
       options_(std::move(options)),
@@ -345,6 +345,7 @@
       links_(links),
       inbound_(inbound),
       counters_(counters),
+      access_(access),
       traffic_splitter_(random) {}
 
 OutboundProxy::~OutboundProxy() = default;
@@ -370,6 +371,18 @@
   Respond(session, 503, reason, retry_after);
 }
 
+void OutboundProxy::ReplaceCredentials(HttpHeaders& headers, const std::string& account) const {
+  for (const std::string* name : {&header_names_.api_key, &header_names_.account}) {
+    if (!name->empty() &&
+        !(name == &header_names_.account && IsFaultActive(Fault::kKeepCallersAccount))) {
+      RemoveHeader(headers, *name);
+    }
+  }
+  if (!header_names_.account.empty() && !account.empty()) {
+    headers.push_back(MakeHeader(header_names_.account, account));
+  }
+}
+
 MeshCallOptions OutboundProxy::MakeCallOptions(const MeshRoute& route, const HttpRequest& request) {
   const TimePoint now = MonotonicNow();
   const Duration caller_timeout =
@@ -407,7 +420,19 @@
     Respond(session, 404, "no route", Duration(0));
     return;
   }
+  // The whole request has been received, so it was sent before the time that is read here.
+  AccessDecision access = access_.Decide(MonotonicNow(), *routes, *route, request.headers);
+  if (access.result != AccessResult::kAllowed) {
+    counters_.Get("access_" + std::string(EnumName(kAccessResultNames, access.result))).Add();
+    const bool unauthorized = access.result == AccessResult::kUnauthorized;
+    Respond(session, unauthorized ? 401 : 503,
+            unauthorized ? "no valid key" : "the configuration may be outdated",
+            access.retry_after);
+    return;
+  }
   MeshCallOptions call_options = MakeCallOptions(*route, request);
+  call_options.account = std::move(access.account);
+  call_options.priority = access.priority;
   if (call_options.deadline <= MonotonicNow()) {
     Refuse(session, "the deadline has passed", kRetryAfterPause);
     return;
--- a/src/edge/peer_links.cc
+++ b/src/edge/peer_links.cc
@@ -202,6 +202,7 @@
   }
   if (message.__isset.probe) {
     observer_.OnPeerVersion(peer.address, message.probe.config_version, message.probe.store_fails);
+    observer_.OnProbeReply(name, message.probe);
   }
   if (message.__isset.config) {
     observer_.OnPeerConfig(name, message.config);
@@ -421,6 +422,7 @@
   }
   wire::LinkMessage message;
   message.__isset.probe = true;
+  message.probe.nonce = observer_.OnProbe(node);
   message.probe.config_version = config_version;
   found->second.link->Send(message);
 }
--- a/src/edge/repeated_exchange.cc
+++ b/src/edge/repeated_exchange.cc
@@ -34,6 +34,7 @@
                                     HttpRequest request,
                                     Duration wait) {
   ++attempt_count_;
+  const TimePoint sent_at = MonotonicNow();
   attempts_.push_back(connection);
   timer_.expires_after(wait + options_.response_time);
   timer_.async_wait([this, alive = alive_](ErrorCode error) {
@@ -46,7 +47,10 @@
   HttpConnection& sender = *connection;
   sender.Send(
       std::move(request), wait + options_.attempt_timeout, [](const HttpHeaders&) { return true; },
-      [this, connection = std::move(connection)](ExchangeResult result) {
+      [this, connection = std::move(connection), sent_at,
+       repeated = attempt_count_ > 1](ExchangeResult result) {
+        result.sent_at = sent_at;
+        result.repeated = repeated;
         OnResult(connection, std::move(result));
       });
 }
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -15,10 +15,11 @@
   return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
-constexpr std::array<std::pair<int, std::string_view>, 12> kReasonPhrases = {{
+constexpr std::array<std::pair<int, std::string_view>, 13> kReasonPhrases = {{
     {200, "OK"},
     {204, "No Content"},
     {400, "Bad Request"},
+    {401, "Unauthorized"},
     {404, "Not Found"},
     {405, "Method Not Allowed"},
     {413, "Content Too Large"},
@@ -77,9 +78,13 @@
   return header;
 }
 
-void SetHeader(HttpHeaders& headers, std::string_view name, std::string_view value) {
+void RemoveHeader(HttpHeaders& headers, std::string_view name) {
   std::erase_if(headers,
                 [&](const wire::Header& header) { return EqualsIgnoringCase(header.name, name); });
+}
+
+void SetHeader(HttpHeaders& headers, std::string_view name, std::string_view value) {
+  RemoveHeader(headers, name);
   headers.push_back(MakeHeader(name, value));
 }
 
--- a/src/routing/mesh_config.cc
+++ b/src/routing/mesh_config.cc
@@ -1,5 +1,6 @@
 #include "limpet/routing/mesh_config.h"
 
+#include <algorithm>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -30,6 +31,11 @@
   Require(total > 0, route, "all weights are 0");
 }
 
+/// Such a byte cannot be sent in a header.
+bool IsControlByte(char c) {
+  return (c >= 0 && c < ' ') || c == 0x7f;
+}
+
 void CheckAccounts(const std::vector<ClientAccount>& accounts) {
   std::set<std::string_view> names;
   std::set<std::string_view> keys;
@@ -41,6 +47,7 @@
     };
     const auto is_limit = [](double value) { return value >= 0 && value <= kMaxAccountLimit; };
     require(!account.name.empty(), "the name is empty");
+    require(std::ranges::none_of(account.name, IsControlByte), "the name has a control character");
     require(names.insert(account.name).second, "the name is used twice");
     for (const std::string& key : account.keys) {
       require(!key.empty(), "a key is empty");
--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -20,6 +20,11 @@
   for (const MeshRoute& route : config_.routes) {
     hosts_[HostKey(route.host)].emplace(route.path_prefix, &route);
   }
+  for (const ClientAccount& account : config_.accounts) {
+    for (const std::string& key : account.keys) {
+      accounts_by_key_.emplace(key, &account);
+    }
+  }
 }
 
 const MeshRoute* RouteTable::Match(std::string_view host, std::string_view path) const {
@@ -45,4 +50,9 @@
   return found == config_.services.end() ? nullptr : &*found;
 }
 
+const ClientAccount* RouteTable::FindAccountByKey(std::string_view key) const {
+  const auto found = accounts_by_key_.find(key);
+  return found == accounts_by_key_.end() ? nullptr : found->second;
+}
+
 }  // namespace limpet
--- a/src/settings/node_settings.cc
+++ b/src/settings/node_settings.cc
@@ -17,6 +17,7 @@
 
 using Member = std::variant<std::string NodeSettings::*,
                             int NodeSettings::*,
+                            bool NodeSettings::*,
                             double NodeSettings::*,
                             TraceOutput NodeSettings::*,
                             LogLevel NodeSettings::*,
@@ -168,6 +169,12 @@
      {0, 1'000'000}},
     {"retries", "window_ms", &S::retry_window_ms, "Length of the window of the retry limit",
      kMsRange},
+    {"access", "strict_revocation", &S::strict_revocation,
+     "Serve a request with a key only while this node knows every configuration that the store had "
+     "acknowledged revoke_ms ago"},
+    {"access", "revoke_ms", &S::revoke_ms,
+     "Time after which a removed key is refused at every node if strict_revocation is true",
+     kMsRange},
     {"stop", "grace_period_ms", &S::grace_period_ms,
      "Time from the request to stop until the process is killed", kMsRange},
     {"control", "distribution", &S::distribution,
@@ -266,6 +273,10 @@
   bool operator()(int NodeSettings::*member) const {
     return ParseNumber(text, settings.*member) && key.range.Contains(settings.*member);
   }
+  bool operator()(bool NodeSettings::*member) const {
+    settings.*member = text == "true";
+    return text == "true" || text == "false";
+  }
   bool operator()(double NodeSettings::*member) const {
     double& value = settings.*member;
     const Range range = GetFractionRange(key);
@@ -301,6 +312,7 @@
     return "";
   }
   std::string operator()(int NodeSettings::*) const { return key.range.ToString(); }
+  std::string operator()(bool NodeSettings::*) const { return "true, false"; }
   std::string operator()(double NodeSettings::*) const { return GetFractionRange(key).ToString(); }
   template <Choice Enum>
   std::string operator()(Enum NodeSettings::* /*member*/) const {
@@ -315,6 +327,7 @@
 struct TypeText {
   std::string operator()(std::string NodeSettings::*) const { return "text"; }
   std::string operator()(int NodeSettings::*) const { return "integer"; }
+  std::string operator()(bool NodeSettings::*) const { return "boolean"; }
   std::string operator()(double NodeSettings::*) const { return "number"; }
   template <Choice Enum>
   std::string operator()(Enum NodeSettings::* /*member*/) const {
@@ -331,6 +344,9 @@
   std::string operator()(int NodeSettings::*member) const {
     return std::to_string(defaults.*member);
   }
+  std::string operator()(bool NodeSettings::*member) const {
+    return defaults.*member ? "true" : "false";
+  }
   std::string operator()(double NodeSettings::*member) const {
     std::array<char, 32> text{};
     std::snprintf(text.data(), text.size(), "%g", defaults.*member);
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -75,6 +75,69 @@
   CHECK_THROWS_AS(DecodeOperatorConfig("[]"), DecodeError);
 }
 
+std::string AccountsConfig(const std::string& first, const std::string& second) {
+  return Replace(kConfig, R"({"resource_type":"limits")",
+                 R"({"resource_type":"tenants","metadata":{"name":"first"},"specification":)" +
+                     first +
+                     R"(},{"resource_type":"tenants","metadata":{"name":"second"},)"
+                     R"("specification":)" +
+                     second + R"(},{"resource_type":"limits")");
+}
+
+TEST_CASE("client accounts and public routes are decoded") {
+  const std::string text = AccountsConfig(
+      R"({"api_keys":["k1","k2"],"priority":0,"requests_per_s":12.5,"burst":3})", "{}");
+  const MeshConfig config = DecodeOperatorConfig(Replace(text, R"("kind":"download")",
+                                                         R"("kind":"download","public":true)"))
+                                .config;
+  CHECK_FALSE(config.routes[0].is_public);
+  CHECK(config.routes[1].is_public);
+  REQUIRE(config.accounts.size() == 2);
+  CHECK(config.accounts[0] == ClientAccount{"first", {"k1", "k2"}, 0, 12.5, 3});
+  CHECK(config.accounts[1] == ClientAccount{"second", {}, std::nullopt, 0, 0});
+}
+
+// Guards against one account that gets the requests of another, and against limits that overflow.
+TEST_CASE("accounts that share a key and limits out of range are not valid") {
+  const auto validate = [](const std::string& first, const std::string& second) {
+    MeshConfig config = DecodeOperatorConfig(AccountsConfig(first, second)).config;
+    config.services.push_back({"store", "/health", 130});
+    ValidateMeshConfig(config);
+  };
+  CHECK_NOTHROW(validate(R"({"api_keys":["k1"]})", R"({"api_keys":["k2"]})"));
+  CHECK_THROWS_AS(validate(R"({"api_keys":["k1"]})", R"({"api_keys":["k2","k1"]})"),
+                  InvalidMeshConfig);
+  CHECK_THROWS_AS(validate(R"({"api_keys":["k1","k1"]})", "{}"), InvalidMeshConfig);
+  CHECK_THROWS_AS(validate(R"({"api_keys":[""]})", "{}"), InvalidMeshConfig);
+  for (const char* limit : {"-1", "-0.001", "1.1e9", "1e300"}) {
+    for (const char* name : {"requests_per_s", "burst"}) {
+      CAPTURE(limit);
+      CHECK_THROWS_AS(validate("{\"" + std::string(name) + "\":" + std::string(limit) + "}", "{}"),
+                      InvalidMeshConfig);
+    }
+  }
+  CHECK_NOTHROW(validate(R"({"requests_per_s":1e9,"burst":0})", "{}"));
+}
+
+// Guards against keys that reach the log with the cause of a refused configuration.
+TEST_CASE("keys and limits of the wrong type throw DecodeError without the key") {
+  for (const char* account :
+       {R"({"api_keys":[1]})", R"({"api_keys":"secret"})", R"({"api_keys":[["secret"]]})",
+        R"({"api_keys":["secret",null]})", R"({"api_keys":{"a":"secret"}})",
+        R"({"requests_per_s":"many","api_keys":["secret"]})", R"({"priority":-1})",
+        R"({"priority":"0"})", R"({"priority":1e300})", R"({"api_keys":["secret)"}) {
+    CAPTURE(account);
+    std::string problem;
+    try {
+      DecodeOperatorConfig(AccountsConfig(account, "{}"));
+    } catch (const DecodeError& error) {
+      problem = error.what();
+    }
+    CHECK_FALSE(problem.empty());
+    CHECK(problem.find("secret") == std::string::npos);
+  }
+}
+
 HttpRequest MakeHeartbeat(const std::string& body) {
   HttpRequest request;
   request.method = "PUT";
@@ -176,14 +239,14 @@
 TEST_CASE("store records are decoded as encoded, and truncated ones throw DecodeError") {
   const std::string end_and_first(16, '\0');
   const std::string record = EncodeRecord({"key", "value"});
-  const StoreRecords records = DecodeRecords(end_and_first + record + record);
+  const StoreRecords records = DecodeRecords(end_and_first + record + record, 0);
   REQUIRE(records.records.size() == 2);
   CHECK(records.records[1].key == "key");
   CHECK(records.records[1].value == "value");
   for (std::size_t cut = 1; cut < record.size(); ++cut) {
-    CHECK_THROWS_AS(DecodeRecords(end_and_first + record.substr(0, cut)), DecodeError);
+    CHECK_THROWS_AS(DecodeRecords(end_and_first + record.substr(0, cut), 0), DecodeError);
   }
-  CHECK_THROWS_AS(DecodeRecords("short"), DecodeError);
+  CHECK_THROWS_AS(DecodeRecords("short", 0), DecodeError);
 }
 
 TEST_CASE("a page of newest records is decoded, and an invalid one throws DecodeError") {
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -46,6 +47,22 @@
       waiting_reads_.clear();
     });
   }
+  /// The store restores a copy of itself without its last `lost` records: it closes all waiting
+  /// reads without records and begins the next epoch. Requires `SetEpoch`.
+  void Restore(const std::string& topic, std::size_t lost) {
+    loop_.Run([&] {
+      auto& records = topics_[topic];
+      records.resize(records.size() - std::min(lost, records.size()));
+      epoch_ = epoch_.value_or(0) + 1;
+      for (const WaitingRead& waiting : std::exchange(waiting_reads_, {})) {
+        SendRecords(waiting);
+      }
+    });
+  }
+  /// All responses have the header with the epoch from now on.
+  void SetEpoch(int epoch) {
+    loop_.Run([&] { epoch_ = epoch; });
+  }
   int calls(const std::string& path) {
     return loop_.Run([&] { return calls_[path]; });
   }
@@ -117,6 +134,9 @@
     if (silent_) {
       silenced_.insert(session);
     }
+    if (epoch_) {
+      response.headers.push_back(MakeHeader("Store-Era", std::to_string(*epoch_)));
+    }
     if (!silenced_.contains(session)) {
       session->Respond(std::move(response));
     }
@@ -144,14 +164,15 @@
       Respond(session, JsonResponse(200, R"({"offset":0,"end":1})"));
       Append(topic, key, value);
     } else if (request.path == "/log-newest") {
-      std::map<std::string, std::string> newest;
-      for (const Record& record : topics_[topic]) {
-        newest[record.key] = record.value;
+      std::map<std::string, std::size_t> newest;
+      for (std::size_t i = 0; i < topics_[topic].size(); ++i) {
+        newest[topics_[topic][i].key] = i;
       }
       nlohmann::json page = {
           {"items", nlohmann::json::array()}, {"more", false}, {"end", topics_[topic].size()}};
-      for (const auto& [key, value] : newest) {
-        page["items"].push_back({{"key", key}, {"value", EncodeBase64(value)}, {"offset", 0}});
+      for (const auto& [key, offset] : newest) {
+        const std::string value = EncodeBase64(topics_[topic][offset].value);
+        page["items"].push_back({{"key", key}, {"value", value}, {"offset", offset}});
       }
       Respond(session, JsonResponse(200, page.dump()));
     } else if (request.path == "/log-read") {
@@ -165,6 +186,7 @@
   edge::LoopThread& loop_;
   bool down_ = false;
   bool silent_ = false;
+  std::optional<int> epoch_;
   /// All sessions so far, and those on which a response was lost.
   std::set<edge::HttpSessionPtr> sessions_;
   std::set<edge::HttpSessionPtr> silenced_;
--- a/tests/platform/mesh_test.cc
+++ b/tests/platform/mesh_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <memory>
@@ -39,7 +40,8 @@
            const std::string& name,
            const std::string& service,
            double link_mbps = 1000,
-           double grace_period_ms = 6000)
+           double grace_period_ms = 6000,
+           bool strict_revocation = false)
       : instance("i-" + name), name_(name), service_(service) {
     settings_.name = name;
     settings_.link_mbps = link_mbps;
@@ -53,6 +55,7 @@
     settings_.link_port = FreePort();
     settings_.metrics_port = FreePort();
     settings_.grace_period_ms = grace_period_ms;
+    settings_.strict_revocation = strict_revocation;
     target_ = std::make_unique<edge::TestServer>(
         loop, settings_.target,
         [this](const edge::HttpSessionPtr& session) { OnTargetRequest(session); });
@@ -94,6 +97,19 @@
   std::string Call(const std::string& path) {
     return Send(settings_.outbound.port, "GET " + path, "");
   }
+  /// `headers` are complete lines.
+  std::string CallWith(const std::string& path, const std::string& headers) {
+    return Send(settings_.outbound.port, "GET " + path, "", headers);
+  }
+  /// Sends both requests at once and returns both responses.
+  std::pair<std::string, std::string> CallTwice(const std::string& first_headers,
+                                                const std::string& second_headers) {
+    RawClient client(settings_.outbound.port);
+    client.Send(MakeRequest("GET /lots/1", "", first_headers) +
+                MakeRequest("GET /lots/1", "", second_headers));
+    std::string first = client.ReadResponse();
+    return {std::move(first), client.ReadResponse()};
+  }
   std::string Upload(const std::string& path, const std::string& body) {
     return Send(settings_.outbound.port, "POST " + path, body);
   }
@@ -127,14 +143,21 @@
   std::string seen_body;
   std::string seen_caller;
   std::string seen_instance;
+  HttpHeaders seen_headers;
 
  private:
-  static std::string Send(int port, const std::string& line, const std::string& body) {
+  static std::string MakeRequest(const std::string& line,
+                                 const std::string& body,
+                                 const std::string& headers) {
+    return line + " HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: 77\r\nX-Deadline-Ms: 900\r\n" +
+           headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+  static std::string Send(int port,
+                          const std::string& line,
+                          const std::string& body,
+                          const std::string& headers = "") {
     RawClient client(port);
-    client.Send(line +
-                " HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: 77\r\nX-Deadline-Ms: 900\r\n"
-                "Content-Length: " +
-                std::to_string(body.size()) + "\r\n\r\n" + body);
+    client.Send(MakeRequest(line, body, headers));
     return client.ReadResponse();
   }
   void OnTargetRequest(const edge::HttpSessionPtr& session) {
@@ -147,6 +170,7 @@
     }
     ++executions;
     seen_body = request.body;
+    seen_headers = request.headers;
     seen_caller = std::string(request.Header("X-Caller-Service"));
     seen_instance = std::string(request.Header("X-Expected-Instance"));
     if (unresponsive) {
@@ -164,6 +188,7 @@
     process_->Run([this] {
       coordination_ =
           std::make_unique<StoreCoordination>(process_->executor(), settings_.store, Random(1));
+      coordination_->set_strict_revocation(settings_.strict_revocation);
       node_ = std::make_unique<edge::EdgeNode>(process_->executor(), settings_,
                                                PlatformHeaderNames(), codec_, *coordination_);
       node_->Start();
@@ -490,5 +515,123 @@
   CHECK(stopped);
 }
 
+/// A configuration with the public route /open/ and with accounts that have these keys.
+std::string AccountsText(int version, const std::string& first_keys) {
+  std::string text = ConfigText(version, "/lots/");
+  text.resize(text.size() - 2);
+  return text +
+         R"(,{"resource_type":"routes","metadata":{"name":"r2"},"specification":)"
+         R"({"host":"desk.example","path_prefix":"/open/","kind":"idempotent","timeout_ms":1000,)"
+         R"("priority":1,"service":"desk","attempts":2,"public":true}},)"
+         R"({"resource_type":"tenants","metadata":{"name":"first"},"specification":)"
+         R"({"api_keys":[)" +
+         first_keys +
+         R"(],"priority":0}},{"resource_type":"tenants","metadata":{"name":"second"},)"
+         R"("specification":{"api_keys":["key-2"]}}]})";
+}
+
+constexpr const char* kFirstKey = "Api-Key: key-1\r\n";
+
+// Guards against a key that reaches a target, and against a caller that chooses its account.
+TEST_CASE_FIXTURE(Fixture, "a target gets the account of the key and never the key") {
+  store.Put("keyed.op", "config", AccountsText(1, R"("key-1","key-1b")"));
+  CHECK(desk.Announce("ready", 1).starts_with("HTTP/1.1 200"));
+  REQUIRE(caller.CallUntil("/open/1", "200"));
+  CHECK(FindHeader(desk.seen_headers, "X-Tenant").empty());
+  for (const char* path : {"/lots/1", "/open/1"}) {
+    const bool is_public = path == std::string("/open/1");
+    CAPTURE(path);
+    CHECK(caller
+              .CallWith(path,
+                        "api-key: key-1b\r\nx-tenant: second\r\nX-Tenant: third\r\n"
+                        "Connection: X-Tenant, Api-Key\r\n")
+              .starts_with("HTTP/1.1 200"));
+    CHECK(std::ranges::count_if(desk.seen_headers, [](const wire::Header& header) {
+            return header.value.find("key-1") != std::string::npos || header.value == "third" ||
+                   header.value == "second";
+          }) == 0);
+    CHECK(FindHeader(desk.seen_headers, "X-Tenant") == (is_public ? "" : "first"));
+    CHECK(FindHeader(desk.seen_headers, "Api-Key").empty());
+  }
+  CHECK(caller.Metrics().find("key-1") == std::string::npos);
+}
+
+TEST_CASE_FIXTURE(Fixture, "without accounts a caller's own account name is removed") {
+  StartMesh();
+  CHECK(caller.CallWith("/lots/1", "X-Tenant: first\r\nApi-Key: key-1\r\n")
+            .starts_with("HTTP/1.1 200"));
+  CHECK(FindHeader(desk.seen_headers, "X-Tenant").empty());
+  CHECK(FindHeader(desk.seen_headers, "Api-Key").empty());
+}
+
+TEST_CASE_FIXTURE(Fixture, "each request of a connection needs its own key") {
+  store.Put("keyed.op", "config", AccountsText(1, R"("key-1")"));
+  CHECK(desk.Announce("ready", 1).starts_with("HTTP/1.1 200"));
+  REQUIRE(caller.CallUntil("/open/1", "200"));
+  const int before = desk.executions;
+  const auto [first, second] = caller.CallTwice(kFirstKey, "");
+  CHECK(first.starts_with("HTTP/1.1 200"));
+  // A node whose proof is older than 2 s at this moment answers 503.
+  CHECK((second.starts_with("HTTP/1.1 401") || second.starts_with("HTTP/1.1 503")));
+  CHECK(desk.executions == before + 1);
+  CHECK(caller.CallUntil("/lots/1", "401"));
+  CHECK(caller.CallWith("/lots/1", std::string(kFirstKey) + kFirstKey).substr(9, 3) != "200");
+  CHECK(desk.executions == before + 1);
+}
+
+// Guards against serving a removed key at a node that is cut off from the store.
+TEST_CASE_FIXTURE(Fixture, "with strict revocation keys are refused while the store is silent") {
+  TestNode strict(loop, store.address(), "strict-node", "store", 1000, 6000, true);
+  Stopper strict_stopper{loop};
+  store.Put("keyed.op", "config", AccountsText(1, R"("key-1")"));
+  CHECK(desk.Announce("ready", 1).starts_with("HTTP/1.1 200"));
+  REQUIRE(strict.CallUntil("/open/1", "200"));
+  CHECK(strict.CallWith("/lots/1", kFirstKey).starts_with("HTTP/1.1 200"));
+  store.SetSilent(true);
+  const auto silent_since = std::chrono::steady_clock::now();
+  store.Put("keyed.op", "config", AccountsText(2, ""));
+  // The key is refused 5 s after its removal, and public routes are served.
+  std::this_thread::sleep_until(silent_since + milliseconds(5000));
+  const int before = desk.executions;
+  for (int i = 0; i < 5; ++i) {
+    const std::string response = strict.CallWith("/lots/1", kFirstKey);
+    CHECK(response.starts_with("HTTP/1.1 503"));
+    CHECK(response.find("Retry-After: 0.") != std::string::npos);
+  }
+  CHECK(desk.executions == before);
+  CHECK(strict.Call("/open/1").starts_with("HTTP/1.1 200"));
+  store.SetSilent(false);
+  CHECK(strict.CallUntil("/lots/1", "401"));
+  CHECK(strict.CallWith("/lots/1", "Api-Key: key-2\r\n").starts_with("HTTP/1.1 200"));
+}
+
+// Guards against serving a key whose removal was lost when the store was restored, also at a node
+// that starts only then.
+TEST_CASE("a restored store gives no proof until a configuration is written again") {
+  edge::LoopThread loop;
+  FakeStore store(loop);
+  store.SetEpoch(1);
+  store.Put("keyed.op", "config", AccountsText(1, R"("key-1")"));
+  TestNode desk(loop, store.address(), "desk-node", "desk", 1000, 6000, true);
+  Fixture::Stopper stopper{loop};
+  CHECK(desk.Announce("ready", 1).starts_with("HTTP/1.1 200"));
+  REQUIRE(desk.CallUntil("/open/1", "200"));
+  CHECK(desk.CallWith("/lots/1", kFirstKey).starts_with("HTTP/1.1 200"));
+  store.Put("keyed.op", "config", AccountsText(2, ""));
+  store.Restore("keyed.op", 1);
+  desk.RestartNode();
+  CHECK(desk.Announce("ready", 2).starts_with("HTTP/1.1 200"));
+  REQUIRE(desk.CallUntil("/open/1", "200"));
+  const int before = desk.executions;
+  for (int i = 0; i < 10; ++i) {
+    CHECK(desk.CallWith("/lots/1", kFirstKey).starts_with("HTTP/1.1 503"));
+    std::this_thread::sleep_for(milliseconds(200));
+  }
+  CHECK(desk.executions == before);
+  store.Put("keyed.op", "config", AccountsText(3, ""));
+  CHECK(desk.CallUntil("/lots/1", "401"));
+  CHECK(desk.CallWith("/lots/1", "Api-Key: key-2\r\n").starts_with("HTTP/1.1 200"));
+}
+
 }  // namespace
 }  // namespace limpet::platform
--- a/tests/routing/config_holder_test.cc
+++ b/tests/routing/config_holder_test.cc
@@ -75,6 +75,40 @@
   CHECK(peer.Update(*second_change) == ConfigUpdateResult::kNotNewer);
 }
 
+// Guards against a removed key that stays valid at the nodes that get the change from a reader.
+TEST_CASE("changes of accounts reach other nodes") {
+  const auto make = [](int64_t version, std::vector<ClientAccount> accounts) {
+    MeshRoute open = MakeRoute("open", 800);
+    open.is_public = true;
+    MeshConfig config = MakeConfig(version, {open});
+    config.accounts = std::move(accounts);
+    return config;
+  };
+  ConfigHolder reader;
+  ConfigHolder peer;
+  reader.Update(make(1, {{"a", {"k1", "k2"}, 0, 2.5, 7}, {"b", {"k3"}, std::nullopt, 0, 0}}));
+  CHECK(peer.Update(*reader.FullUpdate()) == ConfigUpdateResult::kApplied);
+  CHECK(peer.routes()->config().accounts == reader.routes()->config().accounts);
+  CHECK(peer.routes()->Match("desk.example", "/open/1")->is_public);
+  CHECK(peer.routes()->FindAccountByKey("k2")->name == "a");
+  reader.Update(make(2, {{"a", {"k2"}, std::nullopt, 2.5, 7}}));
+  CHECK(peer.Update(*reader.LastChange()) == ConfigUpdateResult::kApplied);
+  CHECK(peer.routes()->config().accounts == reader.routes()->config().accounts);
+  CHECK(peer.routes()->FindAccountByKey("k1") == nullptr);
+  CHECK(peer.routes()->FindAccountByKey("k3") == nullptr);
+  // The key moves to another account.
+  reader.Update(make(3, {{"a", {}, std::nullopt, 0, 0}, {"c", {"k2"}, std::nullopt, 0, 0}}));
+  CHECK(peer.Update(*reader.LastChange()) == ConfigUpdateResult::kApplied);
+  CHECK(peer.routes()->FindAccountByKey("k2")->name == "c");
+  // Neither a key of two accounts nor a limit out of range is valid, and nothing is applied.
+  CHECK(peer.Update(make(4, {{"a", {"k"}, 0, 0, 0}, {"b", {"k"}, 0, 0, 0}})) ==
+        ConfigUpdateResult::kInvalid);
+  CHECK(peer.Update(make(4, {{"a", {"k"}, 0, -1, 0}})) == ConfigUpdateResult::kInvalid);
+  CHECK(peer.Update(make(4, {{"a", {"k"}, 0, 0, 1e300}})) == ConfigUpdateResult::kInvalid);
+  CHECK(peer.Update(make(4, {{"a\r\nX: y", {"k"}, 0, 0, 0}})) == ConfigUpdateResult::kInvalid);
+  CHECK(peer.version() == 3);
+}
+
 TEST_CASE("a malformed change from another node leaves the configuration unchanged") {
   ConfigHolder holder;
   holder.Update(MakeConfig(1, {MakeRoute("lots", 800)}));
--- a/tests/settings/node_settings_test.cc
+++ b/tests/settings/node_settings_test.cc
@@ -26,6 +26,22 @@
   CHECK(settings.grace_period_ms == 6500);
 }
 
+// Guards against strict revocation that is off because of a value which is not understood.
+TEST_CASE("strict revocation is true or false, off by default, and revoke_ms a fraction") {
+  CHECK_FALSE(ParseSettings(kRequired, "node.ini").strict_revocation);
+  CHECK(ParseSettings(kRequired, "node.ini").revoke_ms == 5000);
+  const NodeSettings settings =
+      ParseSettings(kRequired + "[access]\nstrict_revocation = true\nrevoke_ms = 2500.5\n", "n");
+  CHECK(settings.strict_revocation);
+  CHECK(settings.revoke_ms == 2500.5);
+  CHECK_FALSE(
+      ParseSettings(kRequired + "[access]\nstrict_revocation = false\n", "n").strict_revocation);
+  CHECK(
+      GetError(kRequired + "[access]\nstrict_revocation = yes\n").find("allowed is true, false") !=
+      std::string::npos);
+  CHECK_FALSE(GetError(kRequired + "[access]\nrevoke_ms = -1\n").empty());
+}
+
 TEST_CASE("keys that are not required have defaults") {
   const NodeSettings settings = ParseSettings(kRequired, "node.ini");
   CHECK(settings.name == "n1");
