--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -39,9 +39,13 @@
   kSkipCallerMemory,
   kSkipResponseCheck,
   kAcceptResponseAfterError,
+  kSkipKnowledgeCheck,
+  kAdoptUnknownKnowledge,
+  kIgnoreStoreEpoch,
+  kKeepCallersAccount,
 };
 
-inline constexpr EnumNames<Fault, 31> kFaultNames = {{
+inline constexpr EnumNames<Fault, 35> kFaultNames = {{
     {Fault::kNone, "none"},
     {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
@@ -73,6 +77,10 @@
     {Fault::kSkipCallerMemory, "skip_caller_memory"},
     {Fault::kSkipResponseCheck, "skip_response_check"},
     {Fault::kAcceptResponseAfterError, "accept_response_after_error"},
+    {Fault::kSkipKnowledgeCheck, "skip_knowledge_check"},
+    {Fault::kAdoptUnknownKnowledge, "adopt_unknown_knowledge"},
+    {Fault::kIgnoreStoreEpoch, "ignore_store_epoch"},
+    {Fault::kKeepCallersAccount, "keep_callers_account"},
 }};
 
 #ifdef LIMPET_FAULTS
--- a/include/limpet/edge/http_connection.h
+++ b/include/limpet/edge/http_connection.h
@@ -37,6 +37,10 @@
   bool response_begun = false;
   /// Framing of the response that was received last, complete or not.
   ResponseFraming framing = ResponseFraming::kUnknown;
+  /// Set by `RepeatedExchange`: start of the attempt that ended.
+  TimePoint sent_at{};
+  /// Set by `RepeatedExchange`: the attempt sent the repeated request, not the first one.
+  bool repeated = false;
   /// Cause of a failure, for logs.
   ErrorCode error;
 };
