Read the responses of the log, of nodes and of stand-ins with the strict reader

The log client, limpetctl and the load tool used the HTTP client of cxxtools, which had the same cause: it accepts broken responses and throws from its parser. They now use TargetClient. The check whether the log accepts connections before an append is no longer needed: TargetClient reports whether anything was sent, also if the timeout ends the connection attempt.

--- a/src/cli/http_node_access.cc
+++ b/src/cli/http_node_access.cc
@@ -1,13 +1,9 @@
 #include "cli/http_node_access.h"
 
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/timespan.h>
-
-#include <chrono>
-#include <exception>
 #include <utility>
 
+#include "limpet/net/target_client.h"
+
 namespace limpet {
 
 HttpNodeAccess::HttpNodeAccess(PeerAddress address, Duration timeout)
@@ -22,20 +18,16 @@
 }
 
 NodeResponse HttpNodeAccess::Exchange(const std::string& method, const std::string& path) const {
+  HttpRequest request;
+  request.method = method;
+  const std::size_t query = path.find('?');
+  request.path = path.substr(0, query);
+  request.query = query == std::string::npos ? "" : path.substr(query + 1);
   try {
-    const cxxtools::Milliseconds timeout(
-        std::chrono::duration<double, std::milli>(timeout_).count());
-    cxxtools::http::Client client(address_.host, static_cast<unsigned short>(address_.port));
-    cxxtools::http::Request request(path);
-    request.method(method);
-    const auto& header = client.execute(request, timeout, timeout);
-    // Without a length, cxxtools would return a truncated response as a complete one.
-    if (!header.hasHeader("Content-Length") && !header.chunkedTransferEncoding()) {
-      return {};
-    }
-    const unsigned code = header.httpReturnCode();
-    return {code, client.readBody().body()};
-  } catch (const std::exception&) {
+    TargetClient client(address_.host, address_.port);
+    HttpResponse response = client.Exchange(request, false, timeout_, [] { return false; });
+    return {static_cast<unsigned>(response.status), std::move(response.body)};
+  } catch (const ExchangeError&) {
     return {};
   }
 }
--- a/src/load/caller_client.h
+++ b/src/load/caller_client.h
@@ -1,11 +1,11 @@
 #ifndef LIMPET_SRC_LOAD_CALLER_CLIENT_H_
 #define LIMPET_SRC_LOAD_CALLER_CLIENT_H_
 
-#include <cxxtools/http/client.h>
 #include <string>
 
 #include "limpet/load/experiment.h"
 #include "limpet/load/result.h"
+#include "limpet/net/target_client.h"
 
 namespace limpet::load {
 
@@ -19,12 +19,7 @@
   Observation Send(const Workload& workload, const std::string& request_id);
 
  private:
-  Observation Execute(cxxtools::http::Client& client,
-                      const Workload& workload,
-                      const std::string& request_id);
-
-  HostPort node_;
-  cxxtools::http::Client persistent_client_;
+  TargetClient client_;
 };
 
 }  // namespace limpet::load
--- a/src/load/runner.cc
+++ b/src/load/runner.cc
@@ -1,7 +1,5 @@
 #include "limpet/load/runner.h"
 
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/request.h>
 #include <spdlog/fmt/fmt.h>
 #include <algorithm>
 #include <atomic>
@@ -12,12 +10,13 @@
 #include "limpet/core/error.h"
 #include "limpet/load/schedule.h"
 #include "limpet/net/clock.h"
+#include "limpet/net/target_client.h"
 #include "load/caller_client.h"
 
 namespace limpet::load {
 namespace {
 
-constexpr double kStandInTimeoutMs = 5000;
+constexpr Duration kStandInTimeout = std::chrono::seconds(5);
 constexpr Duration kProgressInterval = std::chrono::seconds(1);
 constexpr Duration kStartDelay = std::chrono::milliseconds(100);
 
@@ -26,22 +25,21 @@
                         const std::string& path,
                         const std::string& body) {
   const std::string address = stand_in.host + ":" + std::to_string(stand_in.port) + path;
+  HttpRequest request;
+  request.method = method;
+  request.path = path;
+  request.body = body;
+  HttpResponse response;
   try {
-    cxxtools::http::Client client(stand_in.host, static_cast<unsigned short>(stand_in.port));
-    cxxtools::http::Request request(path);
-    request.method(method);
-    request.body() << body;
-    client.execute(request, cxxtools::Milliseconds(kStandInTimeoutMs));
-    client.readBody();
-    if (client.header().httpReturnCode() >= 300) {
-      throw Error(address + " returned status " + std::to_string(client.header().httpReturnCode()));
-    }
-    return client.body();
-  } catch (const Error&) {
-    throw;
-  } catch (const std::exception& error) {
+    TargetClient client(stand_in.host, stand_in.port);
+    response = client.Exchange(request, false, kStandInTimeout, [] { return false; });
+  } catch (const ExchangeError& error) {
     throw Error(address + " request failed: " + error.what());
   }
+  if (response.status >= 300) {
+    throw Error(address + " returned status " + std::to_string(response.status));
+  }
+  return response.body;
 }
 
 /// Sends the scheduled requests to one arm from a fixed number of threads.
--- a/src/net/log_client.cc
+++ b/src/net/log_client.cc
@@ -1,9 +1,5 @@
 #include "limpet/net/log_client.h"
 
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/timespan.h>
-
 #include <algorithm>
 #include <chrono>
 #include <exception>
@@ -12,19 +8,16 @@
 #include <string>
 #include <utility>
 
+#include "limpet/net/target_client.h"
 #include "net/base64.h"
-#include "net/tcp_socket.h"
 
 namespace limpet {
 namespace {
 
 using Json = nlohmann::json;
 
-/// Largest response that is read. Holds several checkpoints of the design size (0.6 MB).
-constexpr std::size_t kMaxResponseBytes = 64U << 20U;
-
 struct LogResponse {
-  unsigned code = 0;
+  int code = 0;
   Json body;
 };
 
@@ -52,7 +45,7 @@
 
 /// Returns the status for a response with an HTTP status other than 200. `server_error` is returned
 /// for a status of 500 or above that has no `LogStatus` of its own.
-LogStatus ToLogStatus(unsigned code, LogStatus server_error) {
+LogStatus ToLogStatus(int code, LogStatus server_error) {
   switch (code) {
     case 410:
       return LogStatus::kOffsetExpired;
@@ -112,34 +105,27 @@
 class LogClient::Impl {
  public:
   Impl(PeerAddress address, Duration timeout)
-      : address_(std::move(address)),
-        timeout_(std::chrono::duration_cast<std::chrono::milliseconds>(timeout)) {}
+      : client_(std::move(address.host), address.port), timeout_(timeout) {}
 
   LogResult Append(const LogAppend& append) {
     LogResult result;
     result.request = append.request;
-    // If the connection attempt fails, nothing was sent. A failure of `Exchange` does not show
-    // whether the request was sent.
-    if (!CanConnect(address_.host, address_.port, static_cast<int>(timeout_.count()))) {
-      result.status = LogStatus::kUnavailable;
-      return result;
-    }
-    // cxxtools sends a request again if a connection that was open before the request closes
-    // without a response. An append therefore uses a client that is not yet connected.
-    std::optional<cxxtools::http::Client> client;
-    cxxtools::http::Request request(MakePath(append.stream));
-    request.method("POST");
-    request.setHeader("Content-Type", "application/json");
-    request.body() << Json{{"payload", EncodeBase64(append.payload)}}.dump();
-    const auto response = Exchange(client, request);
-    if (!response) {
-      result.status = LogStatus::kUnknownOutcome;
-    } else if (response->code != 200) {
-      result.status = ToLogStatus(response->code, LogStatus::kUnknownOutcome);
-    } else {
-      const auto offset = FindInteger(response->body, "offset");
-      result.offset = offset.value_or(0);
-      result.status = result.offset >= 1 ? LogStatus::kOk : LogStatus::kMalformedResponse;
+    HttpRequest request;
+    request.method = "POST";
+    request.path = MakePath(append.stream);
+    request.headers.push_back(MakeHeader("Content-Type", "application/json"));
+    request.body = Json{{"payload", EncodeBase64(append.payload)}}.dump();
+    try {
+      const LogResponse response = Exchange(request, false);
+      if (response.code != 200) {
+        result.status = ToLogStatus(response.code, LogStatus::kUnknownOutcome);
+      } else {
+        const auto offset = FindInteger(response.body, "offset");
+        result.offset = offset.value_or(0);
+        result.status = result.offset >= 1 ? LogStatus::kOk : LogStatus::kMalformedResponse;
+      }
+    } catch (const ExchangeError& error) {
+      result.status = error.nothing_sent() ? LogStatus::kUnavailable : LogStatus::kUnknownOutcome;
     }
     return result;
   }
@@ -147,54 +133,46 @@
   LogResult Read(const LogRead& read) {
     LogResult result;
     result.request = read.request;
-    cxxtools::http::Request request(MakePath(read.stream));
-    request.method("GET");
-    request.qparams("from=" + std::to_string(read.from) +
-                    "&max=" + std::to_string(read.max_records));
-    const auto response = Exchange(reader_, request);
-    if (!response) {
-      reader_.reset();
-      result.status = LogStatus::kUnavailable;
-    } else if (response->code != 200) {
-      result.status = ToLogStatus(response->code, LogStatus::kUnavailable);
-      if (result.status == LogStatus::kOffsetExpired && !ParseRange(response->body, result)) {
+    HttpRequest request;
+    request.path = MakePath(read.stream);
+    request.query =
+        "from=" + std::to_string(read.from) + "&max=" + std::to_string(read.max_records);
+    try {
+      const LogResponse response = Exchange(request, true);
+      if (response.code != 200) {
+        result.status = ToLogStatus(response.code, LogStatus::kUnavailable);
+        if (result.status == LogStatus::kOffsetExpired && !ParseRange(response.body, result)) {
+          result.status = LogStatus::kMalformedResponse;
+        }
+      } else if (!ParseRecords(response.body, read, result)) {
+        result = LogResult();
+        result.request = read.request;
         result.status = LogStatus::kMalformedResponse;
       }
-    } else if (!ParseRecords(response->body, read, result)) {
-      result = LogResult();
-      result.request = read.request;
-      result.status = LogStatus::kMalformedResponse;
+    } catch (const ExchangeError&) {
+      result.status = LogStatus::kUnavailable;
     }
     return result;
   }
 
  private:
-  /// Returns no value if no complete response was received. The body of a response that is not JSON
-  /// is `Json::value_t::discarded`.
-  std::optional<LogResponse> Exchange(std::optional<cxxtools::http::Client>& client,
-                                      const cxxtools::http::Request& request) const {
+  /// The body of a response that is not JSON, or that may be truncated, is
+  /// `Json::value_t::discarded`. Throws `ExchangeError`.
+  LogResponse Exchange(const HttpRequest& request, bool idempotent) {
     try {
-      if (!client) {
-        client.emplace().prepareConnect(address_.host, static_cast<unsigned short>(address_.port));
-      }
-      const cxxtools::Milliseconds timeout(static_cast<double>(timeout_.count()));
-      const auto& header = client->execute(request, timeout, timeout);
-      // Without Content-Length cxxtools reports a truncated response as complete.
-      if (!header.hasHeader("Content-Length") || header.contentLength() > kMaxResponseBytes) {
-        const unsigned code = header.httpReturnCode();
-        client.reset();
-        return LogResponse{code, Json(Json::value_t::discarded)};
+      const HttpResponse response =
+          client_.Exchange(request, idempotent, timeout_, [] { return false; });
+      return {response.status, Json::parse(response.body, nullptr, false)};
+    } catch (const ExchangeError& error) {
+      if (error.failure() != ExchangeFailure::kTruncatedReply) {
+        throw;
       }
-      const std::string body = client->readBody().body();
-      return LogResponse{header.httpReturnCode(), Json::parse(body, nullptr, false)};
-    } catch (const std::exception&) {
-      return std::nullopt;
+      return {200, Json(Json::value_t::discarded)};
     }
   }
 
-  PeerAddress address_;
-  std::chrono::milliseconds timeout_;
-  std::optional<cxxtools::http::Client> reader_;
+  TargetClient client_;
+  Duration timeout_;
 };
 
 LogClient::LogClient(PeerAddress address, Duration timeout)
--- a/src/net/target_client.cc
+++ b/src/net/target_client.cc
@@ -155,8 +155,11 @@
         throw ExchangeError(ExchangeFailure::kCancelled, "cancelled by the caller");
       }
       if (now >= end) {
+        const ExchangeFailure failure = connection_->is_connecting()
+                                            ? ExchangeFailure::kNotConnected
+                                            : ExchangeFailure::kTimeout;
         Close();
-        throw ExchangeError(ExchangeFailure::kTimeout, "no response within the timeout");
+        throw ExchangeError(failure, "no response within the timeout");
       }
       next_poll = now >= next_poll ? now + kCancelPollInterval : next_poll;
       context_.restart();
--- a/tests/net/log_client_test.cc
+++ b/tests/net/log_client_test.cc
@@ -163,7 +163,7 @@
         LogStatus::kMalformedResponse);
 }
 
-// cxxtools reports success with an empty body for a truncated response without Content-Length.
+// A response without Content-Length may have been cut.
 TEST_CASE("a truncated response is never reported as a success") {
   CHECK(AppendStatus("HTTP/1.1 200 OK\r\n\r\n{\"offset\": 1}") == LogStatus::kMalformedResponse);
   CHECK(AppendStatus("HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"offs") ==
