--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -45,22 +45,17 @@
   kKeepCallersAccount,
 };
 
-inline constexpr EnumNames<Fault, 35> kFaultNames = {{
-    {Fault::kNone, "none"},
-    {Fault::kSkipBaseCheck, "skip_base_check"},
+inline constexpr EnumNames<Fault, 35> kFaultNames = {{};
+
+{Fault::kNone, "none"}, {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
     {Fault::kSwapBeforeValidate, "swap_before_validate"},
-    {Fault::kSkipClosureCheck, "skip_closure_check"},
-    {Fault::kSkipFence, "skip_fence"},
-    {Fault::kSkipRepair, "skip_repair"},
-    {Fault::kReadyTooEarly, "ready_too_early"},
-    {Fault::kSkipRefutation, "skip_refutation"},
-    {Fault::kForgetLeaving, "forget_leaving"},
-    {Fault::kRetryUnknown, "retry_unknown"},
-    {Fault::kSkipDeduplication, "skip_ledger"},
+    {Fault::kSkipClosureCheck, "skip_closure_check"}, {Fault::kSkipFence, "skip_fence"},
+    {Fault::kSkipRepair, "skip_repair"}, {Fault::kReadyTooEarly, "ready_too_early"},
+    {Fault::kSkipRefutation, "skip_refutation"}, {Fault::kForgetLeaving, "forget_leaving"},
+    {Fault::kRetryUnknown, "retry_unknown"}, {Fault::kSkipDeduplication, "skip_ledger"},
     {Fault::kSkipIncarnationCheck, "skip_incarnation_check"},
-    {Fault::kFalseNotRun, "false_not_run"},
-    {Fault::kSkipAttemptMatch, "skip_attempt_match"},
+    {Fault::kFalseNotRun, "false_not_run"}, {Fault::kSkipAttemptMatch, "skip_attempt_match"},
     {Fault::kAcceptTruncated, "accept_truncated"},
     {Fault::kAdmitWhileDraining, "admit_while_draining"},
     {Fault::kCutInFlightOnStop, "cut_in_flight_on_stop"},
@@ -81,7 +76,9 @@
     {Fault::kAdoptUnknownKnowledge, "adopt_unknown_knowledge"},
     {Fault::kIgnoreStoreEpoch, "ignore_store_epoch"},
     {Fault::kKeepCallersAccount, "keep_callers_account"},
-}};
+}
+}
+;
 
 #ifdef LIMPET_FAULTS
 /// Returns true if the environment variable LIMPET_FAULT names this fault.
--- a/include/limpet/edge/http_connection.h
+++ b/include/limpet/edge/http_connection.h
@@ -37,10 +37,13 @@
   bool response_begun = false;
   /// Framing of the response that was received last, complete or not.
   ResponseFraming framing = ResponseFraming::kUnknown;
+<<<<<<< HEAD
   /// Set by `RepeatedExchange`: start of the attempt that ended.
   TimePoint sent_at{};
   /// Set by `RepeatedExchange`: the attempt sent the repeated request, not the first one.
   bool repeated = false;
+=======
+>>>>>>> part-b
   /// Cause of a failure, for logs.
   ErrorCode error;
 };
@@ -75,6 +78,8 @@
 
   /// True if another exchange can start on this connection now.
   bool IsReusable(TimePoint now) const;
+  /// True while the connection is being established; nothing was sent then.
+  bool is_connecting() const { return state_ == State::kConnecting; }
   TimePoint idle_since() const { return idle_since_; }
 
  private:
--- a/src/net/target_client.cc
+++ b/src/net/target_client.cc
@@ -155,8 +155,16 @@
         throw ExchangeError(ExchangeFailure::kCancelled, "cancelled by the caller");
       }
       if (now >= end) {
+<<<<<<< HEAD
         Close();
         throw ExchangeError(ExchangeFailure::kTimeout, "no response within the timeout");
+=======
+        const ExchangeFailure failure = connection_->is_connecting()
+                                            ? ExchangeFailure::kNotConnected
+                                            : ExchangeFailure::kTimeout;
+        Close();
+        throw ExchangeError(failure, "no response within the timeout");
+>>>>>>> part-b
       }
       next_poll = now >= next_poll ? now + kCancelPollInterval : next_poll;
       context_.restart();
