--- a/src/routing/mesh_config.cc
+++ b/src/routing/mesh_config.cc
@@ -33,7 +33,8 @@
 
 /// Such a byte cannot be sent in a header.
 bool IsControlByte(char c) {
-  return (c >= 0 && c < ' ') || c == 0x7f;
+  const auto byte = static_cast<unsigned char>(c);
+  return byte < 0x20 || byte == 0x7f;
 }
 
 void CheckAccounts(const std::vector<ClientAccount>& accounts) {
--- a/tests/access/revocation_property_test.cc
+++ b/tests/access/revocation_property_test.cc
@@ -14,7 +14,7 @@
   Random& random = sim.random();
   const auto node = static_cast<int>(random.NextBelow(kNodes));
   const Duration duration = milliseconds(100 + random.NextBelow(9000));
-  switch (random.NextBelow(7)) {
+  switch (random.NextBelow(8)) {
     case 0:
       sim.Restart(node);
       break;
@@ -31,6 +31,9 @@
       sim.StallStore(Scale(duration, 0.5));
       break;
     case 5:
+      sim.LoseConfigs(node, duration);
+      break;
+    case 6:
       sim.RestoreStore(random.NextBelow(4));
       break;
     default:
--- a/tests/access/revocation_sim.h
+++ b/tests/access/revocation_sim.h
@@ -121,6 +121,9 @@
     });
   }
 
+  /// The node gets no configurations from other nodes for this long, but replies to its probes.
+  void LoseConfigs(int node, Duration duration) { nodes_[node].no_configs_until = now_ + duration; }
+
   /// A caller sends a request with this key to the node now.
   void Request(int node, const std::string& key) {
     const TimePoint sent = now_;
@@ -170,6 +173,7 @@
     TimePoint frozen_until{};
     TimePoint no_store_until{};
     TimePoint no_peers_until{};
+    TimePoint no_configs_until{};
     ConfigHolder config;
     std::unique_ptr<KnowledgeClock> clock;
     std::unique_ptr<AccessPolicy> policy;
@@ -257,7 +261,11 @@
           }
         });
         if (config) {
-          SendToPeer(peer.index, from, [config](Node& self) { self.config.Update(*config); });
+          SendToPeer(peer.index, from, [this, config](Node& self) {
+            if (now_ >= self.no_configs_until) {
+              self.config.Update(*config);
+            }
+          });
         }
       });
     }
