Add the shared state and its replication over the links

Decisions that all nodes apply (roll-out orders, states of roll-outs, lease holders) need a small replicated map. Entries are ordered by (token, sequence, value), so lost, repeated and reordered messages and a paused earlier holder cannot bring back an older entry. Pushes carry changes; digests to one random peer per 500 ms repair what pushes missed, and a digest on each new link brings a restarted node up to date. Nothing is sent without entries.

--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -35,9 +35,11 @@
   kAcceptMisplacedBody,
   kUseUnconfirmedTarget,
   kTrustEarlierCheck,
+  kKeepLastSharedEntry,
+  kSkipRolloutAnalysis,
 };
 
-inline constexpr EnumNames<Fault, 27> kFaultNames = {{
+inline constexpr EnumNames<Fault, 29> kFaultNames = {{
     {Fault::kNone, "none"},
     {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
@@ -65,6 +67,8 @@
     {Fault::kAcceptMisplacedBody, "accept_misplaced_body"},
     {Fault::kUseUnconfirmedTarget, "use_unconfirmed_target"},
     {Fault::kTrustEarlierCheck, "trust_earlier_check"},
+    {Fault::kKeepLastSharedEntry, "keep_last_shared_entry"},
+    {Fault::kSkipRolloutAnalysis, "skip_rollout_analysis"},
 }};
 
 #ifdef LIMPET_FAULTS
--- a/include/limpet/edge/edge_node.h
+++ b/include/limpet/edge/edge_node.h
@@ -16,6 +16,7 @@
 #include "limpet/edge/listener.h"
 #include "limpet/edge/outbound_proxy.h"
 #include "limpet/edge/peer_links.h"
+#include "limpet/edge/shared_state_agent.h"
 #include "limpet/edge/target_probe.h"
 #include "limpet/registry/target_registry.h"
 #include "limpet/routing/config_holder.h"
@@ -77,6 +78,8 @@
   void OnPeerAddresses(const std::vector<wire::NodeAddress>& nodes) override;
 
   LinkServerHooks MakeLinkHooks();
+  /// Receives messages of the shared state, quotas and roll-outs.
+  void OnPeerMessage(const std::string& node, const wire::LinkMessage& message);
   void OnStoreConfig(MeshConfig config);
   void RecordConfigUpdate(ConfigUpdateResult result, std::string_view source);
   void RequestNewerConfig(const std::string& node, const std::string& data_centre, int64_t version);
@@ -119,6 +122,7 @@
   PauseMonitor pause_monitor_;
   std::shared_ptr<LinkTraffic> traffic_;
   std::unique_ptr<PeerLinks> links_;
+  std::unique_ptr<SharedStateAgent> shared_state_;
   std::unique_ptr<InboundProxy> inbound_;
   std::unique_ptr<OutboundProxy> outbound_;
   std::unique_ptr<LinkServer> link_server_;
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -171,6 +171,7 @@
   links_ = std::make_unique<PeerLinks>(
       executor_, PeerLinksOptions{MakeNodeAddress(settings_), incarnation_, vm_link}, observer,
       counters_, Random(GenerateSeed()));
+  shared_state_ = std::make_unique<SharedStateAgent>(*links_, counters_);
   inbound_ = std::make_unique<InboundProxy>(executor_, header_names_, gate_, counters_, vm_link,
                                             [this] { OnStatusChanged(); });
   outbound_ = std::make_unique<OutboundProxy>(
@@ -212,9 +213,18 @@
   hooks.max_input_age = [this] { return pause_monitor_.MaxInputAge(MonotonicNow()); };
   hooks.store_unreachable = [this] { return coordination_.IsStoreUnreachable(); };
   hooks.full_config = [this] { return config_.FullUpdate(); };
+  hooks.on_message = [this](const std::string& node, const wire::LinkMessage& message) {
+    OnPeerMessage(node, message);
+  };
   return hooks;
 }
 
+void EdgeNode::OnPeerMessage(const std::string& node, const wire::LinkMessage& message) {
+  if (message.__isset.shared_state) {
+    shared_state_->OnMessage(MonotonicNow(), node, message.shared_state);
+  }
+}
+
 void EdgeNode::Start() {
   started_ = MonotonicNow();
   const auto is_closing = [this] { return stopping_; };
@@ -305,7 +315,9 @@
 
 void EdgeNode::OnPeerReachable(const std::string& node, bool reachable) {
   placement_.SetReachable(node, reachable);
-  if (!reachable) {
+  if (reachable) {
+    shared_state_->OnPeerReachable(node);
+  } else {
     readers_.Remove(node);
   }
   budget_.set_nodes(links_->CountReachable() + 1);
@@ -587,6 +599,7 @@
   inbound_->Tick();
   links_->Tick();
   link_server_->Tick(now);
+  shared_state_->Tick(now);
   CheckTarget(now);
   PushStatus(now);
   if (now - last_probe_ >= kProbeInterval) {
