Add decision leases through the consumer groups of the store

Quotas and roll-outs need one deciding node at a time, and the platform has no coordination service. DecisionLease follows the assignments of a consumer group: a partition is held from the reply that lists it plus a takeover delay of 1 s until 200 ms before the TTL of the last answered join ends. LeaseAgent sends the joins while the configuration limits an account or a roll-out order is known, and announces held partitions in the shared state.

After a restore of the store a member gives up everything for the TTL. Ruled out: detecting a restore without epochs by the generation alone (a member that timed out in the copy makes the generation rise again); a store without Store-Era is assumed to be never restored.

Settings: [edge] store_partitions and the keys of [quota], which the quotas will use.

--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -37,9 +37,11 @@
   kTrustEarlierCheck,
   kKeepLastSharedEntry,
   kSkipRolloutAnalysis,
+  kKeepLostPartition,
+  kSpendExpiredTokens,
 };
 
-inline constexpr EnumNames<Fault, 29> kFaultNames = {{
+inline constexpr EnumNames<Fault, 31> kFaultNames = {{
     {Fault::kNone, "none"},
     {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
@@ -69,6 +71,8 @@
     {Fault::kTrustEarlierCheck, "trust_earlier_check"},
     {Fault::kKeepLastSharedEntry, "keep_last_shared_entry"},
     {Fault::kSkipRolloutAnalysis, "skip_rollout_analysis"},
+    {Fault::kKeepLostPartition, "keep_lost_partition"},
+    {Fault::kSpendExpiredTokens, "spend_expired_tokens"},
 }};
 
 #ifdef LIMPET_FAULTS
--- a/include/limpet/edge/coordination.h
+++ b/include/limpet/edge/coordination.h
@@ -2,10 +2,12 @@
 #define LIMPET_EDGE_COORDINATION_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "limpet/core/time.h"
+#include "limpet/decision/decision_lease.h"
 #include "limpet/distribution/store_readers.h"
 #include "limpet/routing/mesh_config.h"
 #include "limpet_types.h"
@@ -19,6 +21,8 @@
   using ConfigCallback = std::function<void(MeshConfig)>;
   /// Called with the cause when a configuration in the store cannot be used.
   using UnusableConfigCallback = std::function<void(const std::string& problem)>;
+  /// Called without a value if the join failed or its outcome is unknown.
+  using AssignmentCallback = std::function<void(std::optional<GroupAssignment>)>;
   using NodesCallback = std::function<void(std::vector<wire::NodeAddress>)>;
 
   virtual ~Coordination() = default;
@@ -33,6 +37,11 @@
   /// Stores the address of this node, then delivers the addresses of all known nodes once. Retries
   /// during store outages.
   virtual void RegisterNode(const wire::NodeAddress& self, NodesCallback on_nodes) = 0;
+  /// Joins the group of deciding nodes or renews the membership. Only one join may be pending.
+  virtual void JoinDecisions(const GroupJoin& join, AssignmentCallback done) = 0;
+  /// Ends the membership, so that other nodes need not wait until it times out. Cancels a pending
+  /// join without calling its callback.
+  virtual void LeaveDecisions(const std::string& member) = 0;
   /// True while this node has a reader's role and the store is unreachable.
   virtual bool IsStoreUnreachable() const = 0;
   virtual ReaderRole role() const = 0;
--- a/include/limpet/edge/edge_node.h
+++ b/include/limpet/edge/edge_node.h
@@ -12,6 +12,7 @@
 #include "limpet/distribution/store_readers.h"
 #include "limpet/edge/coordination.h"
 #include "limpet/edge/http_header_names.h"
+#include "limpet/edge/lease_agent.h"
 #include "limpet/edge/link_server.h"
 #include "limpet/edge/listener.h"
 #include "limpet/edge/outbound_proxy.h"
@@ -78,6 +79,8 @@
   void OnPeerAddresses(const std::vector<wire::NodeAddress>& nodes) override;
 
   LinkServerHooks MakeLinkHooks();
+  /// Whether this node should be a member of the group of deciding nodes.
+  bool WantsDecisions() const;
   /// Receives messages of the shared state, quotas and roll-outs.
   void OnPeerMessage(const std::string& node, const wire::LinkMessage& message);
   void OnStoreConfig(MeshConfig config);
@@ -123,6 +126,7 @@
   std::shared_ptr<LinkTraffic> traffic_;
   std::unique_ptr<PeerLinks> links_;
   std::unique_ptr<SharedStateAgent> shared_state_;
+  std::unique_ptr<LeaseAgent> leases_;
   std::unique_ptr<InboundProxy> inbound_;
   std::unique_ptr<OutboundProxy> outbound_;
   std::unique_ptr<LinkServer> link_server_;
--- a/include/limpet/routing/mesh_config.h
+++ b/include/limpet/routing/mesh_config.h
@@ -111,6 +111,9 @@
   CallerLimits limits;
 };
 
+/// Returns true if the requests of any account are limited.
+bool HasAccountLimits(const MeshConfig& config);
+
 /// Thrown for a configuration that does not pass validation.
 class InvalidMeshConfig : public Error {
  public:
--- a/include/limpet/settings/node_settings.h
+++ b/include/limpet/settings/node_settings.h
@@ -92,6 +92,9 @@
   PeerAddress target;
   /// Address of the store that holds the configuration and the addresses of nodes.
   PeerAddress store;
+  /// Number of partitions of the store's topic for decisions, over which the deciding nodes are
+  /// spread. Must be the same on all nodes.
+  int store_partitions = 32;
   /// Bandwidth of this VM's network link in Mbit/s. The nodes with the highest bandwidth read the
   /// store for the others.
   double link_mbps = 1000;
@@ -112,6 +115,14 @@
   double retry_extra = 10;
   int retry_window_ms = 10'000;
 
+  // [quota]
+  /// Length of the window in which the requests of an account are limited, in seconds.
+  double quota_window_s = 5;
+  /// All nodes together may exceed the limit of an account in a window by this share of it.
+  double quota_overshoot = 0.1;
+  /// Further requests by which the limit may be exceeded in a window.
+  double quota_slack = 20;
+
   // [stop]
   /// Time from the request to stop until the process is killed.
   double grace_period_ms = 6000;
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -172,6 +172,9 @@
       executor_, PeerLinksOptions{MakeNodeAddress(settings_), incarnation_, vm_link}, observer,
       counters_, Random(GenerateSeed()));
   shared_state_ = std::make_unique<SharedStateAgent>(*links_, counters_);
+  leases_ = std::make_unique<LeaseAgent>(
+      DecisionLeaseOptions{.self = settings_.name, .partitions = settings_.store_partitions},
+      coordination_, *shared_state_, counters_);
   inbound_ = std::make_unique<InboundProxy>(executor_, header_names_, gate_, counters_, vm_link,
                                             [this] { OnStatusChanged(); });
   outbound_ = std::make_unique<OutboundProxy>(
@@ -225,6 +228,12 @@
   }
 }
 
+bool EdgeNode::WantsDecisions() const {
+  const bool has_order = shared_state_->state().OperatorDigest() != 0;
+  const bool has_limits = config_.routes() && HasAccountLimits(config_.routes()->config());
+  return !stopping_ && coordination_.role() != ReaderRole::kNone && (has_limits || has_order);
+}
+
 void EdgeNode::Start() {
   started_ = MonotonicNow();
   const auto is_closing = [this] { return stopping_; };
@@ -600,6 +609,7 @@
   links_->Tick();
   link_server_->Tick(now);
   shared_state_->Tick(now);
+  leases_->Tick(now, WantsDecisions());
   CheckTarget(now);
   PushStatus(now);
   if (now - last_probe_ >= kProbeInterval) {
--- a/src/routing/mesh_config.cc
+++ b/src/routing/mesh_config.cc
@@ -1,5 +1,6 @@
 #include "limpet/routing/mesh_config.h"
 
+#include <algorithm>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -53,6 +54,11 @@
 
 }  // namespace
 
+bool HasAccountLimits(const MeshConfig& config) {
+  return std::ranges::any_of(
+      config.accounts, [](const ClientAccount& account) { return account.requests_per_s > 0; });
+}
+
 void ValidateMeshConfig(const MeshConfig& config) {
   std::set<std::string> services;
   for (const MeshService& service : config.services) {
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -10,7 +10,9 @@
 #include <string>
 #include <vector>
 
+#include "decision/group_model.h"
 #include "edge/loop_thread.h"
+#include "limpet/net/clock.h"
 #include "net/base64.h"
 #include "net/loopback.h"
 
@@ -121,6 +123,18 @@
       session->Respond(std::move(response));
     }
   }
+  std::string Join(const nlohmann::json& join) {
+    const Duration ttl = std::chrono::milliseconds(join.at("ttl_ms").get<int>());
+    const GroupAssignment assignment =
+        group_.Join(MonotonicNow(), {join.at("member"), join.at("generation"), ttl});
+    nlohmann::json reply = {{"generation", assignment.generation},
+                            {"ttl_ms", join.at("ttl_ms")},
+                            {"parts", nlohmann::json::array()}};
+    for (const int partition : assignment.partitions) {
+      reply["parts"].push_back({join.at("topics").at(0), partition, 0});
+    }
+    return reply.dump();
+  }
   void Serve(const edge::HttpSessionPtr& session) {
     const HttpRequest& request = session->request();
     ++calls_[request.path];
@@ -154,6 +168,12 @@
         page["items"].push_back({{"key", key}, {"value", EncodeBase64(value)}, {"offset", 0}});
       }
       Respond(session, JsonResponse(200, page.dump()));
+    } else if (request.path == "/log-join") {
+      Respond(session, JsonResponse(200, Join(nlohmann::json::parse(request.body))));
+    } else if (request.path == "/log-leave") {
+      const auto leave = nlohmann::json::parse(request.body);
+      group_.Leave(MonotonicNow(), leave.at("member"));
+      Respond(session, JsonResponse(200, "{}"));
     } else if (request.path == "/log-read") {
       StartRead({session, topic, std::stoul(FindParameter(request.query, "from")), nullptr},
                 std::chrono::milliseconds(std::stoi(FindParameter(request.query, "wait_ms"))));
@@ -171,6 +191,7 @@
   std::map<std::string, int> calls_;
   std::map<std::string, std::vector<Record>> topics_;
   std::vector<WaitingRead> waiting_reads_;
+  GroupModel group_{32};
   edge::TestServer server_;
 };
 
--- a/tests/platform/store_coordination_test.cc
+++ b/tests/platform/store_coordination_test.cc
@@ -3,10 +3,12 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <future>
 #include <memory>
 #include <thread>
 
 #include "edge/loop_thread.h"
+#include "limpet/core/error.h"
 #include "platform/fake_store.h"
 
 namespace limpet::platform {
@@ -93,5 +95,50 @@
   CHECK(store.calls("/log-newest") > 0);
 }
 
+TEST_CASE("the reply to a join lists the partitions of the topic") {
+  const GroupAssignment assignment = DecodeAssignment(
+      R"({"generation":7,"ttl_ms":3000,"parts":[["decisions",2,0],["other",3,0],["decisions",5,9]]})",
+      "decisions");
+  CHECK(assignment.generation == 7);
+  CHECK(assignment.ttl == Duration(std::chrono::seconds(3)));
+  CHECK(assignment.partitions == std::vector<int>{2, 5});
+}
+
+// Guards against a reply that another writer or a fault made: it must not give a partition.
+TEST_CASE("a malformed reply to a join is refused") {
+  for (const char* text :
+       {"", "[]", R"({"generation":7,"ttl_ms":3000})", R"({"generation":7,"parts":[]})",
+        R"({"generation":-1,"ttl_ms":3000,"parts":[]})",
+        R"({"generation":7,"ttl_ms":3000,"parts":{"a":1}})",
+        R"({"generation":7,"ttl_ms":3000,"parts":[["decisions"]]})",
+        R"({"generation":7,"ttl_ms":3000,"parts":[["decisions","2",0]]})",
+        R"({"generation":7,"ttl_ms":3000,"parts":[["decisions",-2,0]]})"}) {
+    CAPTURE(text);
+    CHECK_THROWS_AS(DecodeAssignment(text, "decisions"), DecodeError);
+  }
+}
+
+TEST_CASE_FIXTURE(Fixture, "a member that leaves gives its partitions to the others at once") {
+  const auto join = [this](const std::string& member, int64_t generation) {
+    auto reply = std::make_shared<std::promise<std::optional<GroupAssignment>>>();
+    loop.Run([&] {
+      reader->JoinDecisions({member, generation, std::chrono::seconds(3)},
+                            [reply](const auto& assignment) { reply->set_value(assignment); });
+    });
+    auto result = reply->get_future();
+    REQUIRE(result.wait_for(std::chrono::seconds(5)) == std::future_status::ready);
+    const std::optional<GroupAssignment> assignment = result.get();
+    REQUIRE(assignment);
+    return *assignment;
+  };
+  CHECK(join("a", 0).partitions.size() == 32);
+  CHECK(join("b", 0).partitions.empty());
+  loop.Run([this] { reader->LeaveDecisions("a"); });
+  while (store.calls("/log-leave") == 0) {
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  CHECK(join("b", 2).partitions.size() == 32);
+}
+
 }  // namespace
 }  // namespace limpet::platform
