--- a/include/limpet/edge/http_header_names.h
+++ b/include/limpet/edge/http_header_names.h
@@ -22,6 +22,8 @@
   std::string response_signature;
   /// Service that runs on the VM from which the request came.
   std::string caller_service = "X-Limpet-Caller-Service";
+  /// Key of a client account; empty if callers have no accounts.
+  std::string api_key;
 };
 
 }  // namespace limpet::edge
--- a/include/limpet/edge/outbound_proxy.h
+++ b/include/limpet/edge/outbound_proxy.h
@@ -13,6 +13,7 @@
 #include "limpet/edge/http_session.h"
 #include "limpet/edge/inbound_proxy.h"
 #include "limpet/edge/peer_links.h"
+#include "limpet/edge/quota_agent.h"
 #include "limpet/routing/route_table.h"
 #include "limpet/routing/traffic_splitter.h"
 #include "limpet/traffic/mesh_call.h"
@@ -27,6 +28,9 @@
   std::string service;
   /// Longest time for which a message that is read now may have waited.
   std::function<Duration()> max_input_age = [] { return Duration(0); };
+  /// Returns the account of a request; empty if the request belongs to none.
+  std::function<std::string(const MeshRoute&, const HttpRequest&)> account_of =
+      [](const MeshRoute&, const HttpRequest&) { return std::string(); };
 };
 
 /// Handles requests of callers on this VM: matches the route, selects targets, makes attempts and
@@ -42,6 +46,7 @@
                 SharedRetryBudget& budget,
                 PeerLinks& links,
                 InboundProxy& inbound,
+                QuotaAgent& quota,
                 Counters& counters,
                 Random random);
   ~OutboundProxy();
@@ -58,6 +63,16 @@
   class ActiveCall;
 
   void Respond(const HttpSessionPtr& session, int status, std::string_view reason, Duration retry);
+  /// Waits for a token of the account, then starts the call or refuses it.
+  void AdmitByQuota(const HttpSessionPtr& session,
+                    const RouteTablePtr& routes,
+                    const MeshRoute& route,
+                    const std::string& account,
+                    MeshCallOptions options);
+  void StartCall(const HttpSessionPtr& session,
+                 const MeshRoute& route,
+                 MeshCallOptions options,
+                 std::function<void()> on_not_run);
   MeshCallOptions MakeCallOptions(const MeshRoute& route, const HttpRequest& request);
 
   Executor executor_;
@@ -68,6 +83,7 @@
   SharedRetryBudget& budget_;
   PeerLinks& links_;
   InboundProxy& inbound_;
+  QuotaAgent& quota_;
   Counters& counters_;
   TrafficSplitter traffic_splitter_;
   ServiceTimes route_latencies_;
--- a/include/limpet/edge/peer_links.h
+++ b/include/limpet/edge/peer_links.h
@@ -100,6 +100,8 @@
   /// Returns up to `count` random reachable nodes.
   std::vector<wire::NodeAddress> SampleNodes(int count);
   int CountReachable() const;
+  /// Number of nodes that were added, whether they are reachable or not.
+  int CountKnown() const { return static_cast<int>(peers_.size()); }
   /// True while the first connection attempt to any known node has not finished.
   bool IsConnecting() const;
 
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -175,14 +175,21 @@
   leases_ = std::make_unique<LeaseAgent>(
       DecisionLeaseOptions{.self = settings_.name, .partitions = settings_.store_partitions},
       coordination_, *shared_state_, counters_);
+  quota_ = std::make_unique<QuotaAgent>(
+      executor_, settings_.name, MakeQuotaOptions(settings_), [this] { return config_.routes(); },
+      leases_->lease(), *links_, counters_);
   inbound_ = std::make_unique<InboundProxy>(executor_, header_names_, gate_, counters_, vm_link,
                                             [this] { OnStatusChanged(); });
   outbound_ = std::make_unique<OutboundProxy>(
       executor_,
       OutboundProxyOptions{settings_.name, settings_.data_centre, settings_.service,
-                           [this] { return pause_monitor_.MaxInputAge(MonotonicNow()); }},
+                           [this] { return pause_monitor_.MaxInputAge(MonotonicNow()); },
+                           [this](const MeshRoute& route, const HttpRequest& request) {
+                             return FindAccount(config_.routes(), route,
+                                                request.Header(header_names_.api_key));
+                           }},
       header_names_, [this] { return config_.routes(); }, placement_, budget_, *links_, *inbound_,
-      counters_, Random(GenerateSeed()));
+      *quota_, counters_, Random(GenerateSeed()));
   link_server_ = std::make_unique<LinkServer>(*inbound_, MakeLinkHooks(), settings_.data_centre,
                                               vm_link, Random(GenerateSeed()));
 }
@@ -226,6 +233,7 @@
   if (message.__isset.shared_state) {
     shared_state_->OnMessage(MonotonicNow(), node, message.shared_state);
   }
+  quota_->OnMessage(node, message);
 }
 
 bool EdgeNode::WantsDecisions() const {
@@ -610,6 +618,7 @@
   link_server_->Tick(now);
   shared_state_->Tick(now);
   leases_->Tick(now, WantsDecisions());
+  quota_->Tick(now, links_->CountKnown() + 1);
   CheckTarget(now);
   PushStatus(now);
   if (now - last_probe_ >= kProbeInterval) {
--- a/src/edge/outbound_proxy.cc
+++ b/src/edge/outbound_proxy.cc
@@ -54,13 +54,15 @@
   ActiveCall(OutboundProxy& proxy,
              HttpSessionPtr session,
              const MeshRoute& route,
-             MeshCallOptions options)
+             MeshCallOptions options,
+             std::function<void()> on_not_run)
       : proxy_(proxy),
         session_(std::move(session)),
         route_(route.name),
         priority_(route.priority),
         started_(MonotonicNow()),
         call_(std::move(options), proxy.placement_, proxy.budget_),
+        on_not_run_(std::move(on_not_run)),
         deadline_timer_(proxy.executor_),
         hedge_timer_(proxy.executor_) {}
 
@@ -247,6 +249,9 @@
         response = MakeResponse(std::move(saved_reply_), std::move(saved_body_));
         break;
       case CompletionKind::kNotRun:
+        if (on_not_run_) {
+          on_not_run_();
+        }
         response = TextResponse(503, "not run\n");
         response.headers.push_back(MakeHeader("Retry-After", FormatRetryAfter(finish.retry_after)));
         break;
@@ -312,6 +317,8 @@
   int priority_;
   TimePoint started_;
   MeshCall call_;
+  /// Returns the token of the account; empty if the request has none.
+  std::function<void()> on_not_run_;
   Timer deadline_timer_;
   Timer hedge_timer_;
   std::string method_;
@@ -334,6 +341,7 @@
                              SharedRetryBudget& budget,
                              PeerLinks& links,
                              InboundProxy& inbound,
+                             QuotaAgent& quota,
                              Counters& counters,
                              Random random)
     : executor_(executor),
@@ -344,6 +352,7 @@
       budget_(budget),
       links_(links),
       inbound_(inbound),
+      quota_(quota),
       counters_(counters),
       traffic_splitter_(random) {}
 
@@ -412,7 +421,51 @@
     Refuse(session, "the deadline has passed", kRetryAfterPause);
     return;
   }
-  const auto call = std::make_shared<ActiveCall>(*this, session, *route, std::move(call_options));
+  const std::string account = options_.account_of(*route, request);
+  if (account.empty()) {
+    StartCall(session, *route, std::move(call_options), nullptr);
+  } else {
+    AdmitByQuota(session, routes, *route, account, std::move(call_options));
+  }
+}
+
+void OutboundProxy::AdmitByQuota(const HttpSessionPtr& session,
+                                 const RouteTablePtr& routes,
+                                 const MeshRoute& route,
+                                 const std::string& account,
+                                 MeshCallOptions options) {
+  // The route is part of `routes`, which the callback keeps.
+  const auto on_decision = [this, session, routes, &route, account,
+                            options](const QuotaDecision& decision) {
+    session->SetDisconnectHandler(nullptr);
+    if (decision.verdict == QuotaVerdict::kLimited) {
+      Respond(session, 429, "the limit of the account is reached", decision.retry_after);
+      return;
+    }
+    if (decision.verdict == QuotaVerdict::kNoToken) {
+      Refuse(session, "no token for the account", decision.retry_after);
+      return;
+    }
+    if (options.deadline <= MonotonicNow()) {
+      quota_.Return(account, decision);
+      Refuse(session, "the deadline has passed", kRetryAfterPause);
+      return;
+    }
+    StartCall(session, route, options,
+              [this, account, decision] { quota_.Return(account, decision); });
+  };
+  // The continuation may be called from within `Admit`, so the handler is set before it.
+  const auto request_id = std::make_shared<int64_t>(0);
+  session->SetDisconnectHandler([this, request_id] { quota_.Cancel(*request_id); });
+  *request_id = quota_.Admit(account, on_decision);
+}
+
+void OutboundProxy::StartCall(const HttpSessionPtr& session,
+                              const MeshRoute& route,
+                              MeshCallOptions options,
+                              std::function<void()> on_not_run) {
+  const auto call = std::make_shared<ActiveCall>(*this, session, route, std::move(options),
+                                                 std::move(on_not_run));
   calls_.insert(call);
   call->Start();
 }
--- a/tests/platform/mesh_test.cc
+++ b/tests/platform/mesh_test.cc
@@ -94,6 +94,9 @@
   std::string Call(const std::string& path) {
     return Send(settings_.outbound.port, "GET " + path, "");
   }
+  std::string CallWithKey(const std::string& path, const std::string& key) {
+    return Send(settings_.outbound.port, "GET " + path, "", "Api-Key: " + key + "\r\n");
+  }
   std::string Upload(const std::string& path, const std::string& body) {
     return Send(settings_.outbound.port, "POST " + path, body);
   }
@@ -129,12 +132,15 @@
   std::string seen_instance;
 
  private:
-  static std::string Send(int port, const std::string& line, const std::string& body) {
+  static std::string Send(int port,
+                          const std::string& line,
+                          const std::string& body,
+                          const std::string& headers = "") {
     RawClient client(port);
     client.Send(line +
                 " HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: 77\r\nX-Deadline-Ms: 900\r\n"
                 "Content-Length: " +
-                std::to_string(body.size()) + "\r\n\r\n" + body);
+                std::to_string(body.size()) + "\r\n" + headers + "\r\n" + body);
     return client.ReadResponse();
   }
   void OnTargetRequest(const edge::HttpSessionPtr& session) {
@@ -490,5 +496,50 @@
   CHECK(stopped);
 }
 
+/// The configuration of `ConfigText` with an account.
+std::string AccountConfigText(int requests_per_s) {
+  std::string text = ConfigText(2, "/lots/");
+  text.resize(text.size() - 2);
+  return text +
+         R"(,{"resource_type":"tenants","metadata":{"name":"shop"},"specification":{"api_keys":)" +
+         R"(["k1"],"requests_per_s":)" + std::to_string(requests_per_s) + R"(,"burst":0}}]})";
+}
+
+// Guards against limits that each node applies on its own, and against requests that are refused
+// although the account is far below its limit.
+TEST_CASE_FIXTURE(Fixture, "the limit of an account holds over all nodes together") {
+  StartMesh();
+  store.Put("keyed.op", "config", AccountConfigText(5));
+  // Requests pass once a holder of the account's lease is known.
+  const auto call_until = [](TestNode& node, const std::string& status) {
+    for (int i = 0; i < 400; ++i) {
+      const std::string response = node.CallWithKey("/lots/1", "k1");
+      if (response.starts_with("HTTP/1.1 " + status)) {
+        return response;
+      }
+      std::this_thread::sleep_for(milliseconds(25));
+    }
+    return std::string();
+  };
+  REQUIRE(call_until(caller, "429").find("Retry-After: ") != std::string::npos);
+  REQUIRE(call_until(desk2, "429").find("Retry-After: ") != std::string::npos);
+  const int before = desk.executions;
+  const auto end = std::chrono::steady_clock::now() + seconds(5);
+  while (std::chrono::steady_clock::now() < end) {
+    caller.CallWithKey("/lots/1", "k1");
+    desk2.CallWithKey("/lots/1", "k1");
+  }
+  // 5 per second in 5 s, exceeded by 0.1 and 20; two nodes on their own would pass 50.
+  CHECK(desk.executions - before <= 47);
+  CHECK(call_until(caller, "200").starts_with("HTTP/1.1 200"));
+  // Requests without an account are not limited.
+  CHECK(caller.Call("/lots/1").starts_with("HTTP/1.1 200"));
+  // Without a store there is no holder, and the fallback allowance is used up soon.
+  store.SetDown(true);
+  const std::string refusal = call_until(caller, "503");
+  CHECK(refusal.find("no token for the account") != std::string::npos);
+  CHECK(refusal.find("Retry-After: ") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace limpet::platform
