--- a/include/limpet/edge/quota_agent.h
+++ b/include/limpet/edge/quota_agent.h
@@ -53,11 +53,21 @@
   void Tick(TimePoint now, int nodes);
 
  private:
+  struct Waiting {
+    std::string account;
+    Continuation done;
+  };
+  struct Logged {
+    QuotaVerdict verdict = QuotaVerdict::kGranted;
+    TimePoint at{};
+  };
+
   std::optional<AccountLimit> LimitOf(const std::string& account) const;
   void Exchange(TimePoint now);
   void StartTimer();
   void Apply(const std::vector<QuotaDecision>& decisions);
-  void Record(const QuotaDecision& decision);
+  /// Counts the decision, and logs it if it differs from the last logged one of the account.
+  void Record(const std::string& account, const QuotaDecision& decision);
 
   std::string self_;
   std::function<RouteTablePtr()> routes_;
@@ -68,7 +78,8 @@
   QuotaHolder holder_;
   Timer timer_;
   bool timer_running_ = false;
-  std::map<int64_t, Continuation> waiting_;
+  std::map<int64_t, Waiting> waiting_;
+  std::map<std::string, Logged> logged_;
   int64_t next_request_ = 1;
 };
 
--- a/src/decision/decision_lease.cc
+++ b/src/decision/decision_lease.cc
@@ -46,6 +46,11 @@
   const bool may_be_restored = !has_reply_ && assignment.epoch.has_value();
   const Duration delay = may_be_restored ? std::max(options_.ttl, options_.takeover_delay)
                                          : options_.takeover_delay;
+  if (has_reply_ && assignment.generation != generation_) {
+    // The next join shows the store that this member knows the new assignment. Until then the
+    // partitions that it lost have no holder.
+    next_join_ = now;
+  }
   const bool lapsed = now >= held_until_;
   std::map<int, TimePoint> decide_from;
   if (IsFaultActive(Fault::kKeepLostPartition)) {
--- a/src/edge/outbound_proxy.cc
+++ b/src/edge/outbound_proxy.cc
@@ -438,12 +438,15 @@
   const auto on_decision = [this, session, routes, &route, account,
                             options](const QuotaDecision& decision) {
     session->SetDisconnectHandler(nullptr);
-    if (decision.verdict == QuotaVerdict::kLimited) {
-      Respond(session, 429, "the limit of the account is reached", decision.retry_after);
-      return;
-    }
-    if (decision.verdict == QuotaVerdict::kNoToken) {
-      Refuse(session, "no token for the account", decision.retry_after);
+    if (decision.verdict != QuotaVerdict::kGranted) {
+      // Not logged for each request: a caller may exceed its limit many times over.
+      const bool limited = decision.verdict == QuotaVerdict::kLimited;
+      HttpResponse response =
+          limited ? TextResponse(429, "the limit of the account is reached\n")
+                  : TextResponse(503, "no token for the account\n");
+      response.headers.push_back(
+          MakeHeader("Retry-After", FormatRetryAfter(decision.retry_after)));
+      session->Respond(std::move(response));
       return;
     }
     if (options.deadline <= MonotonicNow()) {
--- a/src/edge/quota_agent.cc
+++ b/src/edge/quota_agent.cc
@@ -14,6 +14,9 @@
 
 /// The requests of callers within this time share one message to a holder.
 constexpr Duration kBatchTime = std::chrono::milliseconds(5);
+/// Minimum time between two log lines about one account: an account over its limit alternates
+/// between granted and limited.
+constexpr Duration kMinLogInterval = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -80,14 +83,14 @@
   const AccountLimit limit = LimitOf(account).value_or(AccountLimit{});
   if (const auto decision = client_.Admit(MonotonicNow(), account, limit, request)) {
     if (limit.requests_per_s > 0) {
-      Record(*decision);
+      Record(account, *decision);
       // The holder may have to be asked again, or for the tokens of the next requests.
       StartTimer();
     }
     done(*decision);
     return request;
   }
-  waiting_[request] = std::move(done);
+  waiting_[request] = {account, std::move(done)};
   StartTimer();
   return request;
 }
@@ -159,21 +162,31 @@
 
 void QuotaAgent::Apply(const std::vector<QuotaDecision>& decisions) {
   for (const QuotaDecision& decision : decisions) {
-    Record(decision);
     const auto found = waiting_.find(decision.request);
     if (found != waiting_.end()) {
-      const Continuation done = std::move(found->second);
+      const Waiting waiting = std::move(found->second);
       waiting_.erase(found);
-      done(decision);
+      Record(waiting.account, decision);
+      waiting.done(decision);
     }
   }
 }
 
-void QuotaAgent::Record(const QuotaDecision& decision) {
+void QuotaAgent::Record(const std::string& account, const QuotaDecision& decision) {
   counters_.Get("quota_" + std::string(EnumName(kQuotaVerdictNames, decision.verdict))).Add();
   if (decision.fallback) {
     counters_.Get("quota_fallback").Add();
   }
+  const TimePoint now = MonotonicNow();
+  Logged& logged = logged_[account];
+  if (logged.verdict != decision.verdict && now - logged.at >= kMinLogInterval) {
+    logged = {decision.verdict, now};
+    LogEvent("quota_verdict")
+        .Add("account", account)
+        .Add("verdict", EnumName(kQuotaVerdictNames, decision.verdict))
+        .Add("holder", lease_.HolderOf(now, lease_.PartitionOf(account)))
+        .Add("retry_after_ms", decision.retry_after);
+  }
 }
 
 }  // namespace limpet::edge
