--- a/src/decision/decision_lease.cc
+++ b/src/decision/decision_lease.cc
@@ -14,6 +14,8 @@
 /// The epoch of the store is in the bits above the generation, as generations may repeat after a
 /// restore.
 constexpr int kEpochShift = 40;
+/// Keeps the token positive.
+constexpr int64_t kEpochMask = (int64_t{1} << 22) - 1;
 
 }  // namespace
 
@@ -44,8 +46,8 @@
   }
   // The first reply that a process receives may be one of a store that has just been restored.
   const bool may_be_restored = !has_reply_ && assignment.epoch.has_value();
-  const Duration delay = may_be_restored ? std::max(options_.ttl, options_.takeover_delay)
-                                         : options_.takeover_delay;
+  const Duration delay =
+      may_be_restored ? std::max(options_.ttl, options_.takeover_delay) : options_.takeover_delay;
   if (has_reply_ && assignment.generation != generation_) {
     // The next join shows the store that this member knows the new assignment. Until then the
     // partitions that it lost have no holder.
@@ -102,7 +104,7 @@
   if (!Holds(now, partition)) {
     return std::nullopt;
   }
-  return epoch_.value_or(0) * (int64_t{1} << kEpochShift) + generation_;
+  return ((epoch_.value_or(0) & kEpochMask) << kEpochShift) + generation_;
 }
 
 std::vector<int> DecisionLease::HeldPartitions(TimePoint now) const {
--- a/src/quota/quota_bucket.cc
+++ b/src/quota/quota_bucket.cc
@@ -54,8 +54,8 @@
                                      int unused) {
   Refill(now, limit);
   level_ += AcceptReturned(now, std::clamp(unused, 0, kMaxTokens));
-  const double capacity = limit.burst + rate_ * Seconds(options_.kept_refill) +
-                          kKeptSlackShare * options_.slack;
+  const double capacity =
+      limit.burst + rate_ * Seconds(options_.kept_refill) + kKeptSlackShare * options_.slack;
   level_ = std::min(level_, std::max(1.0, capacity));
   Grant grant;
   wanted = std::clamp(wanted, 0, kMaxTokens);
@@ -96,9 +96,8 @@
       auto held = buckets_.find(ask.account);
       // Another node may have granted tokens while this one did not hold the lease.
       if (held == buckets_.end() || held->second.since != *since) {
-        held =
-            buckets_.insert_or_assign(ask.account, Held{*since, QuotaBucket(options_, *since)})
-                .first;
+        held = buckets_.insert_or_assign(ask.account, Held{*since, QuotaBucket(options_, *since)})
+                   .first;
       }
       const QuotaBucket::Grant taken =
           held->second.bucket.Take(now, *limit, ask.wanted, ask.unused);
--- a/src/quota/quota_client.cc
+++ b/src/quota/quota_client.cc
@@ -142,8 +142,7 @@
   wire::QuotaAsk ask;
   ask.account = name;
   const double age = Seconds(now - account.demand_at) / Seconds(kDemandTime);
-  const double expected =
-      account.demand * std::exp(-std::max(0.0, age)) * Seconds(options_.term);
+  const double expected = account.demand * std::exp(-std::max(0.0, age)) * Seconds(options_.term);
   // Tokens that are about to expire go back, unless present demand will use them before.
   int kept = CountTokens(account);
   while (!account.tokens.empty() && account.tokens.front().until - now <= kReturnMargin) {
@@ -176,7 +175,8 @@
         request.request_id = next_id_++;
       }
       account.pending = Pending{request.request_id, holder, now, ask->wanted};
-      account.next_ask = account.unresponsive_holder == holder ? now + kUnresponsiveInterval : TimePoint{};
+      account.next_ask =
+          account.unresponsive_holder == holder ? now + kUnresponsiveInterval : TimePoint{};
       request.asks.push_back(std::move(*ask));
     }
   }
--- a/tests/quota/quota_client_test.cc
+++ b/tests/quota/quota_client_test.cc
@@ -92,7 +92,8 @@
   }
 }
 
-TEST_CASE_FIXTURE(Fixture, "the token of a request that did not run is used again within its term") {
+TEST_CASE_FIXTURE(Fixture,
+                  "the token of a request that did not run is used again within its term") {
   CHECK_FALSE(Admit(kStart, 1));
   const TimePoint until = Reply(kStart, 1, 0).at(0).token_until;
   client.Return(kStart + milliseconds(100), "shop", until);
@@ -132,7 +133,8 @@
   CHECK(client.TakeRequests(kStart + milliseconds(165)).at(0).node == "h2");
 }
 
-TEST_CASE_FIXTURE(Fixture, "the fallback allowance is split between the nodes, and not after a start") {
+TEST_CASE_FIXTURE(Fixture,
+                  "the fallback allowance is split between the nodes, and not after a start") {
   holder = "";
   client.set_nodes(4);
   CHECK(Admit(kStart + milliseconds(4999), 1)->verdict == QuotaVerdict::kNoToken);
@@ -164,8 +166,9 @@
 // Guards against a second full bucket after a lease that was lost and regained.
 TEST_CASE("a holder that regains its lease starts with an empty bucket") {
   std::optional<TimePoint> since = kStart;
-  QuotaHolder holder({}, [&](const std::string&) { return since; },
-                     [](const std::string&) { return std::optional(kLimit); });
+  QuotaHolder holder(
+      {}, [&](const std::string&) { return since; },
+      [](const std::string&) { return std::optional(kLimit); });
   wire::QuotaAsk ask;
   ask.account = "shop";
   ask.wanted = 100;
--- a/tests/quota/quota_model_test.cc
+++ b/tests/quota/quota_model_test.cc
@@ -28,11 +28,12 @@
 };
 
 /// Requests arrive at random times.
-std::vector<TimePoint> Run(QuotaScheme& scheme,
-                           const Load& load,
-                           Duration duration,
-                           uint64_t seed,
-                           const std::function<void(TimePoint)>& on_step = [](TimePoint) {}) {
+std::vector<TimePoint> Run(
+    QuotaScheme& scheme,
+    const Load& load,
+    Duration duration,
+    uint64_t seed,
+    const std::function<void(TimePoint)>& on_step = [](TimePoint) {}) {
   Random random(seed);
   std::vector<TimePoint> passed;
   for (TimePoint now = kStart; now < kStart + duration; now += milliseconds(1)) {
@@ -69,8 +70,8 @@
 TEST_CASE("tokens from a holder use at least 0.95 of the limit wherever the demand is") {
   const QuotaOptions options;
   const Duration duration = seconds(60);
-  for (const AccountLimit limit :
-       {AccountLimit{10, 10}, AccountLimit{100, 0}, AccountLimit{100, 50}, AccountLimit{1000, 200}}) {
+  for (const AccountLimit limit : {AccountLimit{10, 10}, AccountLimit{100, 0},
+                                   AccountLimit{100, 50}, AccountLimit{1000, 200}}) {
     for (const double factor : {0.9, 1.5, 5.0}) {
       for (const bool moving : {false, true}) {
         const Load load{limit.requests_per_s * factor, moving ? MovingNode : OneNode};
@@ -87,11 +88,10 @@
           sums[i] = MaxInWindow(passed, options.window);
         }
         char line[200];
-        std::snprintf(line, sizeof line,
-                      "| %g/%g | %.1f | %s | %.2f | %.2f | %.2f | %d | %d | %d | %.0f |",
-                      limit.requests_per_s, limit.burst, factor, moving ? "moving" : "one node",
-                      shares[0], shares[1], shares[2], sums[0], sums[1], sums[2],
-                      Bound(limit, options));
+        std::snprintf(
+            line, sizeof line, "| %g/%g | %.1f | %s | %.2f | %.2f | %.2f | %d | %d | %d | %.0f |",
+            limit.requests_per_s, limit.burst, factor, moving ? "moving" : "one node", shares[0],
+            shares[1], shares[2], sums[0], sums[1], sums[2], Bound(limit, options));
         CAPTURE(std::string(line));
         CHECK(shares[2] >= 0.95);
         CHECK(sums[2] <= Bound(limit, options));
@@ -100,8 +100,8 @@
   }
 }
 
-// Guards against more than the permitted excess: partitions, restarts, changes of the holder, demand
-// at all nodes and returned tokens.
+// Guards against more than the permitted excess: partitions, restarts, changes of the holder,
+// demand at all nodes and returned tokens.
 TEST_CASE("no window exceeds the bound under faults") {
   for (uint64_t seed = 1; seed <= 60; ++seed) {
     CAPTURE(seed);
--- a/tests/quota/quota_world.h
+++ b/tests/quota/quota_world.h
@@ -49,8 +49,8 @@
   std::vector<double> levels_;
 };
 
-/// Each node has a bucket whose share follows the demand of the last second. Nodes know each other's
-/// demand one second late, so shares overlap while demand moves.
+/// Each node has a bucket whose share follows the demand of the last second. Nodes know each
+/// other's demand one second late, so shares overlap while demand moves.
 class FollowingShares final : public QuotaScheme {
  public:
   FollowingShares(AccountLimit limit, int nodes)
@@ -177,8 +177,12 @@
   Duration Delay() { return std::chrono::milliseconds(1 + random_.NextBelow(20)); }
   void Send(int i) {
     for (auto& outgoing : At(i).client->TakeRequests(now_)) {
-      Message message{now_ + Delay(),      i, At(i).process, std::stoi(outgoing.node),
-                      std::move(outgoing.request), {}};
+      Message message{now_ + Delay(),
+                      i,
+                      At(i).process,
+                      std::stoi(outgoing.node),
+                      std::move(outgoing.request),
+                      {}};
       if (!At(i).cut && !At(message.holder).cut) {
         messages_.push_back(std::move(message));
       }
