--- a/src/quota/quota_client.cc
+++ b/src/quota/quota_client.cc
@@ -181,6 +181,7 @@
     }
   }
   std::vector<Outgoing> outgoing;
+  outgoing.reserve(requests.size());
   for (auto& [node, request] : requests) {
     outgoing.push_back({node, std::move(request)});
   }
