--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -39,9 +39,13 @@
   kSkipRolloutAnalysis,
   kKeepLostPartition,
   kSpendExpiredTokens,
+  kSkipKnowledgeCheck,
+  kAdoptUnknownKnowledge,
+  kIgnoreStoreEpoch,
+  kKeepCallersAccount,
 };
 
-inline constexpr EnumNames<Fault, 31> kFaultNames = {{
+inline constexpr EnumNames<Fault, 35> kFaultNames = {{
     {Fault::kNone, "none"},
     {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
@@ -73,6 +77,10 @@
     {Fault::kSkipRolloutAnalysis, "skip_rollout_analysis"},
     {Fault::kKeepLostPartition, "keep_lost_partition"},
     {Fault::kSpendExpiredTokens, "spend_expired_tokens"},
+    {Fault::kSkipKnowledgeCheck, "skip_knowledge_check"},
+    {Fault::kAdoptUnknownKnowledge, "adopt_unknown_knowledge"},
+    {Fault::kIgnoreStoreEpoch, "ignore_store_epoch"},
+    {Fault::kKeepCallersAccount, "keep_callers_account"},
 }};
 
 #ifdef LIMPET_FAULTS
--- a/include/limpet/edge/edge_node.h
+++ b/include/limpet/edge/edge_node.h
@@ -11,6 +11,7 @@
 #include "limpet/core/pause_monitor.h"
 #include "limpet/distribution/store_readers.h"
 #include "limpet/edge/coordination.h"
+#include "limpet/edge/freshness_agent.h"
 #include "limpet/edge/http_header_names.h"
 #include "limpet/edge/lease_agent.h"
 #include "limpet/edge/link_server.h"
@@ -78,6 +79,10 @@
                      bool store_unreachable) override;
   void OnPeerConfig(const std::string& node, const wire::LinkConfig& change) override;
   void OnPeerAddresses(const std::vector<wire::NodeAddress>& nodes) override;
+  int64_t OnProbe(const std::string& node) override { return freshness_->OnProbe(node); }
+  void OnProbeReply(const std::string& node, const wire::LinkProbe& reply) override {
+    freshness_->OnProbeReply(node, reply);
+  }
 
   LinkServerHooks MakeLinkHooks();
   /// Whether this node should be a member of the group of deciding nodes.
@@ -87,7 +92,6 @@
   void OnStoreConfig(MeshConfig config);
   void RecordConfigUpdate(ConfigUpdateResult result, std::string_view source);
   void RequestNewerConfig(const std::string& node, const std::string& data_centre, int64_t version);
-  void ProbeReaders(TimePoint now);
   void OnStatusChanged();
   void OnAnnouncement(const HttpSessionPtr& session);
   void ApplyAnnouncement(const TargetAnnouncement& announcement);
@@ -126,6 +130,7 @@
   PauseMonitor pause_monitor_;
   std::shared_ptr<LinkTraffic> traffic_;
   std::unique_ptr<PeerLinks> links_;
+  std::unique_ptr<FreshnessAgent> freshness_;
   std::unique_ptr<SharedStateAgent> shared_state_;
   std::unique_ptr<LeaseAgent> leases_;
   std::unique_ptr<QuotaAgent> quota_;
@@ -147,8 +152,6 @@
   wire::TargetStatus last_remote_status_;
   TimePoint last_remote_push_{};
   TimePoint last_traffic_log_{};
-  TimePoint last_probe_{};
-  TimePoint last_reader_probe_{};
   TimePoint config_requested_{};
   /// Time at which a newer configuration was first reported; zero if this node is up to date.
   TimePoint behind_since_{};
--- a/include/limpet/edge/outbound_proxy.h
+++ b/include/limpet/edge/outbound_proxy.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "limpet/access/access_policy.h"
 #include "limpet/core/counters.h"
 #include "limpet/core/latency_buckets.h"
 #include "limpet/edge/http_header_names.h"
@@ -28,9 +29,6 @@
   std::string service;
   /// Longest time for which a message that is read now may have waited.
   std::function<Duration()> max_input_age = [] { return Duration(0); };
-  /// Returns the account of a request; empty if the request belongs to none.
-  std::function<std::string(const MeshRoute&, const HttpRequest&)> account_of =
-      [](const MeshRoute&, const HttpRequest&) { return std::string(); };
 };
 
 /// Handles requests of callers on this VM: matches the route, selects targets, makes attempts and
@@ -48,6 +46,7 @@
                 InboundProxy& inbound,
                 QuotaAgent& quota,
                 Counters& counters,
+                AccessPolicy& access,
                 Random random);
   ~OutboundProxy();
 
@@ -67,12 +66,13 @@
   void AdmitByQuota(const HttpSessionPtr& session,
                     const RouteTablePtr& routes,
                     const MeshRoute& route,
-                    const std::string& account,
                     MeshCallOptions options);
   void StartCall(const HttpSessionPtr& session,
                  const MeshRoute& route,
                  MeshCallOptions options,
                  std::function<void()> on_not_run);
+  /// Removes the key and a name of an account that the caller sent, and adds the name of `account`.
+  void ReplaceCredentials(HttpHeaders& headers, const std::string& account) const;
   MeshCallOptions MakeCallOptions(const MeshRoute& route, const HttpRequest& request);
 
   Executor executor_;
@@ -85,6 +85,7 @@
   InboundProxy& inbound_;
   QuotaAgent& quota_;
   Counters& counters_;
+  AccessPolicy& access_;
   TrafficSplitter traffic_splitter_;
   ServiceTimes route_latencies_;
   /// Service times by route. Samples of fast and slow targets mix, so a small weight of new samples
--- a/include/limpet/edge/quota_agent.h
+++ b/include/limpet/edge/quota_agent.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "limpet/core/counters.h"
@@ -22,9 +21,6 @@
 
 QuotaOptions MakeQuotaOptions(const NodeSettings& settings);
 
-/// Returns the account with this key; empty if there is none or the route is public.
-std::string FindAccount(const RouteTablePtr& routes, const MeshRoute& route, std::string_view key);
-
 /// Applies the limits of client accounts: requests tokens from the holders of the accounts' leases
 /// over the links, and grants them for the accounts whose lease this node holds.
 class QuotaAgent {
--- a/src/edge/outbound_proxy.cc
+++ b/src/edge/outbound_proxy.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <utility>
 
+#include "limpet/core/fault.h"
 #include "limpet/edge/event_log.h"
 #include "limpet/net/clock.h"
 #include "limpet/wire/names.h"
@@ -59,7 +60,6 @@
       : proxy_(proxy),
         session_(std::move(session)),
         route_(route.name),
-        priority_(route.priority),
         started_(MonotonicNow()),
         call_(std::move(options), proxy.placement_, proxy.budget_),
         on_not_run_(std::move(on_not_run)),
@@ -71,9 +71,8 @@
     method_ = request.method;
     path_ = request.target;
     request_id_ = std::string(request.Header(proxy_.header_names_.request_id));
-    for (const wire::Header& header : request.headers) {
-      headers_.push_back(header);
-    }
+    headers_ = request.headers;
+    proxy_.ReplaceCredentials(headers_, call_.options().account);
     SetHeader(headers_, proxy_.header_names_.caller_service, proxy_.options_.service);
     body_ = std::make_shared<const std::string>(session_->TakeBody());
     session_->SetDisconnectHandler([self = shared_from_this()] { self->OnCallerDisconnected(); });
@@ -142,7 +141,8 @@
     call.headers = headers_;
     call.route = route_;
     call.idempotent = call_.options().idempotent;
-    call.priority = priority_;
+    call.priority = call_.options().priority;
+    call.account = call_.options().account;
     call.deadline_ms = remaining_ms(call_.options().deadline - kDeadlineMargin);
     call.accepts_late = target.wait_beyond_latency_target;
     call.latency_target_ms = remaining_ms(call_.options().latency_target);
@@ -314,7 +314,6 @@
   OutboundProxy& proxy_;
   HttpSessionPtr session_;
   std::string route_;
-  int priority_;
   TimePoint started_;
   MeshCall call_;
   /// Returns the token of the account; empty if the request has none.
@@ -343,6 +342,7 @@
                              InboundProxy& inbound,
                              QuotaAgent& quota,
                              Counters& counters,
+                             AccessPolicy& access,
                              Random random)
     : executor_(executor),
       options_(std::move(options)),
@@ -354,6 +354,7 @@
       inbound_(inbound),
       quota_(quota),
       counters_(counters),
+      access_(access),
       traffic_splitter_(random) {}
 
 OutboundProxy::~OutboundProxy() = default;
@@ -379,6 +380,18 @@
   Respond(session, 503, reason, retry_after);
 }
 
+void OutboundProxy::ReplaceCredentials(HttpHeaders& headers, const std::string& account) const {
+  for (const std::string* name : {&header_names_.api_key, &header_names_.account}) {
+    if (!name->empty() &&
+        !(name == &header_names_.account && IsFaultActive(Fault::kKeepCallersAccount))) {
+      RemoveHeader(headers, *name);
+    }
+  }
+  if (!header_names_.account.empty() && !account.empty()) {
+    headers.push_back(MakeHeader(header_names_.account, account));
+  }
+}
+
 MeshCallOptions OutboundProxy::MakeCallOptions(const MeshRoute& route, const HttpRequest& request) {
   const TimePoint now = MonotonicNow();
   const Duration caller_timeout =
@@ -416,51 +429,58 @@
     Respond(session, 404, "no route", Duration(0));
     return;
   }
+  // The whole request has been received, so it was sent before the time that is read here.
+  AccessDecision access = access_.Decide(MonotonicNow(), *routes, *route, request.headers);
+  if (access.result != AccessResult::kAllowed) {
+    counters_.Get("access_" + std::string(EnumName(kAccessResultNames, access.result))).Add();
+    const bool unauthorized = access.result == AccessResult::kUnauthorized;
+    Respond(session, unauthorized ? 401 : 503,
+            unauthorized ? "no valid key" : "the configuration may be outdated",
+            access.retry_after);
+    return;
+  }
   MeshCallOptions call_options = MakeCallOptions(*route, request);
+  call_options.account = std::move(access.account);
+  call_options.priority = access.priority;
   if (call_options.deadline <= MonotonicNow()) {
     Refuse(session, "the deadline has passed", kRetryAfterPause);
     return;
   }
-  const std::string account = options_.account_of(*route, request);
-  if (account.empty()) {
+  if (call_options.account.empty()) {
     StartCall(session, *route, std::move(call_options), nullptr);
   } else {
-    AdmitByQuota(session, routes, *route, account, std::move(call_options));
+    AdmitByQuota(session, routes, *route, std::move(call_options));
   }
 }
 
 void OutboundProxy::AdmitByQuota(const HttpSessionPtr& session,
                                  const RouteTablePtr& routes,
                                  const MeshRoute& route,
-                                 const std::string& account,
                                  MeshCallOptions options) {
   // The route is part of `routes`, which the callback keeps.
-  const auto on_decision = [this, session, routes, &route, account,
-                            options](const QuotaDecision& decision) {
+  const auto on_decision = [this, session, routes, &route, options](const QuotaDecision& decision) {
     session->SetDisconnectHandler(nullptr);
     if (decision.verdict != QuotaVerdict::kGranted) {
       // Not logged for each request: a caller may exceed its limit many times over.
       const bool limited = decision.verdict == QuotaVerdict::kLimited;
-      HttpResponse response =
-          limited ? TextResponse(429, "the limit of the account is reached\n")
-                  : TextResponse(503, "no token for the account\n");
-      response.headers.push_back(
-          MakeHeader("Retry-After", FormatRetryAfter(decision.retry_after)));
+      HttpResponse response = limited ? TextResponse(429, "the limit of the account is reached\n")
+                                      : TextResponse(503, "no token for the account\n");
+      response.headers.push_back(MakeHeader("Retry-After", FormatRetryAfter(decision.retry_after)));
       session->Respond(std::move(response));
       return;
     }
     if (options.deadline <= MonotonicNow()) {
-      quota_.Return(account, decision);
+      quota_.Return(options.account, decision);
       Refuse(session, "the deadline has passed", kRetryAfterPause);
       return;
     }
     StartCall(session, route, options,
-              [this, account, decision] { quota_.Return(account, decision); });
+              [this, account = options.account, decision] { quota_.Return(account, decision); });
   };
   // The continuation may be called from within `Admit`, so the handler is set before it.
   const auto request_id = std::make_shared<int64_t>(0);
   session->SetDisconnectHandler([this, request_id] { quota_.Cancel(*request_id); });
-  *request_id = quota_.Admit(account, on_decision);
+  *request_id = quota_.Admit(options.account, on_decision);
 }
 
 void OutboundProxy::StartCall(const HttpSessionPtr& session,
--- a/src/edge/quota_agent.cc
+++ b/src/edge/quota_agent.cc
@@ -28,18 +28,6 @@
   return options;
 }
 
-std::string FindAccount(const RouteTablePtr& routes, const MeshRoute& route, std::string_view key) {
-  if (route.is_public || key.empty() || !routes) {
-    return "";
-  }
-  for (const ClientAccount& account : routes->config().accounts) {
-    if (std::ranges::find(account.keys, key) != account.keys.end()) {
-      return account.name;
-    }
-  }
-  return "";
-}
-
 QuotaAgent::QuotaAgent(const Executor& executor,
                        std::string self,
                        const QuotaOptions& options,
