--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -39,15 +39,20 @@
   kSkipCallerMemory,
   kSkipResponseCheck,
   kAcceptResponseAfterError,
+  kKeepLastSharedEntry,
+  kSkipRolloutAnalysis,
+  kKeepLostPartition,
+  kSpendExpiredTokens,
   kSkipKnowledgeCheck,
   kAdoptUnknownKnowledge,
   kIgnoreStoreEpoch,
   kKeepCallersAccount,
 };
 
-inline constexpr EnumNames<Fault, 35> kFaultNames = {{};
+inline constexpr EnumNames<Fault, 40> kFaultNames = {{};
 
 {Fault::kNone, "none"}, {Fault::kSkipBaseCheck, "skip_base_check"},
+    {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
     {Fault::kSwapBeforeValidate, "swap_before_validate"},
     {Fault::kSkipClosureCheck, "skip_closure_check"}, {Fault::kSkipFence, "skip_fence"},
@@ -72,6 +77,10 @@
     {Fault::kSkipCallerMemory, "skip_caller_memory"},
     {Fault::kSkipResponseCheck, "skip_response_check"},
     {Fault::kAcceptResponseAfterError, "accept_response_after_error"},
+    {Fault::kKeepLastSharedEntry, "keep_last_shared_entry"},
+    {Fault::kSkipRolloutAnalysis, "skip_rollout_analysis"},
+    {Fault::kKeepLostPartition, "keep_lost_partition"},
+    {Fault::kSpendExpiredTokens, "spend_expired_tokens"},
     {Fault::kSkipKnowledgeCheck, "skip_knowledge_check"},
     {Fault::kAdoptUnknownKnowledge, "adopt_unknown_knowledge"},
     {Fault::kIgnoreStoreEpoch, "ignore_store_epoch"},
--- a/include/limpet/edge/edge_node.h
+++ b/include/limpet/edge/edge_node.h
@@ -14,10 +14,13 @@
 #include "limpet/edge/coordination.h"
 #include "limpet/edge/freshness_agent.h"
 #include "limpet/edge/http_header_names.h"
+#include "limpet/edge/lease_agent.h"
 #include "limpet/edge/link_server.h"
 #include "limpet/edge/listener.h"
 #include "limpet/edge/outbound_proxy.h"
 #include "limpet/edge/peer_links.h"
+#include "limpet/edge/quota_agent.h"
+#include "limpet/edge/shared_state_agent.h"
 #include "limpet/edge/target_probe.h"
 #include "limpet/registry/target_registry.h"
 #include "limpet/routing/config_holder.h"
@@ -83,6 +86,10 @@
   }
 
   LinkServerHooks MakeLinkHooks();
+  /// Whether this node should be a member of the group of deciding nodes.
+  bool WantsDecisions() const;
+  /// Receives messages of the shared state, quotas and roll-outs.
+  void OnPeerMessage(const std::string& node, const wire::LinkMessage& message);
   void OnStoreConfig(MeshConfig config);
   void RecordConfigUpdate(ConfigUpdateResult result, std::string_view source);
   void RequestNewerConfig(const std::string& node, const std::string& data_centre, int64_t version);
@@ -125,6 +132,9 @@
   std::shared_ptr<LinkTraffic> traffic_;
   std::unique_ptr<PeerLinks> links_;
   std::unique_ptr<FreshnessAgent> freshness_;
+  std::unique_ptr<SharedStateAgent> shared_state_;
+  std::unique_ptr<LeaseAgent> leases_;
+  std::unique_ptr<QuotaAgent> quota_;
   std::unique_ptr<InboundProxy> inbound_;
   std::unique_ptr<OutboundProxy> outbound_;
   std::unique_ptr<LinkServer> link_server_;
--- a/include/limpet/edge/outbound_proxy.h
+++ b/include/limpet/edge/outbound_proxy.h
@@ -14,6 +14,7 @@
 #include "limpet/edge/http_session.h"
 #include "limpet/edge/inbound_proxy.h"
 #include "limpet/edge/peer_links.h"
+#include "limpet/edge/quota_agent.h"
 #include "limpet/routing/route_table.h"
 #include "limpet/routing/traffic_splitter.h"
 #include "limpet/traffic/mesh_call.h"
@@ -43,6 +44,7 @@
                 SharedRetryBudget& budget,
                 PeerLinks& links,
                 InboundProxy& inbound,
+                QuotaAgent& quota,
                 Counters& counters,
                 AccessPolicy& access,
                 Random random);
@@ -60,6 +62,15 @@
   class ActiveCall;
 
   void Respond(const HttpSessionPtr& session, int status, std::string_view reason, Duration retry);
+  /// Waits for a token of the account, then starts the call or refuses it.
+  void AdmitByQuota(const HttpSessionPtr& session,
+                    const RouteTablePtr& routes,
+                    const MeshRoute& route,
+                    MeshCallOptions options);
+  void StartCall(const HttpSessionPtr& session,
+                 const MeshRoute& route,
+                 MeshCallOptions options,
+                 std::function<void()> on_not_run);
   /// Removes the key and a name of an account that the caller sent, and adds the name of `account`.
   void ReplaceCredentials(HttpHeaders& headers, const std::string& account) const;
   MeshCallOptions MakeCallOptions(const MeshRoute& route, const HttpRequest& request);
@@ -72,6 +83,7 @@
   SharedRetryBudget& budget_;
   PeerLinks& links_;
   InboundProxy& inbound_;
+  QuotaAgent& quota_;
   Counters& counters_;
   AccessPolicy& access_;
   TrafficSplitter traffic_splitter_;
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -163,6 +163,13 @@
   links_ = std::make_unique<PeerLinks>(
       executor_, PeerLinksOptions{MakeNodeAddress(settings_), incarnation_, vm_link}, observer,
       counters_, Random(GenerateSeed()));
+  shared_state_ = std::make_unique<SharedStateAgent>(*links_, counters_);
+  leases_ = std::make_unique<LeaseAgent>(
+      DecisionLeaseOptions{.self = settings_.name, .partitions = settings_.store_partitions},
+      coordination_, *shared_state_, counters_);
+  quota_ = std::make_unique<QuotaAgent>(
+      executor_, settings_.name, MakeQuotaOptions(settings_), [this] { return config_.routes(); },
+      leases_->lease(), *links_, counters_);
   freshness_ =
       std::make_unique<FreshnessAgent>(settings_, header_names_, config_, readers_, *links_);
   inbound_ = std::make_unique<InboundProxy>(executor_, header_names_, gate_, counters_, vm_link,
@@ -172,7 +179,7 @@
       OutboundProxyOptions{settings_.name, settings_.data_centre, settings_.service,
                            [this] { return pause_monitor_.MaxInputAge(MonotonicNow()); }},
       header_names_, [this] { return config_.routes(); }, placement_, budget_, *links_, *inbound_,
-      counters_, freshness_->policy(), Random(GenerateSeed()));
+      *quota_, counters_, freshness_->policy(), Random(GenerateSeed()));
   link_server_ = std::make_unique<LinkServer>(*inbound_, MakeLinkHooks(), settings_.data_centre,
                                               vm_link, Random(GenerateSeed()));
 }
@@ -207,9 +214,25 @@
   hooks.store_unreachable = [this] { return coordination_.IsStoreUnreachable(); };
   hooks.complete_probe_reply = [this](wire::LinkProbe& reply) { freshness_->CompleteReply(reply); };
   hooks.full_config = [this] { return config_.FullUpdate(); };
+  hooks.on_message = [this](const std::string& node, const wire::LinkMessage& message) {
+    OnPeerMessage(node, message);
+  };
   return hooks;
 }
 
+void EdgeNode::OnPeerMessage(const std::string& node, const wire::LinkMessage& message) {
+  if (message.__isset.shared_state) {
+    shared_state_->OnMessage(MonotonicNow(), node, message.shared_state);
+  }
+  quota_->OnMessage(node, message);
+}
+
+bool EdgeNode::WantsDecisions() const {
+  const bool has_order = shared_state_->state().OperatorDigest() != 0;
+  const bool has_limits = config_.routes() && HasAccountLimits(config_.routes()->config());
+  return !stopping_ && coordination_.role() != ReaderRole::kNone && (has_limits || has_order);
+}
+
 void EdgeNode::Start() {
   started_ = MonotonicNow();
   const auto is_closing = [this] { return stopping_; };
@@ -306,7 +329,9 @@
 
 void EdgeNode::OnPeerReachable(const std::string& node, bool reachable) {
   placement_.SetReachable(node, reachable);
-  if (!reachable) {
+  if (reachable) {
+    shared_state_->OnPeerReachable(node);
+  } else {
     readers_.Remove(node);
     freshness_->OnUnreachable(node);
   }
@@ -581,6 +606,9 @@
   inbound_->Tick();
   links_->Tick();
   link_server_->Tick(now);
+  shared_state_->Tick(now);
+  leases_->Tick(now, WantsDecisions());
+  quota_->Tick(now, links_->CountKnown() + 1);
   CheckTarget(now);
   PushStatus(now);
   freshness_->Tick(now);
--- a/src/edge/outbound_proxy.cc
+++ b/src/edge/outbound_proxy.cc
@@ -55,12 +55,14 @@
   ActiveCall(OutboundProxy& proxy,
              HttpSessionPtr session,
              const MeshRoute& route,
-             MeshCallOptions options)
+             MeshCallOptions options,
+             std::function<void()> on_not_run)
       : proxy_(proxy),
         session_(std::move(session)),
         route_(route.name),
         started_(MonotonicNow()),
         call_(std::move(options), proxy.placement_, proxy.budget_),
+        on_not_run_(std::move(on_not_run)),
         deadline_timer_(proxy.executor_),
         hedge_timer_(proxy.executor_) {}
 
@@ -247,6 +249,9 @@
         response = MakeResponse(std::move(saved_reply_), std::move(saved_body_));
         break;
       case CompletionKind::kNotRun:
+        if (on_not_run_) {
+          on_not_run_();
+        }
         response = TextResponse(503, "not run\n");
         response.headers.push_back(MakeHeader("Retry-After", FormatRetryAfter(finish.retry_after)));
         break;
@@ -311,6 +316,8 @@
   std::string route_;
   TimePoint started_;
   MeshCall call_;
+  /// Returns the token of the account; empty if the request has none.
+  std::function<void()> on_not_run_;
   Timer deadline_timer_;
   Timer hedge_timer_;
   std::string method_;
@@ -333,6 +340,7 @@
                              SharedRetryBudget& budget,
                              PeerLinks& links,
                              InboundProxy& inbound,
+                             QuotaAgent& quota,
                              Counters& counters,
                              AccessPolicy& access,
                              Random random)
@@ -344,6 +352,7 @@
       budget_(budget),
       links_(links),
       inbound_(inbound),
+      quota_(quota),
       counters_(counters),
       access_(access),
       traffic_splitter_(random) {}
@@ -437,7 +446,49 @@
     Refuse(session, "the deadline has passed", kRetryAfterPause);
     return;
   }
-  const auto call = std::make_shared<ActiveCall>(*this, session, *route, std::move(call_options));
+  if (call_options.account.empty()) {
+    StartCall(session, *route, std::move(call_options), nullptr);
+  } else {
+    AdmitByQuota(session, routes, *route, std::move(call_options));
+  }
+}
+
+void OutboundProxy::AdmitByQuota(const HttpSessionPtr& session,
+                                 const RouteTablePtr& routes,
+                                 const MeshRoute& route,
+                                 MeshCallOptions options) {
+  // The route is part of `routes`, which the callback keeps.
+  const auto on_decision = [this, session, routes, &route, options](const QuotaDecision& decision) {
+    session->SetDisconnectHandler(nullptr);
+    if (decision.verdict != QuotaVerdict::kGranted) {
+      // Not logged for each request: a caller may exceed its limit many times over.
+      const bool limited = decision.verdict == QuotaVerdict::kLimited;
+      HttpResponse response = limited ? TextResponse(429, "the limit of the account is reached\n")
+                                      : TextResponse(503, "no token for the account\n");
+      response.headers.push_back(MakeHeader("Retry-After", FormatRetryAfter(decision.retry_after)));
+      session->Respond(std::move(response));
+      return;
+    }
+    if (options.deadline <= MonotonicNow()) {
+      quota_.Return(options.account, decision);
+      Refuse(session, "the deadline has passed", kRetryAfterPause);
+      return;
+    }
+    StartCall(session, route, options,
+              [this, account = options.account, decision] { quota_.Return(account, decision); });
+  };
+  // The continuation may be called from within `Admit`, so the handler is set before it.
+  const auto request_id = std::make_shared<int64_t>(0);
+  session->SetDisconnectHandler([this, request_id] { quota_.Cancel(*request_id); });
+  *request_id = quota_.Admit(options.account, on_decision);
+}
+
+void OutboundProxy::StartCall(const HttpSessionPtr& session,
+                              const MeshRoute& route,
+                              MeshCallOptions options,
+                              std::function<void()> on_not_run) {
+  const auto call = std::make_shared<ActiveCall>(*this, session, route, std::move(options),
+                                                 std::move(on_not_run));
   calls_.insert(call);
   call->Start();
 }
--- a/tests/platform/mesh_test.cc
+++ b/tests/platform/mesh_test.cc
@@ -535,6 +535,51 @@
   CHECK(stopped);
 }
 
+/// The configuration of `ConfigText` with an account.
+std::string AccountConfigText(int requests_per_s) {
+  std::string text = ConfigText(2, "/lots/");
+  text.resize(text.size() - 2);
+  return text +
+         R"(,{"resource_type":"tenants","metadata":{"name":"shop"},"specification":{"api_keys":)" +
+         R"(["k1"],"requests_per_s":)" + std::to_string(requests_per_s) + R"(,"burst":0}}]})";
+}
+
+constexpr const char* kLimitedKey = "Api-Key: k1\r\n";
+
+// Guards against limits that each node applies on its own, and against requests that are refused
+// although the account is far below its limit.
+TEST_CASE_FIXTURE(Fixture, "the limit of an account holds over all nodes together") {
+  StartMesh();
+  store.Put("keyed.op", "config", AccountConfigText(5));
+  // Requests pass once a holder of the account's lease is known.
+  const auto call_until = [](TestNode& node, const std::string& status) {
+    for (int i = 0; i < 400; ++i) {
+      const std::string response = node.CallWith("/lots/1", kLimitedKey);
+      if (response.starts_with("HTTP/1.1 " + status)) {
+        return response;
+      }
+      std::this_thread::sleep_for(milliseconds(25));
+    }
+    return std::string();
+  };
+  REQUIRE(call_until(caller, "429").find("Retry-After: ") != std::string::npos);
+  REQUIRE(call_until(desk2, "429").find("Retry-After: ") != std::string::npos);
+  const int before = desk.executions;
+  const auto end = std::chrono::steady_clock::now() + seconds(5);
+  while (std::chrono::steady_clock::now() < end) {
+    caller.CallWith("/lots/1", kLimitedKey);
+    desk2.CallWith("/lots/1", kLimitedKey);
+  }
+  // 5 per second in 5 s, exceeded by 0.1 and 20; two nodes on their own would pass 50.
+  CHECK(desk.executions - before <= 47);
+  CHECK(call_until(caller, "200").starts_with("HTTP/1.1 200"));
+  // Without a store there is no holder, and the fallback allowance is used up soon.
+  store.SetDown(true);
+  const std::string refusal = call_until(caller, "503");
+  CHECK(refusal.find("no token for the account") != std::string::npos);
+  CHECK(refusal.find("Retry-After: ") != std::string::npos);
+}
+
 /// A configuration with the public route /open/ and with accounts that have these keys.
 std::string AccountsText(int version, const std::string& first_keys) {
   std::string text = ConfigText(version, "/lots/");
