--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -35,11 +35,12 @@
   kAcceptMisplacedBody,
   kUseUnconfirmedTarget,
   kTrustEarlierCheck,
+  kNoTrialFromPlacement,  // no request is sent to a target that is down
   kKeepLastSharedEntry,
   kSkipRolloutAnalysis,
 };
 
-inline constexpr EnumNames<Fault, 29> kFaultNames = {{
+inline constexpr EnumNames<Fault, 30> kFaultNames = {{
     {Fault::kNone, "none"},
     {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
@@ -67,6 +68,7 @@
     {Fault::kAcceptMisplacedBody, "accept_misplaced_body"},
     {Fault::kUseUnconfirmedTarget, "use_unconfirmed_target"},
     {Fault::kTrustEarlierCheck, "trust_earlier_check"},
+    {Fault::kNoTrialFromPlacement, "no_trial_from_placement"},
     {Fault::kKeepLastSharedEntry, "keep_last_shared_entry"},
     {Fault::kSkipRolloutAnalysis, "skip_rollout_analysis"},
 }};
