--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -38,9 +38,11 @@
   kNoTrialFromPlacement,  // no request is sent to a target that is down
   kKeepLastSharedEntry,
   kSkipRolloutAnalysis,
+  kKeepLostPartition,
+  kSpendExpiredTokens,
 };
 
-inline constexpr EnumNames<Fault, 30> kFaultNames = {{
+inline constexpr EnumNames<Fault, 32> kFaultNames = {{
     {Fault::kNone, "none"},
     {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
@@ -71,6 +73,8 @@
     {Fault::kNoTrialFromPlacement, "no_trial_from_placement"},
     {Fault::kKeepLastSharedEntry, "keep_last_shared_entry"},
     {Fault::kSkipRolloutAnalysis, "skip_rollout_analysis"},
+    {Fault::kKeepLostPartition, "keep_lost_partition"},
+    {Fault::kSpendExpiredTokens, "spend_expired_tokens"},
 }};
 
 #ifdef LIMPET_FAULTS
