--- a/include/limpet/edge/coordination.h
+++ b/include/limpet/edge/coordination.h
@@ -9,6 +9,7 @@
 #include "limpet/core/time.h"
 #include "limpet/decision/decision_lease.h"
 #include "limpet/distribution/store_readers.h"
+#include "limpet/rollout/rollout_types.h"
 #include "limpet/routing/mesh_config.h"
 #include "limpet_types.h"
 
@@ -23,6 +24,18 @@
   using UnusableConfigCallback = std::function<void(const std::string& problem)>;
   /// Called without a value if the join failed or its outcome is unknown.
   using AssignmentCallback = std::function<void(std::optional<GroupAssignment>)>;
+  /// `token` rises with each later order, also after the store was restored from a copy.
+  using OrderCallback = std::function<void(const RolloutOrder& order, int64_t token)>;
+  /// State of a roll-out as it is stored for the operator.
+  struct StoredRollout {
+    std::string service;
+    std::string target_version;
+    RolloutState state = RolloutState::kRunning;
+  };
+  /// Called without a value if the read failed.
+  using StoredRolloutsCallback = std::function<void(std::optional<std::vector<StoredRollout>>)>;
+  /// `done` tells whether the store acknowledged the write. Otherwise it may have been done.
+  using WriteCallback = std::function<void(bool done)>;
   using NodesCallback = std::function<void(std::vector<wire::NodeAddress>)>;
 
   virtual ~Coordination() = default;
@@ -42,6 +55,13 @@
   /// Ends the membership, so that other nodes need not wait until it times out. Cancels a pending
   /// join without calling its callback.
   virtual void LeaveDecisions(const std::string& member) = 0;
+  /// Delivers the operator's roll-out orders while this node has a reader's role; the same order may
+  /// be delivered again. Call it before `WatchConfig`.
+  virtual void WatchRolloutOrders(OrderCallback on_order) = 0;
+  /// Stores the state of a roll-out for the operator. Only one write may be pending.
+  virtual void WriteRollout(const StoredRollout& rollout, WriteCallback done) = 0;
+  /// Reads the stored states of all roll-outs. Only one read may be pending.
+  virtual void ReadRollouts(StoredRolloutsCallback done) = 0;
   /// True while this node has a reader's role and the store is unreachable.
   virtual bool IsStoreUnreachable() const = 0;
   virtual ReaderRole role() const = 0;
--- a/include/limpet/edge/edge_node.h
+++ b/include/limpet/edge/edge_node.h
@@ -17,6 +17,7 @@
 #include "limpet/edge/listener.h"
 #include "limpet/edge/outbound_proxy.h"
 #include "limpet/edge/peer_links.h"
+#include "limpet/edge/rollout_agent.h"
 #include "limpet/edge/shared_state_agent.h"
 #include "limpet/edge/target_probe.h"
 #include "limpet/registry/target_registry.h"
@@ -120,6 +121,7 @@
   StoreReaders readers_;
   TargetRegistry registry_;
   TargetGate gate_;
+  RolloutTable rollout_table_{nullptr};
   TargetPlacement placement_;
   SharedRetryBudget budget_;
   PauseMonitor pause_monitor_;
@@ -127,6 +129,7 @@
   std::unique_ptr<PeerLinks> links_;
   std::unique_ptr<SharedStateAgent> shared_state_;
   std::unique_ptr<LeaseAgent> leases_;
+  std::unique_ptr<RolloutAgent> rollouts_;
   std::unique_ptr<InboundProxy> inbound_;
   std::unique_ptr<OutboundProxy> outbound_;
   std::unique_ptr<LinkServer> link_server_;
--- a/include/limpet/edge/inbound_proxy.h
+++ b/include/limpet/edge/inbound_proxy.h
@@ -64,6 +64,8 @@
   /// Sets the local target; null if there is none.
   void SetTarget(const TargetAnnouncement* target);
   void StartDraining();
+  /// While closed, all calls are refused; see `TargetGate::SetClosed`.
+  void SetClosed(bool closed);
   /// Removes expired calls and replies. Call it about every 50 ms.
   void Tick();
 
--- a/include/limpet/settings/node_settings.h
+++ b/include/limpet/settings/node_settings.h
@@ -123,6 +123,14 @@
   /// Further requests by which the limit may be exceeded in a window.
   double quota_slack = 20;
 
+  // [rollout]
+  /// Share of the requests for a service that a bad version may get between order and deadline.
+  double exposure_share = 0.1;
+  /// Further requests that a bad version may get.
+  double exposure_slack = 50;
+  /// Time after its 50th bad response from which on a bad version gets no requests.
+  int rollback_ms = 5000;
+
   // [stop]
   /// Time from the request to stop until the process is killed.
   double grace_period_ms = 6000;
--- a/include/limpet/traffic/mesh_call.h
+++ b/include/limpet/traffic/mesh_call.h
@@ -149,6 +149,9 @@
   bool may_have_run_ = false;
   bool has_saved_reply_ = false;
   Duration retry_after_{0};
+  /// Set once, so that a request that is refused by targets of one version is not sent to the other
+  /// more often than the canary share allows.
+  double version_draw_;
 };
 
 }  // namespace limpet
--- a/include/limpet/traffic/target_gate.h
+++ b/include/limpet/traffic/target_gate.h
@@ -1,10 +1,12 @@
 #ifndef LIMPET_TRAFFIC_TARGET_GATE_H_
 #define LIMPET_TRAFFIC_TARGET_GATE_H_
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "limpet/core/random.h"
@@ -104,6 +106,17 @@
   kCancelled,
 };
 
+/// The end of a request at the target, for statistics.
+struct TargetSample {
+  std::string route;
+  TargetResult result = TargetResult::kSucceeded;
+  Duration service_time{0};
+  /// Moving average of the service time of the route over all targets; 0 if unknown.
+  Duration typical_service_time{0};
+  /// The target was in the slow phase after its start.
+  bool cold = false;
+};
+
 /// Admission control for the target of this node. All requests to the target pass through this
 /// gate, so its count of running requests is exact. Calls beyond the target's slots wait in a
 /// priority queue. A call that is predicted to miss its time limit is refused on arrival (load
@@ -121,6 +134,16 @@
   /// calls.
   std::vector<GateEvent> StartDraining(TimePoint now);
 
+  /// While closed, the gate refuses all calls, because a roll-out has excluded the version of the
+  /// target. Calls at the target continue. Returns the queued calls.
+  std::vector<GateEvent> SetClosed(bool closed);
+  /// True if the gate is closed and no call is queued or running.
+  bool HasClosed() const { return closed_ && running_.empty() && queue_.empty(); }
+  /// Called at the end of each request at the target.
+  void set_on_sample(std::function<void(const TargetSample&)> on_sample) {
+    on_sample_ = std::move(on_sample);
+  }
+
   /// Decides whether the call starts, is queued or is refused.
   GateDecision Admit(TimePoint now, const GateCall& call);
   /// Ends a running call; does nothing for any other. Returns the queued calls that start or are
@@ -202,6 +225,8 @@
   std::optional<TargetAnnouncement> target_;
   TimePoint cold_until_{};
   bool draining_ = false;
+  bool closed_ = false;
+  std::function<void(const TargetSample&)> on_sample_;
   Queue queue_;
   /// Number of queued calls whose body is still to be received.
   int bodies_pending_ = 0;
--- a/include/limpet/traffic/target_placement.h
+++ b/include/limpet/traffic/target_placement.h
@@ -8,6 +8,7 @@
 
 #include "limpet/core/random.h"
 #include "limpet/core/time.h"
+#include "limpet/rollout/rollout_table.h"
 #include "limpet/traffic/service_times.h"
 #include "limpet_types.h"
 
@@ -37,6 +38,10 @@
   Duration trial_reply_wait = std::chrono::milliseconds(500);
 };
 
+/// Value of `PlacementRequest::version_draw` that selects the old version, unless the new one gets
+/// all requests.
+inline constexpr double kOldVersionDraw = 0.999999;
+
 /// Properties of a request that the choice of its target depends on.
 struct PlacementRequest {
   std::string service;
@@ -49,6 +54,9 @@
   /// The caller would not lose much if the request is sent to a target that is down, as a trial,
   /// although others are up: it can be repeated.
   bool may_be_trial = false;
+  /// Uniform in [0, 1), the same for all attempts of a request. During a roll-out the request goes to
+  /// the new version if it is less than the canary share.
+  double version_draw = kOldVersionDraw;
 };
 
 struct PlacedTarget {
@@ -67,7 +75,16 @@
 /// safe for concurrent use.
 class TargetPlacement {
  public:
-  TargetPlacement(PlacementOptions options, std::string data_centre, Random random);
+  /// `rollouts` must outlive the placement. Without it all versions are equivalent.
+  TargetPlacement(PlacementOptions options,
+                  std::string data_centre,
+                  Random random,
+                  RolloutTable* rollouts = nullptr);
+
+  /// Returns a random value for `PlacementRequest::version_draw`.
+  double DrawVersion() {
+    return rollouts_ == nullptr ? kOldVersionDraw : random_.NextFraction();
+  }
 
   /// Stores the status that `node` reports for its target; the node counts as responsive again.
   void Update(TimePoint now,
@@ -112,12 +129,22 @@
   };
 
   bool Serves(const Entry& entry, const std::string& service) const;
+  /// Nodes whose targets have a version that the request may be sent to. Nullopt if all have.
+  std::optional<std::vector<std::string>> FindVersionNodes(
+      const PlacementRequest& request,
+      const std::vector<std::string>& excluded) const;
   /// Whether the target is down and takes a trial request.
   bool IsTrialDue(TimePoint now, const Entry& entry, const std::string& service) const;
   /// Returns a target that takes a trial request, chosen at random.
   std::optional<PlacedTarget> ChooseTrial(TimePoint now,
                                           const std::string& service,
                                           const std::vector<std::string>& excluded);
+  /// Like `Choose`, for all versions.
+  std::optional<PlacedTarget> ChooseOutside(TimePoint now,
+                                            const PlacementRequest& request,
+                                            const std::vector<std::string>& excluded);
+  /// Whether a request may be sent to the version of the target.
+  bool MayUseVersion(const Entry& entry) const;
   /// Whether the node is reachable and its target is up and serves `service`.
   bool IsUsable(const Entry& entry, const std::string& service) const;
   struct Candidate {
@@ -138,6 +165,7 @@
   PlacementOptions options_;
   std::string data_centre_;
   Random random_;
+  RolloutTable* rollouts_;
   std::map<std::string, Entry> entries_;
 };
 
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -161,7 +161,10 @@
       readers_({}, settings_.name, static_cast<int>(settings_.link_mbps)),
       registry_(FormatAddress(settings_.target), MonotonicNow(), UnixMs()),
       gate_(TargetGateOptions{}),
-      placement_(PlacementOptions{}, settings_.data_centre, Random(GenerateSeed())),
+      placement_(PlacementOptions{},
+                 settings_.data_centre,
+                 Random(GenerateSeed()),
+                 &rollout_table_),
       budget_(MakeBudgetOptions(settings_)),
       tick_timer_(executor),
       target_probe_(executor, header_names_) {
@@ -177,6 +180,10 @@
       coordination_, *shared_state_, counters_);
   inbound_ = std::make_unique<InboundProxy>(executor_, header_names_, gate_, counters_, vm_link,
                                             [this] { OnStatusChanged(); });
+  rollouts_ = std::make_unique<RolloutAgent>(
+      settings_.name, RolloutOptions{settings_.exposure_share, settings_.exposure_slack},
+      RolloutAgentDependencies{rollout_table_, gate_, *inbound_, *shared_state_, *links_,
+                               coordination_, leases_->lease(), counters_});
   outbound_ = std::make_unique<OutboundProxy>(
       executor_,
       OutboundProxyOptions{settings_.name, settings_.data_centre, settings_.service,
@@ -226,6 +233,9 @@
   if (message.__isset.shared_state) {
     shared_state_->OnMessage(MonotonicNow(), node, message.shared_state);
   }
+  if (message.__isset.rollout_report) {
+    rollouts_->OnReport(MonotonicNow(), node, message.rollout_report);
+  }
 }
 
 bool EdgeNode::WantsDecisions() const {
@@ -263,6 +273,7 @@
       executor_, PeerAddress{settings_.host, LinkListenPort(settings_)},
       [this](TcpSocket socket) { link_server_->Accept(std::move(socket)); }));
   serve(settings_.outbound, caller_sessions_);
+  rollouts_->Start();
   coordination_.WatchConfig(
       [this](MeshConfig config) { OnStoreConfig(std::move(config)); },
       [this](const std::string& /*problem*/) { counters_.Get("config_malformed").Add(); });
@@ -609,6 +620,7 @@
   links_->Tick();
   link_server_->Tick(now);
   shared_state_->Tick(now);
+  rollouts_->Tick(now);
   leases_->Tick(now, WantsDecisions());
   CheckTarget(now);
   PushStatus(now);
--- a/src/edge/inbound_proxy.cc
+++ b/src/edge/inbound_proxy.cc
@@ -439,6 +439,11 @@
   ReportStatusChange();
 }
 
+void InboundProxy::SetClosed(bool closed) {
+  HandleGateEvents(gate_.SetClosed(closed));
+  ReportStatusChange();
+}
+
 void InboundProxy::Tick() {
   const TimePoint now = MonotonicNow();
   HandleGateEvents(gate_.Tick(now));
--- a/src/rollout/rollout_analysis.cc
+++ b/src/rollout/rollout_analysis.cc
@@ -20,7 +20,8 @@
 /// A version is bad only with this many times the bad responses of the old one. Smaller differences
 /// come from the load and from the VMs.
 constexpr double kMinBadRatio = 1.5;
-constexpr double kMinTimedRequests = 8;
+/// A few requests that took long by chance are no evidence.
+constexpr double kMinTimedRequests = 16;
 /// A version is slow if its service times exceed those of the old one by this share, plus some
 /// deviations, which are as large as the mean for a single request.
 constexpr double kSlowShare = 0.5;
--- a/src/rollout/rollout_controller.cc
+++ b/src/rollout/rollout_controller.cc
@@ -78,12 +78,21 @@
     closing_since_ = now;
     return;
   }
-  if (status.state == RolloutState::kRolledBack && !IsExcluded(status.target_version)) {
+  // A version whose roll-out was replaced before its verdict is not known to be good.
+  const bool replaced = status.state != RolloutState::kCompleted &&
+                        status.target_version != order_.target_version;
+  if ((replaced || status.state == RolloutState::kRolledBack) &&
+      !IsExcluded(status.target_version)) {
     status_.excluded_versions.push_back(status.target_version);
   }
 }
 
 void RolloutController::OnStoredState(const std::string& target_version, RolloutState state) {
+  if (target_version != order_.target_version && state == RolloutState::kRolledBack &&
+      !IsExcluded(target_version)) {
+    status_.excluded_versions.push_back(target_version);
+    changed_ = true;
+  }
   if (target_version != order_.target_version || !IsFinal(state) || IsFinal(status_.state)) {
     return;
   }
--- a/src/traffic/mesh_call.cc
+++ b/src/traffic/mesh_call.cc
@@ -37,7 +37,8 @@
 }  // namespace
 
 MeshCall::MeshCall(MeshCallOptions options, TargetPlacement& placement, SharedRetryBudget& budget)
-    : options_(std::move(options)), placement_(placement), budget_(budget) {}
+    : options_(std::move(options)), placement_(placement), budget_(budget),
+      version_draw_(placement.DrawVersion()) {}
 
 MeshCall::~MeshCall() {
   CloseAll();
@@ -52,6 +53,7 @@
   PlacementRequest request{options_.service, options_.expected_response_bytes,
                            std::max(Duration(0), options_.latency_target - now)};
   request.request_bytes = options_.request_bytes;
+  request.version_draw = version_draw_;
   if (options_.typical_service_time > Duration(0)) {
     request.typical_service_time = options_.typical_service_time;
   }
@@ -196,6 +198,8 @@
 
 CallStep MeshCall::OnAttemptFailed(TimePoint now, Reason::type reason, bool has_reply) {
   may_have_run_ = true;
+  // A retry must not fail for the same reason as the first attempt.
+  version_draw_ = kOldVersionDraw;
   const bool time_left = options_.deadline - now > options_.typical_latency;
   if (options_.idempotent && time_left && open_attempts_.empty() && TrySpendRetry(now)) {
     has_saved_reply_ = has_saved_reply_ || has_reply;
--- a/src/traffic/target_gate.cc
+++ b/src/traffic/target_gate.cc
@@ -64,6 +64,11 @@
   return RefuseAll(Reason::kDraining);
 }
 
+std::vector<GateEvent> TargetGate::SetClosed(bool closed) {
+  closed_ = closed;
+  return closed ? RefuseAll(Reason::kDraining) : std::vector<GateEvent>();
+}
+
 std::vector<GateEvent> TargetGate::RefuseAll(Reason::type reason) {
   std::vector<GateEvent> events;
   for (const auto& [position, call] : queue_) {
@@ -109,7 +114,7 @@
 }
 
 Reason::type TargetGate::CheckTarget(TimePoint now, const GateCall& call) const {
-  if (draining_ || (target_ && target_->draining)) {
+  if (draining_ || closed_ || (target_ && target_->draining)) {
     return Reason::kDraining;
   }
   if (!target_ || target_->service != call.service) {
@@ -270,6 +275,10 @@
     trial_key_.clear();
   }
   RecordResult(now, running, result);
+  if (on_sample_) {
+    on_sample_({running.route, result, now - running.started, running.typical_service_time,
+                now < cold_until_});
+  }
   return Tick(now);
 }
 
@@ -326,6 +335,7 @@
   }
   status.instance = target_->instance;
   status.service_name = target_->service;
+  status.software = target_->software;
   status.slots = target_->slots;
   const bool draining = draining_ || target_->draining;
   status.state = draining   ? wire::TargetState::kDraining
--- a/src/traffic/target_placement.cc
+++ b/src/traffic/target_placement.cc
@@ -1,6 +1,9 @@
 #include "limpet/traffic/target_placement.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "limpet/core/fault.h"
@@ -29,8 +32,14 @@
 
 }  // namespace
 
-TargetPlacement::TargetPlacement(PlacementOptions options, std::string data_centre, Random random)
-    : options_(options), data_centre_(std::move(data_centre)), random_(random) {}
+TargetPlacement::TargetPlacement(PlacementOptions options,
+                                 std::string data_centre,
+                                 Random random,
+                                 RolloutTable* rollouts)
+    : options_(options),
+      data_centre_(std::move(data_centre)),
+      random_(random),
+      rollouts_(rollouts) {}
 
 void TargetPlacement::Update(TimePoint now,
                              const std::string& node,
@@ -41,6 +50,9 @@
   entry.status = status;
   entry.cold_until = now + std::chrono::milliseconds(status.cold_ms);
   entry.unresponsive_until = {};
+  if (rollouts_ != nullptr) {
+    rollouts_->OnVersion(now, status.service_name, status.software);
+  }
   const bool states_trial = status.trial_due || status.next_trial_ms > 0;
   entry.next_trial =
       states_trial ? now + std::chrono::milliseconds(status.next_trial_ms) : TimePoint{};
@@ -163,9 +175,97 @@
   return best;
 }
 
+bool TargetPlacement::MayUseVersion(const Entry& entry) const {
+  if (rollouts_ == nullptr) {
+    return true;
+  }
+  const std::string& service = entry.status.service_name;
+  switch (rollouts_->Use(service, entry.status.software)) {
+    case VersionUse::kOld:
+      return true;
+    case VersionUse::kNew:
+      return rollouts_->Share(service) > 0;
+    case VersionUse::kHeldBack:
+    case VersionUse::kExcluded:
+      break;
+  }
+  return false;
+}
+
+std::optional<std::vector<std::string>> TargetPlacement::FindVersionNodes(
+    const PlacementRequest& request,
+    const std::vector<std::string>& excluded) const {
+  if (rollouts_ == nullptr) {
+    return std::nullopt;
+  }
+  std::vector<std::string> old_nodes;
+  /// With the hashes by which all nodes rank the new targets in the same order.
+  std::vector<std::pair<uint64_t, std::string>> ranked;
+  bool uses_all = true;
+  for (const auto& [node, entry] : entries_) {
+    if (!Serves(entry, request.service)) {
+      continue;
+    }
+    switch (rollouts_->Use(request.service, entry.status.software)) {
+      case VersionUse::kOld:
+        old_nodes.push_back(node);
+        break;
+      case VersionUse::kNew:
+        if (entry.status.state == wire::TargetState::kUp) {
+          ranked.emplace_back(XXH3_64bits(node.data(), node.size()), node);
+        }
+        uses_all = false;
+        break;
+      case VersionUse::kHeldBack:
+      case VersionUse::kExcluded:
+        uses_all = false;
+        break;
+    }
+  }
+  if (uses_all) {
+    return std::nullopt;
+  }
+  const double share = rollouts_->Share(request.service);
+  std::vector<std::string> new_nodes;
+  std::ranges::sort(ranked);
+  // As many new targets as give each about the load of an old one, so that faults under load show.
+  const double wanted =
+      share >= 1 ? static_cast<double>(ranked.size())
+                 : std::ceil(share / (1 - share) * static_cast<double>(old_nodes.size()));
+  for (const auto& [hash, node] : ranked) {
+    if (!old_nodes.empty() && static_cast<double>(new_nodes.size()) >= std::max(1.0, wanted)) {
+      break;
+    }
+    new_nodes.push_back(node);
+  }
+  const auto is_excluded = [&](const std::string& node) {
+    return std::ranges::find(excluded, node) != excluded.end();
+  };
+  const bool draws_new = request.version_draw < share &&
+                         !std::ranges::all_of(new_nodes, is_excluded) && !new_nodes.empty();
+  return draws_new || old_nodes.empty() ? new_nodes : old_nodes;
+}
+
 std::optional<PlacedTarget> TargetPlacement::Choose(TimePoint now,
                                                     const PlacementRequest& request,
                                                     const std::vector<std::string>& excluded) {
+  const auto version_nodes = FindVersionNodes(request, excluded);
+  if (version_nodes) {
+    std::vector<std::string> skipped = excluded;
+    for (const auto& [node, entry] : entries_) {
+      if (std::ranges::find(*version_nodes, node) == version_nodes->end()) {
+        skipped.push_back(node);
+      }
+    }
+    return ChooseOutside(now, request, skipped);
+  }
+  return ChooseOutside(now, request, excluded);
+}
+
+std::optional<PlacedTarget> TargetPlacement::ChooseOutside(
+    TimePoint now,
+    const PlacementRequest& request,
+    const std::vector<std::string>& excluded) {
   std::vector<Candidate> local_candidates;
   std::vector<Candidate> remote_candidates;
   for (const auto& [node, entry] : entries_) {
@@ -203,7 +303,7 @@
 bool TargetPlacement::HasAlternative(const std::string& service,
                                      const std::vector<std::string>& excluded) const {
   return std::ranges::any_of(entries_, [&](const auto& entry) {
-    return IsUsable(entry.second, service) &&
+    return IsUsable(entry.second, service) && MayUseVersion(entry.second) &&
            std::ranges::find(excluded, entry.first) == excluded.end();
   });
 }
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -32,6 +32,16 @@
   void Put(const std::string& topic, const std::string& key, const std::string& value) {
     loop_.Run([&] { Append(topic, key, value); });
   }
+  /// Returns the newest value of a key; empty if there is none.
+  std::string Newest(const std::string& topic, const std::string& key) {
+    return loop_.Run([&] {
+      std::string value;
+      for (const Record& record : topics_[topic]) {
+        value = record.key == key ? record.value : value;
+      }
+      return value;
+    });
+  }
   /// While `down` is true, all calls get 503.
   void SetDown(bool down) {
     loop_.Run([&] { down_ = down; });
--- a/tests/platform/mesh_test.cc
+++ b/tests/platform/mesh_test.cc
@@ -70,7 +70,7 @@
   std::string SendHeartbeat(const std::string& state, int sequence) {
     const std::string body = R"({"service":")" + service_ + R"(","address":"127.0.0.1:)" +
                              std::to_string(settings_.target.port) +
-                             R"(","zone":"a","version":"v1","slots":2,"state":")" + state +
+                             R"(","zone":"a","version":")" + software + R"(","slots":2,"state":")" + state +
                              R"(","cold_remaining_ms":0,"born":)" + std::to_string(start_time_ms) +
                              R"(,"sequence":)" + std::to_string(sequence) + "}";
     return Send(settings_.announcements.port, "PUT /instances/" + instance, body);
@@ -118,6 +118,8 @@
   /// Name and start time of the target; written only while no request is pending.
   std::string instance;
   int64_t start_time_ms = 1;
+  /// Version of the target's software.
+  std::string software = "v1";
   std::atomic<int> executions{0};
   std::atomic<bool> responds_500{false};
   /// Whether the health endpoint responds with 200.
@@ -510,5 +512,69 @@
   CHECK(stopped);
 }
 
+std::string OrderText(const std::string& version, double duration_s) {
+  return R"({"service":"desk","target_version":")" + version + R"(","duration_s":)" +
+         std::to_string(duration_s) + "}";
+}
+
+/// Two targets of the service, of which the second one runs the new version.
+struct RolloutFixture : Fixture {
+  /// Calls until the operator sees this state; false after `timeout`.
+  bool CallUntilState(const std::string& state, Duration timeout) {
+    const auto end = std::chrono::steady_clock::now() + timeout;
+    while (std::chrono::steady_clock::now() < end) {
+      caller.Call("/lots/1");
+      const std::string status = store.Newest("keyed.status", "rollout/desk");
+      if (status.find("\"" + state + "\"") != std::string::npos) {
+        return true;
+      }
+    }
+    return false;
+  }
+  void Order(double duration_s) {
+    desk2.software = "v2";
+    store.Put("keyed.op", "rollout/desk", OrderText("v2", duration_s));
+    CHECK(CallUntilState("running", seconds(20)));
+    CHECK(desk2.Announce("ready", 1).starts_with("HTTP/1.1 200"));
+  }
+};
+
+// Guards against a bad version that goes on getting requests, from the order in the store to the
+// nodes.
+TEST_CASE_FIXTURE(RolloutFixture, "a version that responds with errors is rolled back") {
+  StartMesh();
+  desk2.responds_500 = true;
+  Order(120);
+  REQUIRE(CallUntilState("rolled_back", seconds(60)));
+  CHECK(desk2.executions < 60);
+  std::this_thread::sleep_for(milliseconds(500));
+  const int before = desk2.executions;
+  for (int i = 0; i < 50; ++i) {
+    CHECK(caller.Call("/lots/1").starts_with("HTTP/1.1 200"));
+  }
+  CHECK(desk2.executions == before);
+}
+
+// Guards against a roll-out that stops half-way, and old targets that get requests when the operator
+// may have stopped them.
+TEST_CASE_FIXTURE(RolloutFixture, "a good version gets all requests and the roll-out is completed") {
+  StartMesh();
+  Order(12);
+  REQUIRE(CallUntilState("completed", seconds(30)));
+  const int before = desk.executions;
+  for (int i = 0; i < 50; ++i) {
+    CHECK(caller.Call("/lots/1").find("from desk2-node") != std::string::npos);
+  }
+  CHECK(desk.executions == before);
+}
+
+TEST_CASE_FIXTURE(RolloutFixture, "a malformed roll-out order is ignored") {
+  StartMesh();
+  store.Put("keyed.op", "rollout/desk", R"({"service":"desk","target_version":7})");
+  store.Put("keyed.op", "rollout/other", OrderText("v2", 10));
+  AddSecondTarget();
+  CHECK(store.Newest("keyed.status", "rollout/desk").empty());
+}
+
 }  // namespace
 }  // namespace limpet::platform
