Limit what one report adds to the analysis of a roll-out

A good version was rolled back as slow in the mesh test after 22 requests of less than a millisecond: new connections and pauses decided. Times below 2 ms now count as 2 ms, and one report adds at most 3 bad responses and 8 service times, because the pause of a VM delays all its open requests at once.

--- a/include/limpet/rollout/rollout_analysis.h
+++ b/include/limpet/rollout/rollout_analysis.h
@@ -49,6 +49,7 @@
 /// failure that hits both versions, or a change of the load, does not count against the new one.
 class RolloutAnalysis {
  public:
+  /// Adds what one report of one target contains.
   void Add(TimePoint now, const std::string& route, bool is_new, const RolloutCounts& counts);
   /// Returns why the new version is bad, on one route or on all together; nothing if it is not.
   std::optional<RolloutFault> FindFault(const RolloutEvidence& evidence) const;
--- a/src/rollout/rollout_analysis.cc
+++ b/src/rollout/rollout_analysis.cc
@@ -42,6 +42,11 @@
   return std::max(0.0, 1 - below);
 }
 
+/// Limits of what one report of a target adds, in bad responses and in service times. The pause of a
+/// VM makes all its open requests slow at once, which is no fault of the version.
+constexpr int64_t kMaxBadPerReport = 3;
+constexpr double kMaxExcessPerReport = 8;
+
 int64_t SecondOf(TimePoint now) {
   return std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
 }
@@ -80,11 +85,21 @@
                           const RolloutCounts& counts) {
   Fold(now);
   Cell& cell = cells_[{SecondOf(now), route}];
-  AddCounts(is_new ? cell.new_version : cell.old_version, counts);
   requests_ += counts.requests;
   if (is_new) {
     new_requests_ += counts.requests;
+    RolloutCounts limited = counts;
+    limited.bad = std::min(counts.bad, kMaxBadPerReport);
+    const RolloutCounts& old_route = old_by_route_[route];
+    if (old_route.requests > 0) {
+      const double mean = old_route.service_time_us / static_cast<double>(old_route.requests);
+      limited.service_time_us =
+          std::min(counts.service_time_us,
+                   mean * (static_cast<double>(counts.requests) + kMaxExcessPerReport));
+    }
+    AddCounts(cell.new_version, limited);
   } else {
+    AddCounts(cell.old_version, counts);
     AddCounts(old_by_route_[route], counts);
     AddCounts(old_total_, counts);
   }
--- a/src/rollout/rollout_meter.cc
+++ b/src/rollout/rollout_meter.cc
@@ -13,7 +13,7 @@
 /// Times are counted up to this factor, so that a single request that waits for seconds does not make
 /// the mean of a version large.
 constexpr double kMaxFactor = 10;
-/// For shorter requests, pauses of the processes would decide.
+/// Shorter times count as this one: the connections to a new target alone take about a millisecond.
 constexpr double kMinTypicalUs = 2000;
 /// A cold target takes about twice as long (the platform's cold factor), which is no fault of its
 /// version.
@@ -39,8 +39,8 @@
   const double typical_us =
       std::max(kMinTypicalUs, static_cast<double>(sample.typical_service_time.count()));
   const bool slow = has_typical && measured_us > kSlowFactor * typical_us;
-  const double time_us =
-      has_typical ? std::min(measured_us, kMaxFactor * typical_us) : measured_us;
+  const double counted_us = std::max(measured_us, kMinTypicalUs);
+  const double time_us = has_typical ? std::min(counted_us, kMaxFactor * typical_us) : counted_us;
   if (sample.result == TargetResult::kCancelled && !slow) {
     // Cancelled by the caller, or by a response from another target; says nothing of this one.
     return;
