--- a/include/limpet/decision/decision_lease.h
+++ b/include/limpet/decision/decision_lease.h
@@ -26,8 +26,8 @@
   Duration ttl{0};
   /// Partitions that are assigned to this member.
   std::vector<int> partitions;
-  /// Epoch of the store, which rises when it was restored from a copy; no value if the store reports
-  /// none.
+  /// Epoch of the store, which rises when it was restored from a copy; no value if the store
+  /// reports none.
   std::optional<int64_t> epoch;
 };
 
@@ -42,8 +42,8 @@
   /// A partition is given up this long before the store may reassign it, as clocks may differ in
   /// rate.
   Duration margin = std::chrono::milliseconds(200);
-  /// A new holder decides only after this time. Longer than the term of any quota grant, so that the
-  /// grants of its predecessor have ended.
+  /// A new holder decides only after this time. Longer than the term of any quota grant, so that
+  /// the grants of its predecessor have ended.
   Duration takeover_delay = std::chrono::seconds(1);
 };
 
--- a/include/limpet/edge/coordination.h
+++ b/include/limpet/edge/coordination.h
@@ -55,8 +55,8 @@
   /// Ends the membership, so that other nodes need not wait until it times out. Cancels a pending
   /// join without calling its callback.
   virtual void LeaveDecisions(const std::string& member) = 0;
-  /// Delivers the operator's roll-out orders while this node has a reader's role; the same order may
-  /// be delivered again. Call it before `WatchConfig`.
+  /// Delivers the operator's roll-out orders while this node has a reader's role; the same order
+  /// may be delivered again. Call it before `WatchConfig`.
   virtual void WatchRolloutOrders(OrderCallback on_order) = 0;
   /// Stores the state of a roll-out for the operator. Only one write may be pending.
   virtual void WriteRollout(const StoredRollout& rollout, WriteCallback done) = 0;
--- a/include/limpet/traffic/target_placement.h
+++ b/include/limpet/traffic/target_placement.h
@@ -54,8 +54,8 @@
   /// The caller would not lose much if the request is sent to a target that is down, as a trial,
   /// although others are up: it can be repeated.
   bool may_be_trial = false;
-  /// Uniform in [0, 1), the same for all attempts of a request. During a roll-out the request goes to
-  /// the new version if it is less than the canary share.
+  /// Uniform in [0, 1), the same for all attempts of a request. During a roll-out the request goes
+  /// to the new version if it is less than the canary share.
   double version_draw = kOldVersionDraw;
 };
 
@@ -82,9 +82,7 @@
                   RolloutTable* rollouts = nullptr);
 
   /// Returns a random value for `PlacementRequest::version_draw`.
-  double DrawVersion() {
-    return rollouts_ == nullptr ? kOldVersionDraw : random_.NextFraction();
-  }
+  double DrawVersion() { return rollouts_ == nullptr ? kOldVersionDraw : random_.NextFraction(); }
 
   /// Stores the status that `node` reports for its target; the node counts as responsive again.
   void Update(TimePoint now,
--- a/src/decision/decision_lease.cc
+++ b/src/decision/decision_lease.cc
@@ -44,8 +44,8 @@
   }
   // The first reply that a process receives may be one of a store that has just been restored.
   const bool may_be_restored = !has_reply_ && assignment.epoch.has_value();
-  const Duration delay = may_be_restored ? std::max(options_.ttl, options_.takeover_delay)
-                                         : options_.takeover_delay;
+  const Duration delay =
+      may_be_restored ? std::max(options_.ttl, options_.takeover_delay) : options_.takeover_delay;
   const bool lapsed = now >= held_until_;
   std::map<int, TimePoint> decide_from;
   if (IsFaultActive(Fault::kKeepLostPartition)) {
--- a/src/edge/rollout_agent.cc
+++ b/src/edge/rollout_agent.cc
@@ -113,9 +113,9 @@
   }
   meter_.Start(order->Id(), target.instance);
   const auto status = node_.table.FindStatus(now, target.service_name);
-  const bool is_final = status && status->order == order->Id() &&
-                        (status->state == RolloutState::kCompleted ||
-                         status->state == RolloutState::kRolledBack);
+  const bool is_final =
+      status && status->order == order->Id() &&
+      (status->state == RolloutState::kCompleted || status->state == RolloutState::kRolledBack);
   if (now < next_report_ || is_final) {
     return;
   }
@@ -225,33 +225,30 @@
   }
   write_pending_ = true;
   const RolloutOrder& order = held.controller->order();
-  node_.coordination.WriteRollout(
-      {service, order.target_version, *state},
-      [this, service, token = held.token, id = order.Id(), state = *state,
-       alive = std::weak_ptr(alive_)](bool done) {
-        if (alive.expired()) {
-          return;
-        }
-        write_pending_ = false;
-        LogEvent("rollout_written")
-            .Add("service", service)
-            .Add("state", EnumName(kRolloutStateNames, state))
-            .Add("done", int{done});
-        if (!done) {
-          next_store_call_ = MonotonicNow() + kStoreRetryInterval;
-          return;
-        }
-        const auto found = held_.find(service);
-        if (found != held_.end() && found->second.token == token &&
-            found->second.controller->order().Id() == id) {
-          found->second.controller->OnWritten(state);
-        }
-      });
+  node_.coordination.WriteRollout({service, order.target_version, *state},
+                                  [this, service, token = held.token, id = order.Id(),
+                                   state = *state, alive = std::weak_ptr(alive_)](bool done) {
+                                    if (alive.expired()) {
+                                      return;
+                                    }
+                                    write_pending_ = false;
+                                    LogEvent("rollout_written")
+                                        .Add("service", service)
+                                        .Add("state", EnumName(kRolloutStateNames, state))
+                                        .Add("done", int{done});
+                                    if (!done) {
+                                      next_store_call_ = MonotonicNow() + kStoreRetryInterval;
+                                      return;
+                                    }
+                                    const auto found = held_.find(service);
+                                    if (found != held_.end() && found->second.token == token &&
+                                        found->second.controller->order().Id() == id) {
+                                      found->second.controller->OnWritten(state);
+                                    }
+                                  });
 }
 
-void RolloutAgent::Publish(const std::string& service,
-                           int64_t token,
-                           const RolloutStatus& status) {
+void RolloutAgent::Publish(const std::string& service, int64_t token, const RolloutStatus& status) {
   wire::SharedEntry entry;
   entry.key = std::string(kRolloutPrefix) + service;
   entry.token = token;
--- a/src/rollout/rollout_analysis.cc
+++ b/src/rollout/rollout_analysis.cc
@@ -42,8 +42,8 @@
   return std::max(0.0, 1 - below);
 }
 
-/// Limits of what one report of a target adds, in bad responses and in service times. The pause of a
-/// VM makes all its open requests slow at once, which is no fault of the version.
+/// Limits of what one report of a target adds, in bad responses and in service times. The pause of
+/// a VM makes all its open requests slow at once, which is no fault of the version.
 constexpr int64_t kMaxBadPerReport = 3;
 constexpr double kMaxExcessPerReport = 8;
 
--- a/src/rollout/rollout_controller.cc
+++ b/src/rollout/rollout_controller.cc
@@ -79,8 +79,8 @@
     return;
   }
   // A version whose roll-out was replaced before its verdict is not known to be good.
-  const bool replaced = status.state != RolloutState::kCompleted &&
-                        status.target_version != order_.target_version;
+  const bool replaced =
+      status.state != RolloutState::kCompleted && status.target_version != order_.target_version;
   if ((replaced || status.state == RolloutState::kRolledBack) &&
       !IsExcluded(status.target_version)) {
     status_.excluded_versions.push_back(status.target_version);
--- a/src/rollout/rollout_meter.cc
+++ b/src/rollout/rollout_meter.cc
@@ -6,12 +6,12 @@
 
 namespace {
 
-/// A response that takes longer than this many times the typical service time of its route counts as
-/// bad. Bad versions are several times slower; the same limit holds for the old version, so its
+/// A response that takes longer than this many times the typical service time of its route counts
+/// as bad. Bad versions are several times slower; the same limit holds for the old version, so its
 /// natural spread is compared with.
 constexpr double kSlowFactor = 4;
-/// Times are counted up to this factor, so that a single request that waits for seconds does not make
-/// the mean of a version large.
+/// Times are counted up to this factor, so that a single request that waits for seconds does not
+/// make the mean of a version large.
 constexpr double kMaxFactor = 10;
 /// Shorter times count as this one: the connections to a new target alone take about a millisecond.
 constexpr double kMinTypicalUs = 2000;
--- a/src/rollout/rollout_table.cc
+++ b/src/rollout/rollout_table.cc
@@ -87,8 +87,8 @@
   if (version == TargetVersion(*entry)) {
     return VersionUse::kNew;
   }
-  const bool order_is_applied = !entry->order || (entry->status && entry->status->order ==
-                                                                       entry->order->Id());
+  const bool order_is_applied =
+      !entry->order || (entry->status && entry->status->order == entry->order->Id());
   if (entry->status && !order_is_applied && entry->status->target_version == version &&
       entry->status->state != RolloutState::kCompleted) {
     // The roll-out of this version was replaced before its verdict.
@@ -97,10 +97,9 @@
   if (!allowed) {
     return VersionUse::kHeldBack;
   }
-  const bool after_completion = entry->status && order_is_applied &&
-                                entry->status->state == RolloutState::kCompleted &&
-                                found != entry->versions.end() &&
-                                found->second.first_seen > entry->completed_at;
+  const bool after_completion =
+      entry->status && order_is_applied && entry->status->state == RolloutState::kCompleted &&
+      found != entry->versions.end() && found->second.first_seen > entry->completed_at;
   return after_completion ? VersionUse::kNew : VersionUse::kOld;
 }
 
--- a/src/traffic/mesh_call.cc
+++ b/src/traffic/mesh_call.cc
@@ -37,7 +37,9 @@
 }  // namespace
 
 MeshCall::MeshCall(MeshCallOptions options, TargetPlacement& placement, SharedRetryBudget& budget)
-    : options_(std::move(options)), placement_(placement), budget_(budget),
+    : options_(std::move(options)),
+      placement_(placement),
+      budget_(budget),
       version_draw_(placement.DrawVersion()) {}
 
 MeshCall::~MeshCall() {
--- a/tests/decision/decision_lease_test.cc
+++ b/tests/decision/decision_lease_test.cc
@@ -62,7 +62,8 @@
   CHECK(a.HeldSince(resumed + milliseconds(1000), 0) == resumed + milliseconds(1000));
 }
 
-TEST_CASE_FIXTURE(Pair, "a partition passes on only after its holder has seen that it is not listed") {
+TEST_CASE_FIXTURE(Pair,
+                  "a partition passes on only after its holder has seen that it is not listed") {
   Join(a, store, kStart);
   const TimePoint later = kStart + seconds(2);
   Join(b, store, later);
@@ -87,7 +88,8 @@
   CHECK(a.HeldPartitions(next + milliseconds(600)) == held);
 }
 
-TEST_CASE_FIXTURE(Pair, "a released lease holds nothing and ignores replies that are on their way") {
+TEST_CASE_FIXTURE(Pair,
+                  "a released lease holds nothing and ignores replies that are on their way") {
   Join(a, store, kStart);
   const TimePoint later = kStart + seconds(2);
   const GroupAssignment reply = store.Join(later, a.OnJoinSent(later));
@@ -297,8 +299,8 @@
   int held_instants_ = 0;
 };
 
-// Guards against two holders of a partition at any instant, with paused and restarted members, lost,
-// repeated and late joins and replies, moves of all partitions, and restored stores.
+// Guards against two holders of a partition at any instant, with paused and restarted members,
+// lost, repeated and late joins and replies, moves of all partitions, and restored stores.
 TEST_CASE("a partition never has two holders") {
   int held = 0;
   for (uint64_t seed = 1; seed <= 60; ++seed) {
--- a/tests/platform/mesh_test.cc
+++ b/tests/platform/mesh_test.cc
@@ -69,8 +69,8 @@
   /// Sends a heartbeat that does not show the present state of the target.
   std::string SendHeartbeat(const std::string& state, int sequence) {
     const std::string body = R"({"service":")" + service_ + R"(","address":"127.0.0.1:)" +
-                             std::to_string(settings_.target.port) +
-                             R"(","zone":"a","version":")" + software + R"(","slots":2,"state":")" + state +
+                             std::to_string(settings_.target.port) + R"(","zone":"a","version":")" +
+                             software + R"(","slots":2,"state":")" + state +
                              R"(","cold_remaining_ms":0,"born":)" + std::to_string(start_time_ms) +
                              R"(,"sequence":)" + std::to_string(sequence) + "}";
     return Send(settings_.announcements.port, "PUT /instances/" + instance, body);
@@ -555,9 +555,10 @@
   CHECK(desk2.executions == before);
 }
 
-// Guards against a roll-out that stops half-way, and old targets that get requests when the operator
-// may have stopped them.
-TEST_CASE_FIXTURE(RolloutFixture, "a good version gets all requests and the roll-out is completed") {
+// Guards against a roll-out that stops half-way, and old targets that get requests when the
+// operator may have stopped them.
+TEST_CASE_FIXTURE(RolloutFixture,
+                  "a good version gets all requests and the roll-out is completed") {
   StartMesh();
   Order(12);
   REQUIRE(CallUntilState("completed", seconds(30)));
@@ -572,7 +573,10 @@
   StartMesh();
   store.Put("keyed.op", "rollout/desk", R"({"service":"desk","target_version":7})");
   store.Put("keyed.op", "rollout/other", OrderText("v2", 10));
-  AddSecondTarget();
+  // Once this is in effect, the records before it were read too.
+  store.Put("keyed.op", "config", ConfigText(2, "/slots/"));
+  REQUIRE(caller.CallUntil("/slots/1", "200"));
+  CHECK(caller.Metrics().find("rollout_orders") == std::string::npos);
   CHECK(store.Newest("keyed.status", "rollout/desk").empty());
 }
 
--- a/tests/rollout/rollout_controller_test.cc
+++ b/tests/rollout/rollout_controller_test.cc
@@ -407,8 +407,8 @@
   }
 }
 
-// Guards against the rollback of a good version because the VM of one target paused, which makes all
-// its open requests slow at once.
+// Guards against the rollback of a good version because the VM of one target paused, which makes
+// all its open requests slow at once.
 TEST_CASE("a burst of slow responses of one target is no fault of the version") {
   RolloutController controller({}, Order("v2"), kStart);
   controller.OnReport(kStart, "n1", Report(controller, "v1", 200, 1));
--- a/tests/rollout/rollout_table_test.cc
+++ b/tests/rollout/rollout_table_test.cc
@@ -78,7 +78,8 @@
 }
 
 // Guards against requests for a version before the holder has decided on its share.
-TEST_CASE_FIXTURE(Fixture, "after the order the new version gets nothing until the holder decides") {
+TEST_CASE_FIXTURE(Fixture,
+                  "after the order the new version gets nothing until the holder decides") {
   AddTargets(2, 2);
   table.SetOrder(kStart, Order("v2"));
   CHECK(*NewShare() == 0);
