--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -35,32 +35,36 @@
   kAcceptMisplacedBody,
   kUseUnconfirmedTarget,
   kTrustEarlierCheck,
-  kNoTrialFromPlacement,  // no request is sent to a target that is down
   kSkipCallerMemory,
   kSkipResponseCheck,
   kAcceptResponseAfterError,
-  kKeepLastSharedEntry,
-  kSkipRolloutAnalysis,
-  kKeepLostPartition,
-  kSpendExpiredTokens,
   kSkipKnowledgeCheck,
   kAdoptUnknownKnowledge,
   kIgnoreStoreEpoch,
   kKeepCallersAccount,
+  kKeepLastSharedEntry,
+  kSkipRolloutAnalysis,
+  kKeepLostPartition,
+  kSpendExpiredTokens,
+  kNoTrialFromPlacement,  // no request is sent to a target that is down
 };
 
-inline constexpr EnumNames<Fault, 40> kFaultNames = {{};
-
-{Fault::kNone, "none"}, {Fault::kSkipBaseCheck, "skip_base_check"},
+inline constexpr EnumNames<Fault, 39> kFaultNames = {{
+    {Fault::kNone, "none"},
     {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
     {Fault::kSwapBeforeValidate, "swap_before_validate"},
-    {Fault::kSkipClosureCheck, "skip_closure_check"}, {Fault::kSkipFence, "skip_fence"},
-    {Fault::kSkipRepair, "skip_repair"}, {Fault::kReadyTooEarly, "ready_too_early"},
-    {Fault::kSkipRefutation, "skip_refutation"}, {Fault::kForgetLeaving, "forget_leaving"},
-    {Fault::kRetryUnknown, "retry_unknown"}, {Fault::kSkipDeduplication, "skip_ledger"},
+    {Fault::kSkipClosureCheck, "skip_closure_check"},
+    {Fault::kSkipFence, "skip_fence"},
+    {Fault::kSkipRepair, "skip_repair"},
+    {Fault::kReadyTooEarly, "ready_too_early"},
+    {Fault::kSkipRefutation, "skip_refutation"},
+    {Fault::kForgetLeaving, "forget_leaving"},
+    {Fault::kRetryUnknown, "retry_unknown"},
+    {Fault::kSkipDeduplication, "skip_ledger"},
     {Fault::kSkipIncarnationCheck, "skip_incarnation_check"},
-    {Fault::kFalseNotRun, "false_not_run"}, {Fault::kSkipAttemptMatch, "skip_attempt_match"},
+    {Fault::kFalseNotRun, "false_not_run"},
+    {Fault::kSkipAttemptMatch, "skip_attempt_match"},
     {Fault::kAcceptTruncated, "accept_truncated"},
     {Fault::kAdmitWhileDraining, "admit_while_draining"},
     {Fault::kCutInFlightOnStop, "cut_in_flight_on_stop"},
@@ -73,21 +77,19 @@
     {Fault::kAcceptMisplacedBody, "accept_misplaced_body"},
     {Fault::kUseUnconfirmedTarget, "use_unconfirmed_target"},
     {Fault::kTrustEarlierCheck, "trust_earlier_check"},
-    {Fault::kNoTrialFromPlacement, "no_trial_from_placement"},
     {Fault::kSkipCallerMemory, "skip_caller_memory"},
     {Fault::kSkipResponseCheck, "skip_response_check"},
     {Fault::kAcceptResponseAfterError, "accept_response_after_error"},
-    {Fault::kKeepLastSharedEntry, "keep_last_shared_entry"},
-    {Fault::kSkipRolloutAnalysis, "skip_rollout_analysis"},
-    {Fault::kKeepLostPartition, "keep_lost_partition"},
-    {Fault::kSpendExpiredTokens, "spend_expired_tokens"},
     {Fault::kSkipKnowledgeCheck, "skip_knowledge_check"},
     {Fault::kAdoptUnknownKnowledge, "adopt_unknown_knowledge"},
     {Fault::kIgnoreStoreEpoch, "ignore_store_epoch"},
     {Fault::kKeepCallersAccount, "keep_callers_account"},
-}
-}
-;
+    {Fault::kKeepLastSharedEntry, "keep_last_shared_entry"},
+    {Fault::kSkipRolloutAnalysis, "skip_rollout_analysis"},
+    {Fault::kKeepLostPartition, "keep_lost_partition"},
+    {Fault::kSpendExpiredTokens, "spend_expired_tokens"},
+    {Fault::kNoTrialFromPlacement, "no_trial_from_placement"},
+}};
 
 #ifdef LIMPET_FAULTS
 /// Returns true if the environment variable LIMPET_FAULT names this fault.
--- a/include/limpet/settings/node_settings.h
+++ b/include/limpet/settings/node_settings.h
@@ -129,6 +129,15 @@
   /// Further requests by which the limit may be exceeded in a window.
   double quota_slack = 20;
 
+  // [rollout]
+  /// Sends nothing to targets of a version that appears later until it is known that no roll-out
+  /// order concerns it.
+  bool hold_new_versions = false;
+  /// Share of the requests for a service that a bad version may get between order and deadline.
+  double exposure_share = 0.1;
+  /// Further requests that a bad version may get.
+  double exposure_slack = 50;
+
   // [stop]
   /// Time from the request to stop until the process is killed.
   double grace_period_ms = 6000;
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -153,7 +153,10 @@
       readers_({}, settings_.name, static_cast<int>(settings_.link_mbps)),
       registry_(FormatAddress(settings_.target), MonotonicNow(), UnixMs()),
       gate_(TargetGateOptions{}),
-      placement_(PlacementOptions{}, settings_.data_centre, Random(GenerateSeed())),
+      placement_(PlacementOptions{},
+                 settings_.data_centre,
+                 Random(GenerateSeed()),
+                 &rollout_table_),
       budget_(MakeBudgetOptions(settings_)),
       tick_timer_(executor),
       target_probe_(executor, header_names_) {
@@ -174,6 +177,14 @@
       std::make_unique<FreshnessAgent>(settings_, header_names_, config_, readers_, *links_);
   inbound_ = std::make_unique<InboundProxy>(executor_, header_names_, gate_, counters_, vm_link,
                                             [this] { OnStatusChanged(); });
+  freshness_->set_operator_digest([this] { return shared_state_->state().OperatorDigest(); });
+  if (settings_.hold_new_versions) {
+    rollout_table_ = RolloutTable([this] { return freshness_->clock().proven(); });
+  }
+  rollouts_ = std::make_unique<RolloutAgent>(
+      settings_.name, RolloutOptions{settings_.exposure_share, settings_.exposure_slack},
+      RolloutAgentDependencies{rollout_table_, gate_, *inbound_, *shared_state_, *links_,
+                               coordination_, leases_->lease(), counters_});
   outbound_ = std::make_unique<OutboundProxy>(
       executor_,
       OutboundProxyOptions{settings_.name, settings_.data_centre, settings_.service,
@@ -225,6 +236,9 @@
     shared_state_->OnMessage(MonotonicNow(), node, message.shared_state);
   }
   quota_->OnMessage(node, message);
+  if (message.__isset.rollout_report) {
+    rollouts_->OnReport(MonotonicNow(), node, message.rollout_report);
+  }
 }
 
 bool EdgeNode::WantsDecisions() const {
@@ -265,6 +279,7 @@
       [this](TcpSocket socket) { link_server_->Accept(std::move(socket)); }));
   serve(settings_.outbound, caller_sessions_);
   coordination_.WatchFreshness([this](TimePoint proven) { freshness_->clock().OnProof(proven); });
+  rollouts_->Start();
   coordination_.WatchConfig(
       [this](MeshConfig config) { OnStoreConfig(std::move(config)); },
       [this](const std::string& /*problem*/) { counters_.Get("config_malformed").Add(); });
@@ -607,6 +622,7 @@
   links_->Tick();
   link_server_->Tick(now);
   shared_state_->Tick(now);
+  rollouts_->Tick(now);
   leases_->Tick(now, WantsDecisions());
   quota_->Tick(now, links_->CountKnown() + 1);
   CheckTarget(now);
--- a/tests/platform/store_coordination_test.cc
+++ b/tests/platform/store_coordination_test.cc
@@ -11,8 +11,8 @@
 #include <utility>
 
 #include "edge/loop_thread.h"
-#include "limpet/net/clock.h"
 #include "limpet/core/error.h"
+#include "limpet/net/clock.h"
 #include "platform/fake_store.h"
 
 namespace limpet::platform {
