--- a/include/limpet/edge/caller_connection.h
+++ b/include/limpet/edge/caller_connection.h
@@ -50,7 +50,7 @@
   void Parse();
   void BeginRequest();
   void Dispatch();
-  void PassOn(HttpSessionPtr session);
+  void PassOn(const HttpSessionPtr& session);
   void RefuseMalformed(const ErrorCode& error);
   /// Answers the request that is being received, after the pending ones, and closes the connection.
   void RespondAndClose(int status, const std::string& text);
--- a/include/limpet/edge/edge_node.h
+++ b/include/limpet/edge/edge_node.h
@@ -17,40 +17,17 @@
 #include "limpet/edge/lease_agent.h"
 #include "limpet/edge/link_server.h"
 #include "limpet/edge/listener.h"
+#include "limpet/edge/local_target.h"
 #include "limpet/edge/outbound_proxy.h"
 #include "limpet/edge/peer_links.h"
 #include "limpet/edge/quota_agent.h"
 #include "limpet/edge/rollout_agent.h"
 #include "limpet/edge/shared_state_agent.h"
-#include "limpet/edge/target_probe.h"
-#include "limpet/registry/target_registry.h"
 #include "limpet/routing/config_holder.h"
 #include "limpet/settings/node_settings.h"
 
 namespace limpet::edge {
 
-/// Decodes the announcements of targets and recognises the other requests that a deployment sends
-/// to a node. Implemented by an adapter.
-class AnnouncementCodec {
- public:
-  struct Leave {
-    std::string instance;
-    std::optional<int64_t> start_time_ms;
-  };
-  struct Message {
-    /// Exactly one is set.
-    std::optional<TargetAnnouncement> announcement;
-    std::optional<Leave> leave;
-  };
-
-  virtual ~AnnouncementCodec() = default;
-  /// Throws `DecodeError` if the request is not a valid announcement.
-  virtual Message Decode(const HttpRequest& request) const = 0;
-  /// Response to an accepted heartbeat or leave.
-  virtual HttpResponse Acknowledge() const = 0;
-  virtual bool IsReadinessRequest(const HttpRequest& request) const = 0;
-};
-
 /// One node of the mesh on one event loop. Serves callers, links and the local target, and handles
 /// configuration and readiness.
 class EdgeNode final : private PeerLinksObserver {
@@ -95,8 +72,6 @@
   void RecordConfigUpdate(ConfigUpdateResult result, std::string_view source);
   void RequestNewerConfig(const std::string& node, const std::string& data_centre, int64_t version);
   void OnStatusChanged();
-  void OnAnnouncement(const HttpSessionPtr& session);
-  void ApplyAnnouncement(const TargetAnnouncement& announcement);
   void OnCallerRequest(const HttpSessionPtr& session);
   void OnReadiness(const HttpSessionPtr& session);
   void OnMetrics(const HttpSessionPtr& session);
@@ -107,14 +82,6 @@
   void RunTick(TimePoint now);
   void LogTraffic(TimePoint now);
   void CheckStopped();
-  /// Sends a health check to the target if the registry needs one, or if the node has just started
-  /// and no target is known.
-  void CheckTarget(TimePoint now);
-  /// `candidate` is the instance for which the check was sent; empty if none was known.
-  void OnTargetChecked(int64_t check,
-                       const std::string& candidate,
-                       const TargetProbe::Result& result);
-
   Executor executor_;
   NodeSettings settings_;
   /// Random id of this process start; other nodes detect a restart by it.
@@ -125,7 +92,6 @@
   Counters counters_;
   ConfigHolder config_;
   StoreReaders readers_;
-  TargetRegistry registry_;
   TargetGate gate_;
   RolloutTable rollout_table_{nullptr};
   TargetPlacement placement_;
@@ -139,6 +105,7 @@
   std::unique_ptr<QuotaAgent> quota_;
   std::unique_ptr<RolloutAgent> rollouts_;
   std::unique_ptr<InboundProxy> inbound_;
+  std::unique_ptr<LocalTarget> local_target_;
   std::unique_ptr<OutboundProxy> outbound_;
   std::unique_ptr<LinkServer> link_server_;
   std::unique_ptr<CallerMemoryReport> memory_report_;
@@ -162,10 +129,6 @@
   TimePoint behind_since_{};
   bool joined_ = false;
   TimePoint joined_at_{};
-  TargetProbe target_probe_;
-  TimePoint last_discovery_{};
-  /// The target has sent a heartbeat or a leave.
-  bool target_announced_ = false;
   bool stopping_ = false;
   /// Calls from other nodes are refused because this node is stopping.
   bool inbound_stopped_ = false;
--- a/include/limpet/edge/outbound_proxy.h
+++ b/include/limpet/edge/outbound_proxy.h
@@ -66,7 +66,7 @@
   void AdmitByQuota(const HttpSessionPtr& session,
                     const RouteTablePtr& routes,
                     const MeshRoute& route,
-                    MeshCallOptions options);
+                    const MeshCallOptions& options);
   void StartCall(const HttpSessionPtr& session,
                  const MeshRoute& route,
                  MeshCallOptions options,
--- a/src/edge/caller_connection.cc
+++ b/src/edge/caller_connection.cc
@@ -212,10 +212,10 @@
     UpdateActivity();
     return;
   }
-  PassOn(std::move(session));
+  PassOn(session);
 }
 
-void CallerConnection::PassOn(HttpSessionPtr session) {
+void CallerConnection::PassOn(const HttpSessionPtr& session) {
   pending_.push_back(session);
   ++*options_.pending_requests;
   UpdateActivity();
@@ -267,16 +267,16 @@
   const bool ends = pending_.size() == 1 && options_.is_closing();
   const bool keep_alive = session->keep_alive_ && !ends;
   session->response_->keep_alive(keep_alive);
-  http::async_write(
-      socket_, *session->response_,
-      [self = shared_from_this(), message = session->response_, keep_alive](ErrorCode error,
-                                                                            std::size_t) {
-        if (error) {
-          self->Close();
-        } else if (!RunGuarded("caller_connection", [&] { self->OnWritten(keep_alive); })) {
-          self->Close();
-        }
-      });
+  http::async_write(socket_, *session->response_,
+                    [self = shared_from_this(), message = session->response_, keep_alive](
+                        ErrorCode error, std::size_t) {
+                      const bool handled = !error && RunGuarded("caller_connection", [&] {
+                        self->OnWritten(keep_alive);
+                      });
+                      if (!handled) {
+                        self->Close();
+                      }
+                    });
 }
 
 void CallerConnection::OnWritten(bool keep_alive) {
@@ -398,11 +398,9 @@
 }
 
 void CallerConnection::OnTimeout() {
-  if (phase_ == Phase::kClosing) {
-    Close();
-  } else if (phase_ == Phase::kOpen && input_ != Input::kNone) {
+  if (phase_ == Phase::kOpen && input_ != Input::kNone) {
     RespondAndClose(408, "the request did not arrive in time");
-  } else if (phase_ == Phase::kOpen && pending_.empty()) {
+  } else if (phase_ == Phase::kClosing || pending_.empty()) {
     Close();
   }
   // The deadlines of pending requests end them; the end of the last one sets a new timeout.
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -58,14 +58,6 @@
 /// The node stops this long before the grace period ends, even if requests are still pending.
 constexpr Duration kStopMargin = std::chrono::milliseconds(300);
 
-/// The health endpoint is asked for a target without any heartbeat for this long after the start of
-/// the node; later, only heartbeats announce one.
-constexpr Duration kDiscoveryTime = std::chrono::seconds(2);
-constexpr Duration kDiscoveryInterval = std::chrono::milliseconds(250);
-/// Slots assumed for a discovered target if no other target of its service is known. Kept low until
-/// the first heartbeat states the real number.
-constexpr int kAssumedSlots = 4;
-
 uint64_t GenerateSeed() {
   std::random_device device;
   return (uint64_t{device()} << 32) | device();
@@ -151,15 +143,13 @@
       codec_(codec),
       coordination_(coordination),
       readers_({}, settings_.name, static_cast<int>(settings_.link_mbps)),
-      registry_(FormatAddress(settings_.target), MonotonicNow(), UnixMs()),
       gate_(TargetGateOptions{}),
       placement_(PlacementOptions{},
                  settings_.data_centre,
                  Random(GenerateSeed()),
                  &rollout_table_),
       budget_(MakeBudgetOptions(settings_)),
-      tick_timer_(executor),
-      target_probe_(executor, header_names_) {
+      tick_timer_(executor) {
   PeerLinksObserver& observer = *this;
   traffic_ = std::make_shared<LinkTraffic>();
   const VmLink vm_link{MakePacer(executor_, settings_), MakePacer(executor_, settings_), traffic_};
@@ -177,6 +167,8 @@
       std::make_unique<FreshnessAgent>(settings_, header_names_, config_, readers_, *links_);
   inbound_ = std::make_unique<InboundProxy>(executor_, header_names_, gate_, counters_, vm_link,
                                             [this] { OnStatusChanged(); });
+  local_target_ = std::make_unique<LocalTarget>(executor_, settings_, header_names_, codec_,
+                                                config_, placement_, *inbound_, counters_);
   freshness_->set_operator_digest([this] { return shared_state_->state().OperatorDigest(); });
   if (settings_.hold_new_versions) {
     rollout_table_ = RolloutTable([this] { return freshness_->clock().proven(); });
@@ -261,8 +253,9 @@
   caller_sessions_.max_pipelined = kMaxPipelinedRequests;
   readiness_sessions_ = {[this](const HttpSessionPtr& session) { OnReadiness(session); },
                          AdminLimits, never_closing};
-  announcement_sessions_ = {[this](const HttpSessionPtr& session) { OnAnnouncement(session); },
-                            AdminLimits, never_closing};
+  announcement_sessions_ = {
+      [this](const HttpSessionPtr& session) { local_target_->OnAnnouncement(session); },
+      AdminLimits, never_closing};
   metrics_sessions_ = {[this](const HttpSessionPtr& session) { OnMetrics(session); }, AdminLimits,
                        never_closing};
   const auto serve = [this, &memory](const PeerAddress& address, HttpSessionOptions& options) {
@@ -310,7 +303,7 @@
   freshness_->Reload(settings_);
   outbound_->set_service(settings_.service);
   settings_.target = settings.target;
-  registry_.set_address(FormatAddress(settings.target));
+  local_target_->OnSettings();
   LogEvent("reloaded").Add("service", settings_.service);
 }
 
@@ -412,107 +405,6 @@
   }
 }
 
-void EdgeNode::OnAnnouncement(const HttpSessionPtr& session) {
-  try {
-    const AnnouncementCodec::Message message = codec_.Decode(session->request());
-    target_announced_ = true;
-    if (message.announcement) {
-      ApplyAnnouncement(*message.announcement);
-    } else if (message.leave) {
-      registry_.OnLeave(MonotonicNow(), message.leave->instance, message.leave->start_time_ms);
-      inbound_->SetTarget(registry_.current());
-      LogEvent("target_left").Add("instance", message.leave->instance);
-    }
-  } catch (const DecodeError& error) {
-    counters_.Get("announcements_malformed").Add();
-    LogEvent("announcement_malformed").Add("problem", error.what());
-    session->Respond(TextResponse(400, std::string(error.what()) + "\n"));
-    return;
-  }
-  session->Respond(codec_.Acknowledge());
-}
-
-void EdgeNode::ApplyAnnouncement(const TargetAnnouncement& announcement) {
-  const bool known_service = announcement.service == settings_.service || !config_.routes() ||
-                             config_.routes()->FindService(announcement.service) != nullptr;
-  if (!known_service) {
-    throw DecodeError("service " + announcement.service + " is not in the configuration");
-  }
-  const TargetAnnouncement* before = registry_.current();
-  const std::string instance = before == nullptr ? "" : before->instance;
-  const bool was_draining = before != nullptr && before->draining;
-  const AnnouncementResult result = registry_.OnAnnouncement(MonotonicNow(), announcement);
-  const bool changed = result == AnnouncementResult::kLate ||
-                       result == AnnouncementResult::kWrongPlace ||
-                       instance != announcement.instance ||
-                       was_draining != (result == AnnouncementResult::kDraining);
-  if (changed) {
-    LogEvent("target_announced")
-        .Add("instance", announcement.instance)
-        .Add("result", EnumName(kAnnouncementResultNames, result))
-        .Add("sequence", announcement.sequence)
-        .Add("address", announcement.address)
-        .Add("slots", announcement.slots);
-  }
-  if (result == AnnouncementResult::kCurrent || result == AnnouncementResult::kDraining) {
-    inbound_->SetTarget(registry_.current());
-  }
-  CheckTarget(MonotonicNow());
-}
-
-void EdgeNode::CheckTarget(TimePoint now) {
-  if (!config_.routes() || target_probe_.pending()) {
-    return;
-  }
-  const TargetAnnouncement* candidate = registry_.FindCheckDue(now);
-  const bool discovers = candidate == nullptr && !target_announced_ &&
-                         registry_.current() == nullptr && now - started_ <= kDiscoveryTime &&
-                         now - last_discovery_ >= kDiscoveryInterval;
-  if (candidate == nullptr && !discovers) {
-    return;
-  }
-  const std::string service_name = discovers ? settings_.service : candidate->service;
-  const MeshService* service = config_.routes()->FindService(service_name);
-  const bool has_health_check = service != nullptr && !service->health_path.empty();
-  if (discovers) {
-    last_discovery_ = now;
-  }
-  const std::string instance = discovers ? "" : candidate->instance;
-  const int64_t check = registry_.OnCheckSent(now, instance);
-  if (has_health_check) {
-    target_probe_.Send(settings_.target, service->health_path,
-                       [this, check, instance](const TargetProbe::Result& result) {
-                         OnTargetChecked(check, instance, result);
-                       });
-  } else if (service != nullptr && registry_.ConfirmUnchecked(instance)) {
-    LogEvent("target_unchecked").Add("instance", instance).Add("service", service_name);
-    inbound_->SetTarget(registry_.current());
-  }
-}
-
-void EdgeNode::OnTargetChecked(int64_t check,
-                               const std::string& candidate,
-                               const TargetProbe::Result& result) {
-  const bool used = result.healthy && registry_.OnCheckPassed(check, result.instance);
-  if (used || !candidate.empty()) {
-    LogEvent("target_checked")
-        .Add("candidate", candidate)
-        .Add("status", int64_t{result.status})
-        .Add("instance", result.instance)
-        .Add("used", int64_t{used});
-  }
-  const int known_slots = placement_.MinSlots(settings_.service);
-  const int slots = known_slots > 0 ? known_slots : kAssumedSlots;
-  const bool discovered = result.healthy && candidate.empty() && !target_announced_ &&
-                          registry_.OnDiscovered(check, result.instance, settings_.service, slots);
-  if (discovered) {
-    LogEvent("target_discovered").Add("instance", result.instance).Add("slots", slots);
-  }
-  if (used || discovered) {
-    inbound_->SetTarget(registry_.current());
-  }
-}
-
 bool EdgeNode::IsReady() const {
   if (stopping_ || !config_.routes()) {
     return false;
@@ -625,7 +517,7 @@
   rollouts_->Tick(now);
   leases_->Tick(now, WantsDecisions());
   quota_->Tick(now, links_->CountKnown() + 1);
-  CheckTarget(now);
+  local_target_->Check(now);
   PushStatus(now);
   freshness_->Tick(now);
   coordination_.SetRole(readers_.Role(now, config_.version() > 0));
--- a/src/edge/lease_agent.cc
+++ b/src/edge/lease_agent.cc
@@ -43,7 +43,7 @@
   if (wanted != member_) {
     member_ = wanted;
     ++membership_;
-    LogEvent(wanted ? "decisions_joined" : "decisions_left");
+    const LogEvent event(wanted ? "decisions_joined" : "decisions_left");
     if (!wanted) {
       lease_.Release(now);
       coordination_.LeaveDecisions(self_);
--- a/src/edge/outbound_proxy.cc
+++ b/src/edge/outbound_proxy.cc
@@ -449,14 +449,14 @@
   if (call_options.account.empty()) {
     StartCall(session, *route, std::move(call_options), nullptr);
   } else {
-    AdmitByQuota(session, routes, *route, std::move(call_options));
+    AdmitByQuota(session, routes, *route, call_options);
   }
 }
 
 void OutboundProxy::AdmitByQuota(const HttpSessionPtr& session,
                                  const RouteTablePtr& routes,
                                  const MeshRoute& route,
-                                 MeshCallOptions options) {
+                                 const MeshCallOptions& options) {
   // The route is part of `routes`, which the callback keeps.
   const auto on_decision = [this, session, routes, &route, options](const QuotaDecision& decision) {
     session->SetDisconnectHandler(nullptr);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -102,7 +102,8 @@
  private:
   void OnRequest(const edge::HttpSessionPtr& session) {
     auto descriptor = std::make_shared<DuplicateDescriptor>(session->descriptor());
-    workers_.Post([this, session, descriptor = std::move(descriptor)]() mutable {
+    workers_.Post([this, session = edge::HttpSessionPtr(session),
+                   descriptor = std::move(descriptor)]() mutable {
       HttpResponse response = MakeResponse(session->request(), ConnectionWatch(descriptor->fd()));
       // Moved, because only the thread of the event loop may destroy a session.
       edge::asio::post(context_,
