--- a/review/6/play.py
+++ b/review/6/play.py
@@ -63,11 +63,15 @@
         await endpoint.start()
     await deployment.start(CONFIG)
     await asyncio.sleep(3)
+    # The first answers tell the nodes how long a request takes.
+    first = TimedClient(record, stopped)
+    for _ in range(8):
+        await first.run()
     lost = 0
     for number in range(ROUNDS):
-        warm = [TimedClient(record, stopped) for _ in range(SLOTS)]
-        for _ in range(4):
-            await asyncio.gather(*(client.run() for client in warm))
+        # The usual traffic of this machine: the same requests come together from time to time.
+        usual = [TimedClient(record, stopped) for _ in range(REQUESTS)]
+        await asyncio.gather(*(client.run() for client in usual))
         await asyncio.sleep(3.5)
         end = await stop(stopped) if TROUBLE else None
         asked = time.monotonic()
@@ -92,13 +96,14 @@
         statuses = {}
         for client in clients:
             statuses[client.status] = statuses.get(client.status, 0) + 1
-        print(f"round {number}: {statuses}; connections that ended without an answer: {len(cut)}, of requests that had not "
+        served = sum(client.status == 200 for client in usual)
+        print(f"round {number}: {served} of {REQUESTS} usual requests served; around the stop {statuses}; connections that ended without an answer: {len(cut)}, of requests that had not "
               f"been passed on to an endpoint: {len(waiting)}")
+        for client in clients + usual + [first]:
+            client.close()
         if end:
             await end
             await stopped.restart()
-            for client in clients + warm:
-                client.close()
             await asyncio.sleep(3)
     record("result", lost=lost)
     return lost > 0
