--- a/review/standin-2/platform_standin.py
+++ b/review/standin-2/platform_standin.py
@@ -689,8 +689,8 @@
 
     try:
         broken = asyncio.run(main())
-    except (CannotRun, TimeoutError, OSError) as error:
-        print("could not run:", error or type(error).__name__)
+    except Exception as error:  # An error of the script itself must not look like a broken rule.
+        print("could not run:", type(error).__name__, error)
         sys.exit(2)
     print("the rule was broken" if broken else "the rule held")
     sys.exit(1 if broken else 0)
