Serve keys again after a restore of the store and a restart of all nodes

Cause: ReadProof took each epoch above 1 that a process saw first as a restore of a moment ago, and only a configuration written later ended that. Nothing that running processes had learned outlived them. The same held for a restore that lost no configuration, and for an operator that writes before a reader has seen the epoch. Ruled out: the store's calls (200 throughout), the links (peers replied and had no proof either), the keys.

Change: two more kinds of evidence for an epoch. A reader that has evidence records the epoch in the store, and a process that starts later relies on the record of the present epoch. A configuration older than one that was read is no evidence any more. A reader that sees a new epoch writes the addresses of nodes that the store lost again.

The model of revocations now restarts all nodes, also with a restore, loses witnesses, and has an operator that writes only what was lost.

--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -41,6 +41,7 @@
   kSkipKnowledgeCheck,
   kAdoptUnknownKnowledge,
   kIgnoreStoreEpoch,
+  kRequireConfiguration,  // nothing but a configuration is evidence for an epoch
   kKeepCallersAccount,
   kKeepLastSharedEntry,
   kSkipRolloutAnalysis,
@@ -49,7 +50,7 @@
   kNoTrialFromPlacement,  // no request is sent to a target that is down
 };
 
-inline constexpr EnumNames<Fault, 39> kFaultNames = {{
+inline constexpr EnumNames<Fault, 40> kFaultNames = {{
     {Fault::kNone, "none"},
     {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
@@ -83,6 +84,7 @@
     {Fault::kSkipKnowledgeCheck, "skip_knowledge_check"},
     {Fault::kAdoptUnknownKnowledge, "adopt_unknown_knowledge"},
     {Fault::kIgnoreStoreEpoch, "ignore_store_epoch"},
+    {Fault::kRequireConfiguration, "require_configuration"},
     {Fault::kKeepCallersAccount, "keep_callers_account"},
     {Fault::kKeepLastSharedEntry, "keep_last_shared_entry"},
     {Fault::kSkipRolloutAnalysis, "skip_rollout_analysis"},
--- a/include/limpet/edge/coordination.h
+++ b/include/limpet/edge/coordination.h
@@ -39,6 +39,7 @@
   /// `done` tells whether the store acknowledged the write. Otherwise it may have been done.
   using WriteCallback = std::function<void(bool done)>;
   using NodesCallback = std::function<void(std::vector<wire::NodeAddress>)>;
+  using RestoreCallback = std::function<void()>;
 
   virtual ~Coordination() = default;
 
@@ -54,6 +55,12 @@
   /// Stores the address of this node, then delivers the addresses of all known nodes once. Retries
   /// during store outages.
   virtual void RegisterNode(const wire::NodeAddress& self, NodesCallback on_nodes) = 0;
+  /// Sets the callback for a restore of the store from a copy, which may have lost what nodes
+  /// wrote. Only a node with a reader's role notices it. Call it before `WatchConfig`.
+  virtual void WatchRestores(RestoreCallback on_restored) = 0;
+  /// Stores the addresses of those nodes for which the store holds no address. Retries until it is
+  /// done; a later call replaces a pending one.
+  virtual void StoreMissingNodes(std::vector<wire::NodeAddress> nodes) = 0;
   /// Joins the group of deciding nodes or renews the membership. Only one join may be pending.
   virtual void JoinDecisions(const GroupJoin& join, AssignmentCallback done) = 0;
   /// Ends the membership, so that other nodes need not wait until it times out. Cancels a pending
--- a/include/limpet/edge/peer_links.h
+++ b/include/limpet/edge/peer_links.h
@@ -102,6 +102,8 @@
 
   /// Returns up to `count` random reachable nodes.
   std::vector<wire::NodeAddress> SampleNodes(int count);
+  /// Returns all nodes that were added, whether they are reachable or not.
+  std::vector<wire::NodeAddress> KnownNodes() const;
   int CountReachable() const;
   /// Number of nodes that were added, whether they are reachable or not.
   int CountKnown() const { return static_cast<int>(peers_.size()); }
--- a/include/limpet/settings/node_settings.h
+++ b/include/limpet/settings/node_settings.h
@@ -120,6 +120,10 @@
   /// acknowledged `revoke_ms` ago.
   bool strict_revocation = false;
   double revoke_ms = 5000;
+  /// Time after a restart of all nodes within which requests with keys are served again, whatever
+  /// the store has lost before. Two thirds of it are left to the operator to write again what a
+  /// restore lost, as long as nothing else shows that this has been done.
+  double recovery_ms = 15'000;
 
   // [quota]
   /// Length of the window in which the requests of an account are limited, in seconds.
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -272,6 +272,11 @@
       [this](TcpSocket socket) { link_server_->Accept(std::move(socket)); }));
   serve(settings_.outbound, caller_sessions_);
   coordination_.WatchFreshness([this](TimePoint proven) { freshness_->clock().OnProof(proven); });
+  coordination_.WatchRestores([this] {
+    std::vector<wire::NodeAddress> nodes = links_->KnownNodes();
+    nodes.push_back(MakeNodeAddress(settings_));
+    coordination_.StoreMissingNodes(std::move(nodes));
+  });
   rollouts_->Start();
   coordination_.WatchConfig(
       [this](MeshConfig config) { OnStoreConfig(std::move(config)); },
--- a/src/edge/peer_links.cc
+++ b/src/edge/peer_links.cc
@@ -525,6 +525,14 @@
   return nodes;
 }
 
+std::vector<wire::NodeAddress> PeerLinks::KnownNodes() const {
+  std::vector<wire::NodeAddress> nodes;
+  for (const auto& [name, peer] : peers_) {
+    nodes.push_back(peer.address);
+  }
+  return nodes;
+}
+
 int PeerLinks::CountReachable() const {
   return static_cast<int>(
       std::ranges::count_if(peers_, [](const auto& entry) { return entry.second.ready; }));
--- a/src/settings/node_settings.cc
+++ b/src/settings/node_settings.cc
@@ -181,6 +181,11 @@
     {"access", "revoke_ms", &S::revoke_ms,
      "Time after which a removed key is refused at every node if strict_revocation is true",
      kMsRange},
+    {"access", "recovery_ms", &S::recovery_ms,
+     "Time after a restart of all nodes within which requests with keys are served again although "
+     "the store was restored from a copy; two thirds of it are left to the operator to write again "
+     "what was lost",
+     kMsRange},
     {"quota",
      "window_s",
      &S::quota_window_s,
--- a/tests/access/revocation_sim.h
+++ b/tests/access/revocation_sim.h
@@ -54,11 +54,11 @@
     now_ = end;
   }
 
-  /// The operator writes a configuration, from which it may have removed the oldest key. Does
-  /// nothing while the store does not work.
-  void Publish(bool remove_key) {
+  /// The operator writes a configuration, from which it may have removed the oldest key. Returns
+  /// false and does nothing while the store does not work.
+  bool Publish(bool remove_key) {
     if (now_ < store_stalled_until_) {
-      return;
+      return false;
     }
     if (remove_key) {
       removed_at_[keys_.front()] = now_;
@@ -80,22 +80,36 @@
     for (PendingRead& read : std::exchange(waiting_, {})) {
       Respond(read);
     }
+    return true;
   }
   /// The store responds to nothing and accepts nothing for this long. Responses that are due
   /// meanwhile are lost or late.
   void StallStore(Duration duration) { store_stalled_until_ = now_ + duration; }
-  /// The store goes on from a copy without its last `lost` records. The operator writes its
-  /// configuration again some time later.
+  /// The store goes on from a copy without its last `lost` records, and perhaps without what nodes
+  /// wrote. If a record of the operator was lost, the operator writes again some time later.
   void RestoreStore(std::size_t lost) {
-    log_.resize(log_.size() - std::min(lost, log_.size() - 1));
+    lost = std::min(lost, log_.size() - 1);
+    log_.resize(log_.size() - lost);
     ++epoch_;
+    if (random_.NextBelow(2) == 0) {
+      witness_.reset();
+    }
     for (const PendingRead& read : std::exchange(waiting_, {})) {
       if (random_.NextBelow(2) == 0) {
         Respond(read);
       }
     }
-    Schedule(Millis(200, 4000), [this] { Publish(false); });
+    if (lost > 0) {
+      Schedule(Millis(200, 4000), [this] { PublishAgain(); });
+    }
+  }
+  /// All processes lose their state.
+  void RestartAll() {
+    for (int node = 0; node < node_count(); ++node) {
+      Restart(node);
+    }
   }
+  std::size_t record_count() const { return log_.size(); }
   /// The node does nothing for this long; its messages wait.
   void Freeze(int node, Duration duration) {
     nodes_[node].frozen_until = std::max(nodes_[node].frozen_until, now_ + duration);
@@ -157,6 +171,12 @@
   int violations = 0;
 
  private:
+  void PublishAgain() {
+    if (!Publish(false)) {
+      Schedule(std::chrono::milliseconds(200), [this] { PublishAgain(); });
+    }
+  }
+
   struct Event {
     TimePoint due;
     int64_t sequence;
@@ -222,7 +242,7 @@
     ++node.start;
     node.frozen_until = {};
     node.config = {};
-    node.proof = {};
+    node.proof = ReadProof();
     node.clock = std::make_unique<KnowledgeClock>();
     node.policy = std::make_unique<AccessPolicy>(AccessOptions{"Api-Key", true, kRevocationTime},
                                                  *node.clock);
@@ -333,6 +353,7 @@
     result.has_records = !configs.empty();
     if (result.has_records) {
       result.config_offset = static_cast<int64_t>(log_.size()) - 1;
+      result.config_version = configs.back().version;
     }
     result.complete = read.newest || read.from <= log_.size();
     Deliver(read.node, read.start, delay, [this, read, result, configs](Node& node) {
@@ -346,9 +367,14 @@
         node.config.Update(config);
       }
       node.next_offset = static_cast<std::size_t>(result.end);
+      const bool is_first_read = !node.proof.has_read();
+      const EpochEvidence before = node.proof.evidence();
       if (const auto proven = node.proof.OnRead(received)) {
         node.clock->OnProof(*proven);
       }
+      if (is_first_read || node.proof.epoch_changed() || node.proof.evidence() != before) {
+        OnEvidence(node);
+      }
       const bool read_again =
           !read.newest && (node.proof.epoch_changed() || !result.complete || node.proof.was_late());
       const Duration pause = read_again    ? Duration(0)
@@ -359,6 +385,40 @@
     });
   }
 
+  /// Like `platform::StoreCoordination`: looks for a witness of an epoch without evidence, and
+  /// records evidence.
+  void OnEvidence(Node& node) {
+    const int index = node.index;
+    const int start = node.start;
+    switch (node.proof.evidence()) {
+      case EpochEvidence::kNone:
+        if (now_ < node.no_store_until || now_ < store_stalled_until_) {
+          break;
+        }
+        Schedule(Latency(), [this, index, start] {
+          Deliver(index, start, Latency(), [this, witness = witness_](Node& reader) {
+            if (witness && reader.proof.OnWitness(now_, *witness)) {
+              // Replaces the pending read.
+              StartRead(reader, true);
+            }
+          });
+        });
+        break;
+      case EpochEvidence::kConfiguration:
+      case EpochEvidence::kWatched:
+        // May be executed late, in a later epoch.
+        Schedule(Latency(), [this, epoch = *node.proof.epoch()] {
+          if (now_ >= store_stalled_until_) {
+            witness_ = epoch;
+          }
+        });
+        break;
+      case EpochEvidence::kNeverRestored:
+      case EpochEvidence::kWitness:
+        break;
+    }
+  }
+
   Random random_;
   TimePoint now_{std::chrono::hours(1)};
   int64_t sequence_ = 0;
@@ -367,6 +427,8 @@
   /// The configurations in the store.
   std::vector<MeshConfig> log_;
   int64_t epoch_ = 1;
+  /// The last epoch for which a node recorded evidence in the store.
+  std::optional<int64_t> witness_;
   TimePoint store_stalled_until_{};
   std::vector<PendingRead> waiting_;
   /// State of the operator: valid keys, and when the removal of others was acknowledged.
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "decision/group_model.h"
@@ -112,6 +113,19 @@
       RespondToRead(waiting);
     }
   }
+  /// Appends the records of the body of an append.
+  void AppendRecords(const std::string& topic, std::string_view body) {
+    while (!body.empty()) {
+      std::size_t size = 0;
+      for (int i = 0; i < 4; ++i) {
+        size = size << 8 | static_cast<unsigned char>(body.at(static_cast<std::size_t>(i)));
+      }
+      const std::string record(body.substr(4, size));
+      body.remove_prefix(4 + size);
+      const auto key_size = static_cast<unsigned char>(record.at(0));
+      Append(topic, record.substr(1, key_size), record.substr(1 + key_size));
+    }
+  }
   void StartRead(WaitingRead read, std::chrono::milliseconds wait) {
     read.timer = std::make_shared<edge::Timer>(loop_.executor(), wait);
     read.timer->async_wait([this, session = read.session](edge::ErrorCode error) {
@@ -181,12 +195,14 @@
     }
     const std::string topic = FindParameter(request.query, "topic");
     if (request.path == "/log-append") {
-      const std::string& body = request.body;
-      const auto key_size = static_cast<unsigned char>(body.at(4));
-      const std::string key = body.substr(5, key_size);
-      const std::string value = body.substr(5 + key_size);
+      const std::string at = FindParameter(request.query, "at");
+      if (!at.empty() && std::stoul(at) != topics_[topic].size()) {
+        Respond(session, JsonResponse(412, R"({"end":0})"));
+        return;
+      }
+      const std::string body = request.body;
       Respond(session, JsonResponse(200, R"({"offset":0,"end":1})"));
-      Append(topic, key, value);
+      AppendRecords(topic, body);
     } else if (request.path == "/log-newest") {
       std::map<std::string, std::size_t> newest;
       for (std::size_t i = 0; i < topics_[topic].size(); ++i) {
--- a/tests/platform/store_coordination_test.cc
+++ b/tests/platform/store_coordination_test.cc
@@ -10,6 +10,7 @@
 #include <thread>
 #include <utility>
 
+#include "config_codec.h"
 #include "edge/loop_thread.h"
 #include "limpet/core/error.h"
 #include "limpet/net/clock.h"
@@ -35,6 +36,9 @@
 
   Fixture() {
     store.Put("keyed.op", "config", ConfigText(1));
+    Start();
+  }
+  void Start() {
     loop.Run([this] {
       reader = std::make_unique<StoreCoordination>(loop.executor(), store.address(), Random(1));
       reader->WatchFreshness([this](TimePoint instant) {
@@ -48,6 +52,15 @@
     // The first long poll follows one second after the first read.
     std::this_thread::sleep_for(milliseconds(1300));
   }
+  /// Starts a reader that knows nothing of before.
+  void Restart() {
+    loop.Run([this] {
+      reader.reset();
+      version = 0;
+      proven.reset();
+    });
+    Start();
+  }
   ~Fixture() {
     loop.Run([this] { reader.reset(); });
     loop.Stop();
@@ -162,6 +175,49 @@
   CHECK(store.calls("/log-newest") > 0);
 }
 
+// Guards against a mesh that refuses all keys after a restart: no process knows then what the store
+// lost in a restore long ago.
+TEST_CASE_FIXTURE(Fixture, "a process that starts long after a restore relies on a witness") {
+  store.SetEpoch(1);
+  Restart();
+  store.Put("keyed.op", "config", ConfigText(2));
+  REQUIRE(VersionWhenProven(MonotonicNow()) == 2);
+  store.Restore("keyed.op", 1);
+  std::this_thread::sleep_for(milliseconds(2000));
+  store.Put("keyed.op", "config", ConfigText(2));
+  REQUIRE(VersionWhenProven(MonotonicNow()) == 2);
+  std::this_thread::sleep_for(milliseconds(300));
+  CHECK(store.Newest("keyed.limpet-epochs", "complete") == "2");
+  Restart();
+  CHECK(loop.Run([&] { return proven.has_value(); }));
+}
+
+// Guards against nodes that are never found by nodes that start later, because the store lost the
+// only entry that they wrote.
+TEST_CASE_FIXTURE(Fixture, "after a restore the addresses that the store lost are written again") {
+  const auto make_node = [](const std::string& name, int port) {
+    wire::NodeAddress node;
+    node.name = name;
+    node.data_centre = "a";
+    node.host = "127.0.0.1";
+    node.port = port;
+    return node;
+  };
+  store.SetEpoch(1);
+  Restart();
+  loop.Run([&] {
+    reader->WatchRestores([&, this] {
+      reader->StoreMissingNodes({make_node("kept", 1), make_node("lost", 2)});
+    });
+  });
+  store.Put("keyed.limpet-nodes", "kept", "another address");
+  std::this_thread::sleep_for(milliseconds(2000));
+  store.Restore("keyed.op", 0);
+  std::this_thread::sleep_for(milliseconds(2500));
+  CHECK(store.Newest("keyed.limpet-nodes", "kept") == "another address");
+  CHECK(DecodeNodeAddress(store.Newest("keyed.limpet-nodes", "lost")).port == 2);
+}
+
 TEST_CASE("the reply to a join lists the partitions of the topic") {
   const GroupAssignment assignment = DecodeAssignment(
       R"({"generation":7,"ttl_ms":3000,"parts":[["decisions",2,0],["other",3,0],["decisions",5,9]]})",
