Answer the requests that wait in a queue at a planned stop

Cause: a stopping node accepted requests for 2.8 s with the caller's full deadline, and stopped its event loop at the end of the grace period with calls pending. Whether the time left is enough was never asked again. Ruled out: the target and the node beside it served in order until the end.

Change: all responses are due 0.5 s before the end of the grace period, which counts from the earliest time at which the signal may have been sent. Requests that are read after the signal get this limit as their deadline, and are refused at once if they usually take longer. A call that can no longer be served in time makes no further attempt and is withdrawn: the node beside the target confirms "not run" only if the call was still queued, and refuses copies of it that arrive later. The caller gets 503 only after all attempts are confirmed, and 502 at the limit otherwise. Retry-After is the time until the next process of the node.

With false_not_run the new case of test-traffic fails. All pass with the fix.

--- a/idl/limpet.thrift
+++ b/idl/limpet.thrift
@@ -392,6 +392,8 @@
   // The sender asks for large request bodies with LinkBodyRequest, and their parts need an offset.
   // Other nodes get the body with the call.
   8: bool requests_body_parts
+  // The sender knows the field `only_if_queued` of LinkCancel.
+  9: bool withdraws_calls
 }
 
 struct LinkCall {
@@ -458,6 +460,9 @@
 
 struct LinkCancel {
   1: i64 call_id
+  // Withdraws the call: it ends only if it has not been sent to the target, and then gets a reply with
+  // the outcome kNotRun. Otherwise it goes on.
+  2: bool only_if_queued
 }
 
 // A route of the mesh's configuration.
--- a/include/limpet/edge/inbound_proxy.h
+++ b/include/limpet/edge/inbound_proxy.h
@@ -61,6 +61,10 @@
   /// the target is not interrupted.
   void Cancel(const std::string& key);
 
+  /// Ends a call that has not been sent to the target, with the outcome `kNotRun`. Other calls go
+  /// on. A copy of a withdrawn call that arrives later is refused.
+  void Withdraw(const std::string& key);
+
   /// Sets the local target; null if there is none.
   void SetTarget(const TargetAnnouncement* target);
   void StartDraining();
@@ -129,6 +133,8 @@
   /// Total expected size of the paced responses of `pending_`, in bytes.
   std::size_t admitted_bytes_ = 0;
   std::unordered_map<std::string, FinishedReply> finished_replies_;
+  /// Withdrawn calls, until no copy of them can arrive any more.
+  std::unordered_map<std::string, TimePoint> withdrawn_until_;
   PeerAddress target_address_;
   std::string target_instance_;
   std::vector<HttpConnectionPtr> idle_connections_;
--- a/include/limpet/edge/outbound_proxy.h
+++ b/include/limpet/edge/outbound_proxy.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -53,6 +54,12 @@
   void Handle(const HttpSessionPtr& session);
   /// Responds with 503 and Retry-After: the request did not run.
   void Refuse(const HttpSessionPtr& session, std::string_view reason, Duration retry_after);
+  /// The process ends soon: every request gets its response by `answer_by`. Requests that cannot be
+  /// served by then are refused at once, or are withdrawn from the queues in which they wait.
+  void StartStopping(TimePoint answer_by) { answer_by_ = answer_by; }
+  /// Withdraws and ends the calls for which the time is up. Call it about every 50 ms after
+  /// `StartStopping`.
+  void TickStopping(TimePoint now);
   bool idle() const { return calls_.empty(); }
   /// Latency from the receipt of the complete request until its response is ready to be sent.
   const LatencyBuckets& latency() const { return latency_; }
@@ -74,6 +81,10 @@
   /// Removes the key and a name of an account that the caller sent, and adds the name of `account`.
   void ReplaceCredentials(HttpHeaders& headers, const std::string& account) const;
   MeshCallOptions MakeCallOptions(const MeshRoute& route, const HttpRequest& request);
+  /// True if this process has less time left than the request needs.
+  bool IsTooLate(TimePoint now, Duration typical_service_time) const;
+  /// Time after which a new process of this node should accept requests.
+  Duration UntilSuccessor(TimePoint now) const;
 
   Executor executor_;
   OutboundProxyOptions options_;
@@ -95,6 +106,8 @@
   /// Moving average of the response size by route, in bytes.
   std::unordered_map<std::string, double> response_bytes_;
   std::unordered_set<std::shared_ptr<ActiveCall>> calls_;
+  /// Set while the process is stopping: time by which all responses are due.
+  std::optional<TimePoint> answer_by_;
   int64_t next_local_call_ = 1;
 };
 
--- a/include/limpet/edge/peer_links.h
+++ b/include/limpet/edge/peer_links.h
@@ -88,6 +88,9 @@
                SharedBody body,
                CallHandlers handlers);
   void Cancel(const std::string& node, int64_t call_id);
+  /// Ends a call if it has not been sent to the target yet. It then gets a reply with the outcome
+  /// `kNotRun`; otherwise it goes on. Does nothing if the node is not reachable.
+  void Withdraw(const std::string& node, int64_t call_id);
   void RequestConfig(const std::string& node, int64_t have);
   /// Sends a message that needs no reply on its link. Returns false if the node is not reachable.
   bool Send(const std::string& node, const wire::LinkMessage& message);
@@ -127,6 +130,8 @@
     int64_t incarnation = 0;
     /// Large request bodies are sent when the peer asks for them, otherwise with their call.
     bool requests_body_parts = false;
+    /// The peer can withdraw a call; an earlier version would cancel it without a reply.
+    bool withdraws_calls = false;
     Duration backoff{0};
     std::unique_ptr<Timer> retry_timer;
     TimePoint lost_at{};
--- a/include/limpet/traffic/mesh_call.h
+++ b/include/limpet/traffic/mesh_call.h
@@ -105,6 +105,10 @@
   /// another target is available and the retry budget allows it; otherwise the step is empty.
   CallStep OnHedgeTimer(TimePoint now);
   CallStep OnDeadline(TimePoint now);
+  /// No further attempt is made. Open attempts go on.
+  void StopSending() { sending_stopped_ = true; }
+  /// This node ends now: completes the call although attempts may be open.
+  CallStep OnNodeEnds();
   /// The caller closed its connection. Ends all open attempts without a `CallCompletion`.
   void OnCallerDisconnected();
 
@@ -150,6 +154,7 @@
   /// Number of nodes that refused to queue the request.
   int queue_refusals_ = 0;
   int attempts_sent_ = 0;
+  bool sending_stopped_ = false;
   bool may_have_run_ = false;
   bool has_saved_reply_ = false;
   Duration retry_after_{0};
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -55,8 +55,10 @@
 /// Limits `kAcceptInboundAfterStop` to this share of the grace period, for short grace periods.
 constexpr double kAcceptInboundGraceShare = 0.3;
 constexpr Duration kRetryAfterStopping = std::chrono::milliseconds(200);
-/// The node stops this long before the grace period ends, even if requests are still pending.
+/// The node stops this long before the grace period ends, even if responses are still being sent.
 constexpr Duration kStopMargin = std::chrono::milliseconds(300);
+/// Time between the last responses and the end of the process, in which they are sent.
+constexpr Duration kLastResponsesTime = std::chrono::milliseconds(200);
 
 uint64_t GenerateSeed() {
   std::random_device device;
@@ -201,6 +203,7 @@
       hello.known_nodes = links_->SampleNodes(kNodesPerHandshake);
     }
     hello.requests_body_parts = true;
+    hello.withdraws_calls = true;
     return hello;
   };
   hooks.on_node = [this](const wire::NodeAddress& node, int64_t incarnation) {
@@ -536,9 +539,16 @@
   if (stopping_) {
     return;
   }
-  LogEvent("stopping").Add("grace_ms", GracePeriod(settings_));
   stopping_ = true;
-  stopping_since_ = MonotonicNow();
+  // The signal may have been sent at the start of a pause of this process.
+  const TimePoint now = MonotonicNow();
+  const Duration signal_age = pause_monitor_.MaxInputAge(now);
+  stopping_since_ = now - signal_age;
+  if (!IsFaultActive(Fault::kCutInFlightOnStop)) {
+    outbound_->StartStopping(stopping_since_ + GracePeriod(settings_) - kStopMargin -
+                             kLastResponsesTime);
+  }
+  LogEvent("stopping").Add("grace_ms", GracePeriod(settings_)).Add("signal_age_ms", signal_age);
   on_stopped_ = std::move(on_stopped);
 }
 
@@ -555,6 +565,7 @@
     inbound_->StartDraining();
     PushStatus(now);
   }
+  outbound_->TickStopping(now);
   const bool idle =
       inbound_->idle() && outbound_->idle() && *caller_sessions_.pending_requests == 0;
   const bool out_of_time = elapsed >= grace - kStopMargin;
--- a/src/edge/inbound_proxy.cc
+++ b/src/edge/inbound_proxy.cc
@@ -24,6 +24,9 @@
 constexpr Duration kMaxIdleForNonIdempotent = std::chrono::milliseconds(1000);
 /// How long a reply is kept for a node whose link was lost and that may reconnect.
 constexpr Duration kReplyLifetime = std::chrono::seconds(3);
+/// How long copies of a withdrawn call are refused. Longer than a call is sent again after its link
+/// was lost, because a copy may have waited at a paused node.
+constexpr Duration kWithdrawnLifetime = std::chrono::seconds(10);
 /// How long an idempotent request continues after the link of its caller was lost.
 constexpr Duration kOrphanLifetime = std::chrono::seconds(1);
 /// A connection that becomes idle is closed if this many idle ones exist.
@@ -81,6 +84,15 @@
     finished_replies_.erase(finished);
     return;
   }
+  if (withdrawn_until_.contains(key)) {
+    wire::LinkReply reply;
+    reply.call_id = call.call_id;
+    reply.outcome = wire::Outcome::kNotRun;
+    reply.reason = Reason::kCancelled;
+    reply.target = Status();
+    sink->Deliver(std::move(reply), {});
+    return;
+  }
   const TimePoint now = MonotonicNow();
   GateCall gate_call;
   gate_call.key = key;
@@ -423,6 +435,15 @@
   ReportStatusChange();
 }
 
+void InboundProxy::Withdraw(const std::string& key) {
+  if (!gate_.RemoveQueued(key)) {
+    return;
+  }
+  withdrawn_until_[key] = MonotonicNow() + kWithdrawnLifetime;
+  Refuse(key, {.reason = Reason::kCancelled});
+  ReportStatusChange();
+}
+
 void InboundProxy::SetTarget(const TargetAnnouncement* target) {
   if (target != nullptr && target->instance != target_instance_) {
     idle_connections_.clear();
@@ -449,6 +470,7 @@
   const TimePoint now = MonotonicNow();
   HandleGateEvents(gate_.Tick(now));
   std::erase_if(finished_replies_, [now](const auto& entry) { return now >= entry.second.expiry; });
+  std::erase_if(withdrawn_until_, [now](const auto& entry) { return now >= entry.second; });
   std::vector<std::string> abandoned;
   for (auto& [key, pending] : pending_) {
     if (!pending.sink || pending.sink->IsOpen()) {
--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -119,7 +119,9 @@
       server_.inbound_.AddBody(MakeCallKey(message.body_part.call_id), *link_,
                                message.body_part.offset, body);
     }
-    if (message.__isset.cancel) {
+    if (message.__isset.cancel && message.cancel.only_if_queued) {
+      server_.inbound_.Withdraw(MakeCallKey(message.cancel.call_id));
+    } else if (message.__isset.cancel) {
       server_.inbound_.Cancel(MakeCallKey(message.cancel.call_id));
       link_->DropReply(message.cancel.call_id);
     }
--- a/src/edge/outbound_proxy.cc
+++ b/src/edge/outbound_proxy.cc
@@ -27,6 +27,12 @@
 constexpr Duration kRetryAfterNotReady = std::chrono::milliseconds(300);
 /// Retry-After value of a request whose deadline passed while this process was paused.
 constexpr Duration kRetryAfterPause = std::chrono::milliseconds(50);
+/// Time from the end of a process until its successor accepts requests.
+constexpr Duration kRestartTime = std::chrono::milliseconds(500);
+/// A stopping node withdraws a queued call when this time and a margin on its service time are
+/// left: the reply comes from another node, and the response has to be sent.
+constexpr Duration kWithdrawTime = std::chrono::milliseconds(250);
+constexpr double kServiceTimeMargin = 1.25;
 /// Weight of a new sample in the moving average of response sizes.
 constexpr double kResponseBytesWeight = 0.1;
 
@@ -86,6 +92,29 @@
     Apply(call_.Start(started_), {}, {});
   }
 
+  /// Ends attempts that wait in queues. The call ends with the promise that it has not run once all
+  /// of them are confirmed.
+  void Withdraw() {
+    if (std::exchange(withdrawn_, true)) {
+      return;
+    }
+    call_.StopSending();
+    const auto self = shared_from_this();
+    // The reply of the local target comes at once and changes `attempts_`.
+    const auto attempts = attempts_;
+    for (const auto& [id, attempt] : attempts) {
+      if (attempt.link_call != 0) {
+        proxy_.links_.Withdraw(attempt.node, attempt.link_call);
+      }
+      if (!attempt.local_key.empty()) {
+        proxy_.inbound_.Withdraw(attempt.local_key);
+      }
+    }
+  }
+  /// Responds now, without a promise unless no attempt is open.
+  void EndWithNode() { Apply(call_.OnNodeEnds(), {}, {}); }
+  Duration typical_service_time() const { return call_.options().typical_service_time; }
+
  private:
   /// Receives the replies of the local target to calls of this node.
   class LocalReplySink final : public ReplySink {
@@ -253,7 +282,8 @@
           on_not_run_();
         }
         response = TextResponse(503, "not run\n");
-        response.headers.push_back(MakeHeader("Retry-After", FormatRetryAfter(finish.retry_after)));
+        response.headers.push_back(
+            MakeHeader("Retry-After", FormatRetryAfter(RetryAfter(finish.retry_after))));
         break;
       case CompletionKind::kUnknown:
         response = TextResponse(502, "outcome unknown\n");
@@ -269,6 +299,13 @@
     session->Respond(std::move(response));
   }
 
+  /// A stopping node accepts the request again only if enough time is left then.
+  Duration RetryAfter(Duration suggested) const {
+    const TimePoint now = MonotonicNow();
+    const bool too_late = withdrawn_ || proxy_.IsTooLate(now + suggested, typical_service_time());
+    return too_late ? proxy_.UntilSuccessor(now) : suggested;
+  }
+
   HttpResponse MakeResponse(wire::LinkReply reply, std::string body) const {
     if (IsNotRunStatus(reply.http_status)) {
       return TextResponse(502, "the target's answer would promise that nothing ran\n");
@@ -327,6 +364,7 @@
   SharedBody body_;
   std::map<int, Attempt> attempts_;
   std::string last_node_;
+  bool withdrawn_ = false;
   bool finished_ = false;
   wire::LinkReply saved_reply_;
   std::string saved_body_;
@@ -403,6 +441,10 @@
   options.idempotent = route.IsIdempotent();
   options.max_attempts = route.max_attempts;
   options.deadline = now + std::min(caller_timeout, route.timeout);
+  if (answer_by_) {
+    // The gates of other nodes refuse what cannot be finished by then.
+    options.deadline = std::min(options.deadline, *answer_by_);
+  }
   const Duration target_latency =
       route.target_latency > Duration(0) ? route.target_latency : route.timeout;
   options.latency_target = std::min(options.deadline, now + target_latency);
@@ -416,6 +458,29 @@
   return options;
 }
 
+bool OutboundProxy::IsTooLate(TimePoint now, Duration typical_service_time) const {
+  return answer_by_ &&
+         now + kWithdrawTime + Scale(typical_service_time, kServiceTimeMargin) >= *answer_by_;
+}
+
+Duration OutboundProxy::UntilSuccessor(TimePoint now) const {
+  return std::max(Duration(0), answer_by_.value_or(now) - now) + kRestartTime;
+}
+
+void OutboundProxy::TickStopping(TimePoint now) {
+  if (!answer_by_) {
+    return;
+  }
+  const auto calls = calls_;
+  for (const std::shared_ptr<ActiveCall>& call : calls) {
+    if (now >= *answer_by_) {
+      call->EndWithNode();
+    } else if (IsTooLate(now, call->typical_service_time())) {
+      call->Withdraw();
+    }
+  }
+}
+
 void OutboundProxy::Handle(const HttpSessionPtr& session) {
   counters_.Get("outbound_requests").Add();
   const RouteTablePtr routes = routes_();
@@ -442,6 +507,10 @@
   MeshCallOptions call_options = MakeCallOptions(*route, request);
   call_options.account = std::move(access.account);
   call_options.priority = access.priority;
+  if (const TimePoint now = MonotonicNow(); IsTooLate(now, call_options.typical_service_time)) {
+    Refuse(session, "stopping", UntilSuccessor(now));
+    return;
+  }
   if (call_options.deadline <= MonotonicNow()) {
     Refuse(session, "the deadline has passed", kRetryAfterPause);
     return;
@@ -469,6 +538,11 @@
       session->Respond(std::move(response));
       return;
     }
+    if (const TimePoint now = MonotonicNow(); IsTooLate(now, options.typical_service_time)) {
+      quota_.Return(options.account, decision);
+      Refuse(session, "stopping", UntilSuccessor(now));
+      return;
+    }
     if (options.deadline <= MonotonicNow()) {
       quota_.Return(options.account, decision);
       Refuse(session, "the deadline has passed", kRetryAfterPause);
--- a/src/edge/peer_links.cc
+++ b/src/edge/peer_links.cc
@@ -237,6 +237,7 @@
   }
   peer.incarnation = hello.incarnation;
   peer.requests_body_parts = hello.requests_body_parts;
+  peer.withdraws_calls = hello.withdraws_calls;
   peer.ready = true;
   peer.backoff = Duration(0);
   peer.probed_at = {};
@@ -373,6 +374,19 @@
   found->second.link->Send(message);
 }
 
+void PeerLinks::Withdraw(const std::string& node, int64_t call_id) {
+  const auto found = peers_.find(node);
+  if (found == peers_.end() || !found->second.calls.contains(call_id) || !found->second.ready ||
+      !found->second.withdraws_calls) {
+    return;
+  }
+  wire::LinkMessage message;
+  message.__isset.cancel = true;
+  message.cancel.call_id = call_id;
+  message.cancel.only_if_queued = true;
+  found->second.link->Send(message);
+}
+
 void PeerLinks::RequestConfig(const std::string& node, int64_t have) {
   const auto found = peers_.find(node);
   if (found == peers_.end() || !found->second.ready) {
--- a/src/gen/limpet_types.cpp
+++ b/src/gen/limpet_types.cpp
@@ -7883,6 +7883,10 @@
 void LinkHello::__set_requests_body_parts(const bool val) {
   this->requests_body_parts = val;
 }
+
+void LinkHello::__set_withdraws_calls(const bool val) {
+  this->withdraws_calls = val;
+}
 std::ostream& operator<<(std::ostream& out, const LinkHello& obj)
 {
   obj.printTo(out);
@@ -7987,6 +7991,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->withdraws_calls);
+          this->__isset.withdraws_calls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8044,6 +8056,10 @@
   xfer += oprot->writeBool(this->requests_body_parts);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("withdraws_calls", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->withdraws_calls);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8059,6 +8075,7 @@
   swap(a.requests_bodies, b.requests_bodies);
   swap(a.wants_nodes, b.wants_nodes);
   swap(a.requests_body_parts, b.requests_body_parts);
+  swap(a.withdraws_calls, b.withdraws_calls);
   swap(a.__isset, b.__isset);
 }
 
@@ -8071,6 +8088,7 @@
   requests_bodies = other345.requests_bodies;
   wants_nodes = other345.wants_nodes;
   requests_body_parts = other345.requests_body_parts;
+  withdraws_calls = other345.withdraws_calls;
   __isset = other345.__isset;
 }
 LinkHello::LinkHello(LinkHello&& other346) noexcept {
@@ -8082,6 +8100,7 @@
   requests_bodies = other346.requests_bodies;
   wants_nodes = other346.wants_nodes;
   requests_body_parts = other346.requests_body_parts;
+  withdraws_calls = other346.withdraws_calls;
   __isset = other346.__isset;
 }
 LinkHello& LinkHello::operator=(const LinkHello& other347) {
@@ -8093,6 +8112,7 @@
   requests_bodies = other347.requests_bodies;
   wants_nodes = other347.wants_nodes;
   requests_body_parts = other347.requests_body_parts;
+  withdraws_calls = other347.withdraws_calls;
   __isset = other347.__isset;
   return *this;
 }
@@ -8105,6 +8125,7 @@
   requests_bodies = other348.requests_bodies;
   wants_nodes = other348.wants_nodes;
   requests_body_parts = other348.requests_body_parts;
+  withdraws_calls = other348.withdraws_calls;
   __isset = other348.__isset;
   return *this;
 }
@@ -8119,6 +8140,7 @@
   out << ", " << "requests_bodies=" << to_string(requests_bodies);
   out << ", " << "wants_nodes=" << to_string(wants_nodes);
   out << ", " << "requests_body_parts=" << to_string(requests_body_parts);
+  out << ", " << "withdraws_calls=" << to_string(withdraws_calls);
   out << ")";
 }
 
@@ -9172,6 +9194,10 @@
 void LinkCancel::__set_call_id(const int64_t val) {
   this->call_id = val;
 }
+
+void LinkCancel::__set_only_if_queued(const bool val) {
+  this->only_if_queued = val;
+}
 std::ostream& operator<<(std::ostream& out, const LinkCancel& obj)
 {
   obj.printTo(out);
@@ -9208,6 +9234,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->only_if_queued);
+          this->__isset.only_if_queued = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9229,6 +9263,10 @@
   xfer += oprot->writeI64(this->call_id);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("only_if_queued", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->only_if_queued);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9237,24 +9275,29 @@
 void swap(LinkCancel &a, LinkCancel &b) {
   using ::std::swap;
   swap(a.call_id, b.call_id);
+  swap(a.only_if_queued, b.only_if_queued);
   swap(a.__isset, b.__isset);
 }
 
 LinkCancel::LinkCancel(const LinkCancel& other379) noexcept {
   call_id = other379.call_id;
+  only_if_queued = other379.only_if_queued;
   __isset = other379.__isset;
 }
 LinkCancel::LinkCancel(LinkCancel&& other380) noexcept {
   call_id = other380.call_id;
+  only_if_queued = other380.only_if_queued;
   __isset = other380.__isset;
 }
 LinkCancel& LinkCancel::operator=(const LinkCancel& other381) noexcept {
   call_id = other381.call_id;
+  only_if_queued = other381.only_if_queued;
   __isset = other381.__isset;
   return *this;
 }
 LinkCancel& LinkCancel::operator=(LinkCancel&& other382) noexcept {
   call_id = other382.call_id;
+  only_if_queued = other382.only_if_queued;
   __isset = other382.__isset;
   return *this;
 }
@@ -9262,6 +9305,7 @@
   using ::apache::thrift::to_string;
   out << "LinkCancel(";
   out << "call_id=" << to_string(call_id);
+  out << ", " << "only_if_queued=" << to_string(only_if_queued);
   out << ")";
 }
 
--- a/src/gen/limpet_types.h
+++ b/src/gen/limpet_types.h
@@ -2983,7 +2983,7 @@
 std::ostream& operator<<(std::ostream& out, const NodeAddress& obj);
 
 typedef struct _LinkHello__isset {
-  _LinkHello__isset() : node(false), incarnation(false), config_version(false), target(false), known_nodes(false), requests_bodies(false), wants_nodes(false), requests_body_parts(false) {}
+  _LinkHello__isset() : node(false), incarnation(false), config_version(false), target(false), known_nodes(false), requests_bodies(false), wants_nodes(false), requests_body_parts(false), withdraws_calls(false) {}
   bool node :1;
   bool incarnation :1;
   bool config_version :1;
@@ -2992,6 +2992,7 @@
   bool requests_bodies :1;
   bool wants_nodes :1;
   bool requests_body_parts :1;
+  bool withdraws_calls :1;
 } _LinkHello__isset;
 
 class LinkHello : public virtual ::apache::thrift::TBase {
@@ -3006,7 +3007,8 @@
               config_version(0),
               requests_bodies(0),
               wants_nodes(0),
-              requests_body_parts(0) {
+              requests_body_parts(0),
+              withdraws_calls(0) {
   }
 
   virtual ~LinkHello() noexcept;
@@ -3018,6 +3020,7 @@
   bool requests_bodies;
   bool wants_nodes;
   bool requests_body_parts;
+  bool withdraws_calls;
 
   _LinkHello__isset __isset;
 
@@ -3037,6 +3040,8 @@
 
   void __set_requests_body_parts(const bool val);
 
+  void __set_withdraws_calls(const bool val);
+
   bool operator == (const LinkHello & rhs) const
   {
     if (!(node == rhs.node))
@@ -3055,6 +3060,8 @@
       return false;
     if (!(requests_body_parts == rhs.requests_body_parts))
       return false;
+    if (!(withdraws_calls == rhs.withdraws_calls))
+      return false;
     return true;
   }
   bool operator != (const LinkHello &rhs) const {
@@ -3448,8 +3455,9 @@
 std::ostream& operator<<(std::ostream& out, const LinkReply& obj);
 
 typedef struct _LinkCancel__isset {
-  _LinkCancel__isset() : call_id(false) {}
+  _LinkCancel__isset() : call_id(false), only_if_queued(false) {}
   bool call_id :1;
+  bool only_if_queued :1;
 } _LinkCancel__isset;
 
 class LinkCancel : public virtual ::apache::thrift::TBase {
@@ -3460,20 +3468,26 @@
   LinkCancel& operator=(const LinkCancel&) noexcept;
   LinkCancel& operator=(LinkCancel&&) noexcept;
   LinkCancel() noexcept
-             : call_id(0) {
+             : call_id(0),
+               only_if_queued(0) {
   }
 
   virtual ~LinkCancel() noexcept;
   int64_t call_id;
+  bool only_if_queued;
 
   _LinkCancel__isset __isset;
 
   void __set_call_id(const int64_t val);
 
+  void __set_only_if_queued(const bool val);
+
   bool operator == (const LinkCancel & rhs) const
   {
     if (!(call_id == rhs.call_id))
       return false;
+    if (!(only_if_queued == rhs.only_if_queued))
+      return false;
     return true;
   }
   bool operator != (const LinkCancel &rhs) const {
--- a/src/traffic/mesh_call.cc
+++ b/src/traffic/mesh_call.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "limpet/core/fault.h"
+
 namespace limpet {
 
 namespace {
@@ -74,6 +76,9 @@
 }
 
 CallStep MeshCall::SendNext(TimePoint now, bool hedge) {
+  if (sending_stopped_) {
+    return FinishIfNoneOpen(Reason::kCancelled);
+  }
   bool free_slot_only = hedge || nodes_without_free_slot_.size() < kMaxImmediateAttempts;
   auto target = attempts_sent_ >= kMaxAttemptsSent ? std::nullopt : Choose(now, free_slot_only);
   const bool may_queue = free_slot_only && !hedge && attempts_sent_ < kMaxAttemptsSent;
@@ -193,7 +198,8 @@
 }
 
 bool MeshCall::TrySpendRetry(TimePoint now) {
-  return attempts_reached_target_ + static_cast<int>(open_attempts_.size()) <
+  return !sending_stopped_ &&
+         attempts_reached_target_ + static_cast<int>(open_attempts_.size()) <
              options_.max_attempts &&
          now < options_.deadline && budget_.TrySpend(now, options_.service);
 }
@@ -256,6 +262,15 @@
                 Reason::kTargetTimeout);
 }
 
+CallStep MeshCall::OnNodeEnds() {
+  const bool may_have_run =
+      may_have_run_ || (!open_attempts_.empty() && !IsFaultActive(Fault::kFalseNotRun));
+  return Finish(has_saved_reply_ ? CompletionKind::kForwardSaved
+                : may_have_run   ? CompletionKind::kUnknown
+                                 : CompletionKind::kNotRun,
+                Reason::kCancelled);
+}
+
 void MeshCall::OnCallerDisconnected() {
   CloseAll();
 }
--- a/tests/edge/inbound_proxy_test.cc
+++ b/tests/edge/inbound_proxy_test.cc
@@ -186,5 +186,52 @@
   CHECK(bodies.empty());
 }
 
+/// A target with two slots that keeps its requests without a response.
+struct QueueFixture : Fixture {
+  std::vector<HttpSessionPtr> running;
+  TestServer target{loop, {"127.0.0.1", FreePort()}, [this](const HttpSessionPtr& session) {
+                      running.push_back(session);
+                    }};
+
+  QueueFixture() { UseTarget(target.port()); }
+  void StartCall(const std::string& request_id) {
+    loop.Run([&] {
+      wire::LinkCall call = MakeCall(request_id);
+      call.usual_run_us = 1000;
+      proxy.Call("node/1/" + request_id, call, "body", std::make_shared<RecordingSink>(replies));
+    });
+  }
+  void WaitUntilRunning(std::size_t count) {
+    while (loop.Run([&] { return running.size(); }) < count) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+  }
+  void Withdraw(const std::string& request_id) {
+    loop.Run([&] { proxy.Withdraw("node/1/" + request_id); });
+  }
+};
+
+// Guards against a promise "not run" for a request that still waits here: a copy that was sent on
+// an earlier link may also arrive after the withdrawal.
+TEST_CASE_FIXTURE(QueueFixture, "a withdrawn call never runs, a running one goes on") {
+  StartCall("a");
+  StartCall("b");
+  WaitUntilRunning(2);
+  StartCall("c");
+  Withdraw("a");
+  CHECK(loop.Run([&] { return replies.empty(); }));
+  Withdraw("c");
+  wire::LinkReply reply = WaitForReply();
+  CHECK(reply.outcome == wire::Outcome::kNotRun);
+  CHECK_FALSE(reply.reached_target);
+  StartCall("c");
+  reply = WaitForReply();
+  CHECK(reply.outcome == wire::Outcome::kNotRun);
+  loop.Run([&] { running.front()->Respond(TextResponse(200, "")); });
+  CHECK(WaitForReply().outcome == wire::Outcome::kRan);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  CHECK(loop.Run([&] { return running.size(); }) == 2);
+}
+
 }  // namespace
 }  // namespace limpet::edge
--- a/tests/platform/mesh_test.cc
+++ b/tests/platform/mesh_test.cc
@@ -42,7 +42,7 @@
            double link_mbps = 1000,
            double grace_period_ms = 6000,
            bool strict_revocation = false)
-      : instance("i-" + name), name_(name), service_(service) {
+      : instance("i-" + name), target_loop_(loop), name_(name), service_(service) {
     settings_.name = name;
     settings_.link_mbps = link_mbps;
     settings_.data_centre = "a";
@@ -130,6 +130,12 @@
   void Stop(std::atomic<bool>& stopped) {
     process_->Run([this, &stopped] { node_->Stop([&stopped] { stopped = true; }); });
   }
+  /// Sends a request without waiting for its response.
+  std::unique_ptr<RawClient> StartCall(const std::string& path) {
+    auto client = std::make_unique<RawClient>(settings_.outbound.port);
+    client->Send(MakeRequest("GET " + path, "", ""));
+    return client;
+  }
 
   /// Name and start time of the target; written only while no request is pending.
   std::string instance;
@@ -141,25 +147,30 @@
   /// Whether the health endpoint responds with 200.
   std::atomic<bool> healthy{false};
   std::atomic<bool> unresponsive{false};
+  /// Time that the target works on a request.
+  std::atomic<milliseconds> response_delay{milliseconds(0)};
   /// Number of further responses without a signature, which are not valid.
   std::atomic<int> invalid_responses{0};
   /// Body of the request that the target received last.
   std::string seen_body;
+  /// Deadline of the requests to this node.
+  int deadline_ms = 900;
   std::string seen_caller;
   std::string seen_instance;
   HttpHeaders seen_headers;
 
  private:
-  static std::string MakeRequest(const std::string& line,
-                                 const std::string& body,
-                                 const std::string& headers) {
-    return line + " HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: 77\r\nX-Deadline-Ms: 900\r\n" +
-           headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-  }
-  static std::string Send(int port,
-                          const std::string& line,
+  std::string MakeRequest(const std::string& line,
                           const std::string& body,
-                          const std::string& headers = "") {
+                          const std::string& headers) const {
+    return line + " HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: 77\r\nX-Deadline-Ms: " +
+           std::to_string(deadline_ms) + "\r\n" + headers +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+  std::string Send(int port,
+                   const std::string& line,
+                   const std::string& body,
+                   const std::string& headers = "") const {
     RawClient client(port);
     client.Send(MakeRequest(line, body, headers));
     return client.ReadResponse();
@@ -188,7 +199,13 @@
     } else {
       --invalid_responses;
     }
-    session->Respond(std::move(response));
+    if (response_delay.load() == milliseconds(0)) {
+      session->Respond(std::move(response));
+      return;
+    }
+    const auto timer =
+        std::make_shared<edge::Timer>(target_loop_.executor(), response_delay.load());
+    timer->async_wait([timer, session, response](edge::ErrorCode) { session->Respond(response); });
   }
 
   void StartNode() {
@@ -203,6 +220,7 @@
     });
   }
 
+  edge::LoopThread& target_loop_;
   std::string name_;
   std::string service_;
   NodeSettings settings_;
@@ -525,6 +543,79 @@
   CHECK(desk.executions == before);
 }
 
+/// The configuration of `ConfigText` with a route whose requests may take this long.
+std::string SlowConfigText(int timeout_ms) {
+  std::string text = ConfigText(1, "/lots/");
+  for (const char* field : {R"("timeout_ms":1000)", R"("target_latency_ms":500)"}) {
+    const std::size_t start = text.find(field);
+    const std::size_t number = text.find(':', start) + 1;
+    text.replace(number, text.find(',', start) - number, std::to_string(timeout_ms));
+  }
+  return text;
+}
+
+// Guards against connections that end without an answer at a planned stop: requests that were read
+// still wait in the queue of another node when the process ends. Each is answered, and none that
+// was answered "not run" runs later.
+TEST_CASE("a stopping node answers the requests that wait for a target of another node") {
+  Fixture mesh;
+  constexpr auto kGracePeriod = milliseconds(3000);
+  TestNode brief(mesh.loop, mesh.store.address(), "brief-node", "store", 1000,
+                 kGracePeriod.count());
+  Fixture::Stopper stopper{mesh.loop};
+  brief.deadline_ms = 5000;
+  mesh.store.Put("keyed.op", "config", SlowConfigText(5000));
+  CHECK(mesh.desk.Announce("ready", 1).starts_with("HTTP/1.1 200"));
+  REQUIRE(brief.CallUntil("/lots/1", "200"));
+  mesh.desk.unresponsive = true;
+  const int before = mesh.desk.executions;
+  std::vector<std::unique_ptr<RawClient>> clients;
+  for (int i = 0; i < 6; ++i) {
+    clients.push_back(brief.StartCall("/lots/1"));
+  }
+  while (mesh.desk.executions < before + 2) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  std::atomic<bool> stopped{false};
+  const auto start = std::chrono::steady_clock::now();
+  brief.Stop(stopped);
+  int not_run = 0;
+  int unknown = 0;
+  for (const auto& client : clients) {
+    const std::string response = client->ReadResponse();
+    not_run += response.starts_with("HTTP/1.1 503") ? 1 : 0;
+    unknown += response.starts_with("HTTP/1.1 502") ? 1 : 0;
+  }
+  CHECK(not_run == 4);
+  CHECK(unknown == 2);
+  CHECK(std::chrono::steady_clock::now() - start < kGracePeriod);
+  for (int i = 0; i < 40 && !stopped; ++i) {
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  CHECK(stopped);
+  CHECK(mesh.desk.executions == before + 2);
+}
+
+// Guards against requests that are accepted after the stop signal although less time is left than
+// they need.
+TEST_CASE("a stopping node refuses at once what needs more time than is left") {
+  Fixture mesh;
+  TestNode brief(mesh.loop, mesh.store.address(), "brief-node", "store", 1000, 3000);
+  Fixture::Stopper stopper{mesh.loop};
+  brief.deadline_ms = 20'000;
+  mesh.store.Put("keyed.op", "config", SlowConfigText(20'000));
+  CHECK(mesh.desk.Announce("ready", 1).starts_with("HTTP/1.1 200"));
+  mesh.desk.response_delay = milliseconds(2000);
+  REQUIRE(brief.CallUntil("/lots/1", "200"));
+  std::atomic<bool> stopped{false};
+  brief.Stop(stopped);
+  const int before = mesh.desk.executions;
+  const auto start = std::chrono::steady_clock::now();
+  CHECK(brief.Call("/lots/1").starts_with("HTTP/1.1 503"));
+  CHECK(std::chrono::steady_clock::now() - start < milliseconds(500));
+  CHECK(mesh.desk.executions == before);
+}
+
 TEST_CASE_FIXTURE(Fixture,
                   "a stopping node is not ready, still serves its callers and then stops") {
   StartMesh();
--- a/tests/traffic/mesh_call_test.cc
+++ b/tests/traffic/mesh_call_test.cc
@@ -245,5 +245,38 @@
   CHECK(step.finish->reason == Reason::kNoEndpoint);
 }
 
+// Guards against a stopping node that sends a request on to a queue in which it cannot be served in
+// time, and against a false promise that a request has not run.
+TEST_CASE_FIXTURE(Fixture, "a call that stops sending ends with what its open attempts report") {
+  MeshCall call = MakeCall(true);
+  CHECK(call.Start(kStart).send);
+  call.StopSending();
+  SUBCASE("withdrawn from the queue") {
+    const CallStep step = call.OnReply(kStart, next_attempt++, MakeRefusal(Reason::kCancelled));
+    CHECK_FALSE(step.send);
+    CHECK(step.finish->kind == CompletionKind::kNotRun);
+  }
+  SUBCASE("run") {
+    CHECK(call.OnReply(kStart, next_attempt++, MakeReply(200)).finish->kind ==
+          CompletionKind::kForward);
+  }
+  SUBCASE("failed") {
+    const CallStep step = call.OnReply(kStart, next_attempt++, MakeReply(500));
+    CHECK_FALSE(step.send);
+    CHECK(step.finish->kind == CompletionKind::kForward);
+  }
+  SUBCASE("link lost") {
+    const CallStep step = call.OnConnectionLost(kStart, next_attempt++);
+    CHECK_FALSE(step.send);
+    CHECK(step.finish->kind == CompletionKind::kUnknown);
+  }
+  SUBCASE("no hedge") {
+    CHECK_FALSE(call.OnHedgeTimer(kStart + milliseconds(300)).send);
+  }
+  SUBCASE("no report") {
+    CHECK(call.OnNodeEnds().finish->kind == CompletionKind::kUnknown);
+  }
+}
+
 }  // namespace
 }  // namespace limpet
