--- a/idl/limpet.thrift
+++ b/idl/limpet.thrift
@@ -595,6 +595,30 @@
   2: bool not_holder
   3: i32 term_ms
   4: list<QuotaGrant> grants
+  // With `not_holder`: time until the replying node decides on them; 0 if it does not know of any.
+  5: i32 decides_in_ms
+}
+
+// The store assigned these partitions to the sender, with this fencing token. A receiver that holds one
+// of them under a lower token gives it up at once. A claim without a token only asks for the reply.
+struct PartitionClaim {
+  1: i64 token
+  2: list<i32> partitions
+}
+
+struct PartitionClaimReply {
+  // Token of the claim.
+  1: i64 token
+  // Token of the last reply of the store to the sender; 0 if the sender may not be a member any more.
+  2: i64 member_token
+  // Partitions that this reply listed.
+  3: list<i32> listed
+  // Claimed partitions for which the sender knows a higher token.
+  4: list<i32> refused
+  // Claimed partitions that the sender held under the token before that of the claim, and has ended.
+  5: list<i32> ended
+  // The sender has known the epoch of `member_token` for at least the TTL of memberships.
+  6: bool epoch_settled
 }
 
 // Results of the requests of one route at one target since a roll-out order was seen.
@@ -644,4 +668,6 @@
   15: optional QuotaRequest quota_request
   16: optional QuotaReply quota_reply
   17: optional RolloutReport rollout_report
+  18: optional PartitionClaim partition_claim
+  19: optional PartitionClaimReply partition_claim_reply
 }
--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -46,11 +46,12 @@
   kKeepLastSharedEntry,
   kSkipRolloutAnalysis,
   kKeepLostPartition,
+  kSkipTakeoverProof,  // a new holder decides 1 s after its assignment
   kSpendExpiredTokens,
   kNoTrialFromPlacement,  // no request is sent to a target that is down
 };
 
-inline constexpr EnumNames<Fault, 40> kFaultNames = {{
+inline constexpr EnumNames<Fault, 41> kFaultNames = {{
     {Fault::kNone, "none"},
     {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
@@ -89,6 +90,7 @@
     {Fault::kKeepLastSharedEntry, "keep_last_shared_entry"},
     {Fault::kSkipRolloutAnalysis, "skip_rollout_analysis"},
     {Fault::kKeepLostPartition, "keep_lost_partition"},
+    {Fault::kSkipTakeoverProof, "skip_takeover_proof"},
     {Fault::kSpendExpiredTokens, "spend_expired_tokens"},
     {Fault::kNoTrialFromPlacement, "no_trial_from_placement"},
 }};
--- a/include/limpet/decision/shared_state.h
+++ b/include/limpet/decision/shared_state.h
@@ -20,6 +20,11 @@
 /// Prefix of the keys under which lease holders announce themselves.
 inline constexpr std::string_view kHolderPrefix = "holder/";
 
+/// Key of the highest generation that a member of the group of deciding nodes has seen.
+inline constexpr std::string_view kGenerationKey = "decisions/generation";
+/// Prefix of the keys under which members tell that they have given up partitions.
+inline constexpr std::string_view kReleasedPrefix = "decisions/released/";
+
 struct SharedStateOptions {
   /// Interval at which a digest is sent to a random peer.
   Duration digest_interval = std::chrono::milliseconds(500);
--- a/include/limpet/edge/coordination.h
+++ b/include/limpet/edge/coordination.h
@@ -64,8 +64,8 @@
   /// Joins the group of deciding nodes or renews the membership. Only one join may be pending.
   virtual void JoinDecisions(const GroupJoin& join, AssignmentCallback done) = 0;
   /// Ends the membership, so that other nodes need not wait until it times out. Cancels a pending
-  /// join without calling its callback.
-  virtual void LeaveDecisions(const std::string& member) = 0;
+  /// join without calling its callback. `done` is called when the store has responded.
+  virtual void LeaveDecisions(const std::string& member, std::function<void()> done) = 0;
   /// Delivers the operator's roll-out orders while this node has a reader's role; the same order
   /// may be delivered again. Call it before `WatchConfig`.
   virtual void WatchRolloutOrders(OrderCallback on_order) = 0;
--- a/include/limpet/quota/quota_bucket.h
+++ b/include/limpet/quota/quota_bucket.h
@@ -52,7 +52,13 @@
   /// Limit of an account; no value if the account is unknown.
   using LimitOf = std::function<std::optional<AccountLimit>(const std::string& account)>;
 
-  QuotaHolder(const QuotaOptions& options, HeldSince held_since, LimitOf limit_of);
+  /// Time until this node decides on an account; no value if it does not know of any.
+  using DecidesIn = std::function<std::optional<Duration>(const std::string& account)>;
+
+  QuotaHolder(const QuotaOptions& options,
+              HeldSince held_since,
+              LimitOf limit_of,
+              DecidesIn decides_in);
 
   /// Replies with a grant for each account that this node decides on and whose limit it knows.
   wire::QuotaReply OnRequest(TimePoint now, const wire::QuotaRequest& request);
@@ -66,6 +72,7 @@
   QuotaOptions options_;
   HeldSince held_since_;
   LimitOf limit_of_;
+  DecidesIn decides_in_;
   std::map<std::string, Held> buckets_;
 };
 
--- a/include/limpet/quota/quota_client.h
+++ b/include/limpet/quota/quota_client.h
@@ -70,6 +70,10 @@
   std::vector<QuotaDecision> OnReply(TimePoint now,
                                      const std::string& node,
                                      const wire::QuotaReply& reply);
+  /// The request for tokens could not be sent to the holder.
+  std::vector<QuotaDecision> OnUnreachable(TimePoint now,
+                                           const std::string& node,
+                                           int64_t request_id);
   /// Decides on the requests whose token did not come in time. Call it about every 5 ms while
   /// requests wait.
   std::vector<QuotaDecision> Expire(TimePoint now);
@@ -100,6 +104,13 @@
     TimePoint limited_until{};
     /// Holder that did not reply in time or does not hold the lease; empty if none.
     std::string unresponsive_holder;
+    /// Holder to which no link is established; empty if none.
+    std::string unreachable_holder;
+    /// The holder has just given up the lease. Until then requests wait for its successor, which
+    /// normally announces itself within milliseconds.
+    TimePoint successor_expected_until{};
+    /// Expected time from which on the next holder decides.
+    TimePoint next_holder_at{};
     /// A request came while the holder was unresponsive: it is to be asked again.
     bool probe_due = false;
     TimePoint next_ask{};
@@ -117,7 +128,10 @@
   void RecordDemand(TimePoint now, Account& account) const;
   QuotaDecision DecideWithoutToken(TimePoint now, Account& account, int64_t request) const;
   void RefuseWaiting(TimePoint now, Account& account, std::vector<QuotaDecision>& decisions) const;
-  std::optional<wire::QuotaAsk> MakeAsk(TimePoint now, const std::string& name, Account& account);
+  std::optional<wire::QuotaAsk> MakeAsk(TimePoint now,
+                                        const std::string& name,
+                                        const std::string& holder,
+                                        Account& account);
   void ApplyGrant(TimePoint now,
                   Account& account,
                   const wire::QuotaGrant& grant,
--- a/include/limpet/quota/quota_options.h
+++ b/include/limpet/quota/quota_options.h
@@ -27,6 +27,9 @@
   Duration kept_refill = std::chrono::milliseconds(100);
   /// A request of a caller waits this long for its token.
   Duration reply_timeout = std::chrono::milliseconds(150);
+  /// Time after which another node decides if the process of the holder is gone: the TTL of
+  /// `DecisionLease`.
+  Duration takeover_time = std::chrono::seconds(3);
 };
 
 /// Shares of the permitted excess (overshoot and slack). The fallback allowance of all nodes gets
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -161,7 +161,7 @@
   shared_state_ = std::make_unique<SharedStateAgent>(*links_, counters_);
   leases_ = std::make_unique<LeaseAgent>(
       DecisionLeaseOptions{.self = settings_.name, .partitions = settings_.store_partitions},
-      coordination_, *shared_state_, counters_);
+      coordination_, *shared_state_, *links_, counters_);
   quota_ = std::make_unique<QuotaAgent>(
       executor_, settings_.name, MakeQuotaOptions(settings_), [this] { return config_.routes(); },
       leases_->lease(), *links_, counters_);
@@ -230,6 +230,7 @@
   if (message.__isset.shared_state) {
     shared_state_->OnMessage(MonotonicNow(), node, message.shared_state);
   }
+  leases_->OnMessage(MonotonicNow(), node, message);
   quota_->OnMessage(node, message);
   if (message.__isset.rollout_report) {
     rollouts_->OnReport(MonotonicNow(), node, message.rollout_report);
--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -135,7 +135,9 @@
       OnConfigRequest(message.config_request);
     }
     const bool for_other_parts = message.__isset.shared_state || message.__isset.quota_request ||
-                                 message.__isset.quota_reply || message.__isset.rollout_report;
+                                 message.__isset.quota_reply || message.__isset.rollout_report ||
+                                 message.__isset.partition_claim ||
+                                 message.__isset.partition_claim_reply;
     if (for_other_parts && server_.hooks_.on_message) {
       server_.hooks_.on_message(name_, message);
     }
--- a/src/edge/quota_agent.cc
+++ b/src/edge/quota_agent.cc
@@ -50,7 +50,10 @@
           [this](const std::string& account) {
             return lease_.HeldSince(MonotonicNow(), lease_.PartitionOf(account));
           },
-          [this](const std::string& account) { return LimitOf(account); }),
+          [this](const std::string& account) { return LimitOf(account); },
+          [this](const std::string& account) {
+            return lease_.DecidesIn(MonotonicNow(), lease_.PartitionOf(account));
+          }),
       timer_(executor) {}
 
 std::optional<AccountLimit> QuotaAgent::LimitOf(const std::string& account) const {
@@ -121,10 +124,7 @@
     message.__set_quota_request(outgoing.request);
     counters_.Get("quota_requests_sent").Add();
     if (!links_.Send(outgoing.node, message)) {
-      wire::QuotaReply unreachable;
-      unreachable.request_id = outgoing.request.request_id;
-      unreachable.not_holder = true;
-      Apply(client_.OnReply(now, outgoing.node, unreachable));
+      Apply(client_.OnUnreachable(now, outgoing.node, outgoing.request.request_id));
     }
   }
   Apply(client_.Expire(now));
--- a/src/gen/limpet_types.cpp
+++ b/src/gen/limpet_types.cpp
@@ -11933,6 +11933,10 @@
 void QuotaReply::__set_grants(const std::vector<QuotaGrant> & val) {
   this->grants = val;
 }
+
+void QuotaReply::__set_decides_in_ms(const int32_t val) {
+  this->decides_in_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const QuotaReply& obj)
 {
   obj.printTo(out);
@@ -12005,6 +12009,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->decides_in_ms);
+          this->__isset.decides_in_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12046,6 +12058,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("decides_in_ms", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->decides_in_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12057,6 +12073,7 @@
   swap(a.not_holder, b.not_holder);
   swap(a.term_ms, b.term_ms);
   swap(a.grants, b.grants);
+  swap(a.decides_in_ms, b.decides_in_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -12065,6 +12082,7 @@
   not_holder = other511.not_holder;
   term_ms = other511.term_ms;
   grants = other511.grants;
+  decides_in_ms = other511.decides_in_ms;
   __isset = other511.__isset;
 }
 QuotaReply::QuotaReply(QuotaReply&& other512) noexcept {
@@ -12072,6 +12090,7 @@
   not_holder = other512.not_holder;
   term_ms = other512.term_ms;
   grants = std::move(other512.grants);
+  decides_in_ms = other512.decides_in_ms;
   __isset = other512.__isset;
 }
 QuotaReply& QuotaReply::operator=(const QuotaReply& other513) {
@@ -12079,6 +12098,7 @@
   not_holder = other513.not_holder;
   term_ms = other513.term_ms;
   grants = other513.grants;
+  decides_in_ms = other513.decides_in_ms;
   __isset = other513.__isset;
   return *this;
 }
@@ -12087,6 +12107,7 @@
   not_holder = other514.not_holder;
   term_ms = other514.term_ms;
   grants = std::move(other514.grants);
+  decides_in_ms = other514.decides_in_ms;
   __isset = other514.__isset;
   return *this;
 }
@@ -12097,6 +12118,421 @@
   out << ", " << "not_holder=" << to_string(not_holder);
   out << ", " << "term_ms=" << to_string(term_ms);
   out << ", " << "grants=" << to_string(grants);
+  out << ", " << "decides_in_ms=" << to_string(decides_in_ms);
+  out << ")";
+}
+
+
+PartitionClaim::~PartitionClaim() noexcept {
+}
+
+
+void PartitionClaim::__set_token(const int64_t val) {
+  this->token = val;
+}
+
+void PartitionClaim::__set_partitions(const std::vector<int32_t> & val) {
+  this->partitions = val;
+}
+std::ostream& operator<<(std::ostream& out, const PartitionClaim& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PartitionClaim::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->token);
+          this->__isset.token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->partitions.clear();
+            uint32_t _size515;
+            ::apache::thrift::protocol::TType _etype518;
+            xfer += iprot->readListBegin(_etype518, _size515);
+            this->partitions.resize(_size515);
+            uint32_t _i519;
+            for (_i519 = 0; _i519 < _size515; ++_i519)
+            {
+              xfer += iprot->readI32(this->partitions[_i519]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.partitions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PartitionClaim::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PartitionClaim");
+
+  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->token);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("partitions", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->partitions.size()));
+    std::vector<int32_t> ::const_iterator _iter520;
+    for (_iter520 = this->partitions.begin(); _iter520 != this->partitions.end(); ++_iter520)
+    {
+      xfer += oprot->writeI32((*_iter520));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PartitionClaim &a, PartitionClaim &b) {
+  using ::std::swap;
+  swap(a.token, b.token);
+  swap(a.partitions, b.partitions);
+  swap(a.__isset, b.__isset);
+}
+
+PartitionClaim::PartitionClaim(const PartitionClaim& other521) {
+  token = other521.token;
+  partitions = other521.partitions;
+  __isset = other521.__isset;
+}
+PartitionClaim::PartitionClaim(PartitionClaim&& other522) noexcept {
+  token = other522.token;
+  partitions = std::move(other522.partitions);
+  __isset = other522.__isset;
+}
+PartitionClaim& PartitionClaim::operator=(const PartitionClaim& other523) {
+  token = other523.token;
+  partitions = other523.partitions;
+  __isset = other523.__isset;
+  return *this;
+}
+PartitionClaim& PartitionClaim::operator=(PartitionClaim&& other524) noexcept {
+  token = other524.token;
+  partitions = std::move(other524.partitions);
+  __isset = other524.__isset;
+  return *this;
+}
+void PartitionClaim::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PartitionClaim(";
+  out << "token=" << to_string(token);
+  out << ", " << "partitions=" << to_string(partitions);
+  out << ")";
+}
+
+
+PartitionClaimReply::~PartitionClaimReply() noexcept {
+}
+
+
+void PartitionClaimReply::__set_token(const int64_t val) {
+  this->token = val;
+}
+
+void PartitionClaimReply::__set_member_token(const int64_t val) {
+  this->member_token = val;
+}
+
+void PartitionClaimReply::__set_listed(const std::vector<int32_t> & val) {
+  this->listed = val;
+}
+
+void PartitionClaimReply::__set_refused(const std::vector<int32_t> & val) {
+  this->refused = val;
+}
+
+void PartitionClaimReply::__set_ended(const std::vector<int32_t> & val) {
+  this->ended = val;
+}
+
+void PartitionClaimReply::__set_epoch_settled(const bool val) {
+  this->epoch_settled = val;
+}
+std::ostream& operator<<(std::ostream& out, const PartitionClaimReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PartitionClaimReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->token);
+          this->__isset.token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->member_token);
+          this->__isset.member_token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->listed.clear();
+            uint32_t _size525;
+            ::apache::thrift::protocol::TType _etype528;
+            xfer += iprot->readListBegin(_etype528, _size525);
+            this->listed.resize(_size525);
+            uint32_t _i529;
+            for (_i529 = 0; _i529 < _size525; ++_i529)
+            {
+              xfer += iprot->readI32(this->listed[_i529]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.listed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->refused.clear();
+            uint32_t _size530;
+            ::apache::thrift::protocol::TType _etype533;
+            xfer += iprot->readListBegin(_etype533, _size530);
+            this->refused.resize(_size530);
+            uint32_t _i534;
+            for (_i534 = 0; _i534 < _size530; ++_i534)
+            {
+              xfer += iprot->readI32(this->refused[_i534]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ended.clear();
+            uint32_t _size535;
+            ::apache::thrift::protocol::TType _etype538;
+            xfer += iprot->readListBegin(_etype538, _size535);
+            this->ended.resize(_size535);
+            uint32_t _i539;
+            for (_i539 = 0; _i539 < _size535; ++_i539)
+            {
+              xfer += iprot->readI32(this->ended[_i539]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->epoch_settled);
+          this->__isset.epoch_settled = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PartitionClaimReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PartitionClaimReply");
+
+  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->token);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("member_token", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->member_token);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("listed", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->listed.size()));
+    std::vector<int32_t> ::const_iterator _iter540;
+    for (_iter540 = this->listed.begin(); _iter540 != this->listed.end(); ++_iter540)
+    {
+      xfer += oprot->writeI32((*_iter540));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->refused.size()));
+    std::vector<int32_t> ::const_iterator _iter541;
+    for (_iter541 = this->refused.begin(); _iter541 != this->refused.end(); ++_iter541)
+    {
+      xfer += oprot->writeI32((*_iter541));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->ended.size()));
+    std::vector<int32_t> ::const_iterator _iter542;
+    for (_iter542 = this->ended.begin(); _iter542 != this->ended.end(); ++_iter542)
+    {
+      xfer += oprot->writeI32((*_iter542));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch_settled", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->epoch_settled);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PartitionClaimReply &a, PartitionClaimReply &b) {
+  using ::std::swap;
+  swap(a.token, b.token);
+  swap(a.member_token, b.member_token);
+  swap(a.listed, b.listed);
+  swap(a.refused, b.refused);
+  swap(a.ended, b.ended);
+  swap(a.epoch_settled, b.epoch_settled);
+  swap(a.__isset, b.__isset);
+}
+
+PartitionClaimReply::PartitionClaimReply(const PartitionClaimReply& other543) {
+  token = other543.token;
+  member_token = other543.member_token;
+  listed = other543.listed;
+  refused = other543.refused;
+  ended = other543.ended;
+  epoch_settled = other543.epoch_settled;
+  __isset = other543.__isset;
+}
+PartitionClaimReply::PartitionClaimReply(PartitionClaimReply&& other544) noexcept {
+  token = other544.token;
+  member_token = other544.member_token;
+  listed = std::move(other544.listed);
+  refused = std::move(other544.refused);
+  ended = std::move(other544.ended);
+  epoch_settled = other544.epoch_settled;
+  __isset = other544.__isset;
+}
+PartitionClaimReply& PartitionClaimReply::operator=(const PartitionClaimReply& other545) {
+  token = other545.token;
+  member_token = other545.member_token;
+  listed = other545.listed;
+  refused = other545.refused;
+  ended = other545.ended;
+  epoch_settled = other545.epoch_settled;
+  __isset = other545.__isset;
+  return *this;
+}
+PartitionClaimReply& PartitionClaimReply::operator=(PartitionClaimReply&& other546) noexcept {
+  token = other546.token;
+  member_token = other546.member_token;
+  listed = std::move(other546.listed);
+  refused = std::move(other546.refused);
+  ended = std::move(other546.ended);
+  epoch_settled = other546.epoch_settled;
+  __isset = other546.__isset;
+  return *this;
+}
+void PartitionClaimReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PartitionClaimReply(";
+  out << "token=" << to_string(token);
+  out << ", " << "member_token=" << to_string(member_token);
+  out << ", " << "listed=" << to_string(listed);
+  out << ", " << "refused=" << to_string(refused);
+  out << ", " << "ended=" << to_string(ended);
+  out << ", " << "epoch_settled=" << to_string(epoch_settled);
   out << ")";
 }
 
@@ -12227,34 +12663,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RolloutRouteResults::RolloutRouteResults(const RolloutRouteResults& other515) {
-  route = other515.route;
-  requests = other515.requests;
-  failures = other515.failures;
-  service_time_us = other515.service_time_us;
-  __isset = other515.__isset;
+RolloutRouteResults::RolloutRouteResults(const RolloutRouteResults& other547) {
+  route = other547.route;
+  requests = other547.requests;
+  failures = other547.failures;
+  service_time_us = other547.service_time_us;
+  __isset = other547.__isset;
 }
-RolloutRouteResults::RolloutRouteResults(RolloutRouteResults&& other516) noexcept {
-  route = std::move(other516.route);
-  requests = other516.requests;
-  failures = other516.failures;
-  service_time_us = other516.service_time_us;
-  __isset = other516.__isset;
+RolloutRouteResults::RolloutRouteResults(RolloutRouteResults&& other548) noexcept {
+  route = std::move(other548.route);
+  requests = other548.requests;
+  failures = other548.failures;
+  service_time_us = other548.service_time_us;
+  __isset = other548.__isset;
 }
-RolloutRouteResults& RolloutRouteResults::operator=(const RolloutRouteResults& other517) {
-  route = other517.route;
-  requests = other517.requests;
-  failures = other517.failures;
-  service_time_us = other517.service_time_us;
-  __isset = other517.__isset;
+RolloutRouteResults& RolloutRouteResults::operator=(const RolloutRouteResults& other549) {
+  route = other549.route;
+  requests = other549.requests;
+  failures = other549.failures;
+  service_time_us = other549.service_time_us;
+  __isset = other549.__isset;
   return *this;
 }
-RolloutRouteResults& RolloutRouteResults::operator=(RolloutRouteResults&& other518) noexcept {
-  route = std::move(other518.route);
-  requests = other518.requests;
-  failures = other518.failures;
-  service_time_us = other518.service_time_us;
-  __isset = other518.__isset;
+RolloutRouteResults& RolloutRouteResults::operator=(RolloutRouteResults&& other550) noexcept {
+  route = std::move(other550.route);
+  requests = other550.requests;
+  failures = other550.failures;
+  service_time_us = other550.service_time_us;
+  __isset = other550.__isset;
   return *this;
 }
 void RolloutRouteResults::printTo(std::ostream& out) const {
@@ -12379,14 +12815,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size519;
-            ::apache::thrift::protocol::TType _etype522;
-            xfer += iprot->readListBegin(_etype522, _size519);
-            this->routes.resize(_size519);
-            uint32_t _i523;
-            for (_i523 = 0; _i523 < _size519; ++_i523)
+            uint32_t _size551;
+            ::apache::thrift::protocol::TType _etype554;
+            xfer += iprot->readListBegin(_etype554, _size551);
+            this->routes.resize(_size551);
+            uint32_t _i555;
+            for (_i555 = 0; _i555 < _size551; ++_i555)
             {
-              xfer += this->routes[_i523].read(iprot);
+              xfer += this->routes[_i555].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12439,10 +12875,10 @@
   xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-    std::vector<RolloutRouteResults> ::const_iterator _iter524;
-    for (_iter524 = this->routes.begin(); _iter524 != this->routes.end(); ++_iter524)
+    std::vector<RolloutRouteResults> ::const_iterator _iter556;
+    for (_iter556 = this->routes.begin(); _iter556 != this->routes.end(); ++_iter556)
     {
-      xfer += (*_iter524).write(oprot);
+      xfer += (*_iter556).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12465,46 +12901,46 @@
   swap(a.__isset, b.__isset);
 }
 
-RolloutReport::RolloutReport(const RolloutReport& other525) {
-  service_name = other525.service_name;
-  instance = other525.instance;
-  software = other525.software;
-  order = other525.order;
-  applied_sequence = other525.applied_sequence;
-  closed = other525.closed;
-  routes = other525.routes;
-  __isset = other525.__isset;
-}
-RolloutReport::RolloutReport(RolloutReport&& other526) noexcept {
-  service_name = std::move(other526.service_name);
-  instance = std::move(other526.instance);
-  software = std::move(other526.software);
-  order = other526.order;
-  applied_sequence = other526.applied_sequence;
-  closed = other526.closed;
-  routes = std::move(other526.routes);
-  __isset = other526.__isset;
-}
-RolloutReport& RolloutReport::operator=(const RolloutReport& other527) {
-  service_name = other527.service_name;
-  instance = other527.instance;
-  software = other527.software;
-  order = other527.order;
-  applied_sequence = other527.applied_sequence;
-  closed = other527.closed;
-  routes = other527.routes;
-  __isset = other527.__isset;
-  return *this;
-}
-RolloutReport& RolloutReport::operator=(RolloutReport&& other528) noexcept {
-  service_name = std::move(other528.service_name);
-  instance = std::move(other528.instance);
-  software = std::move(other528.software);
-  order = other528.order;
-  applied_sequence = other528.applied_sequence;
-  closed = other528.closed;
-  routes = std::move(other528.routes);
-  __isset = other528.__isset;
+RolloutReport::RolloutReport(const RolloutReport& other557) {
+  service_name = other557.service_name;
+  instance = other557.instance;
+  software = other557.software;
+  order = other557.order;
+  applied_sequence = other557.applied_sequence;
+  closed = other557.closed;
+  routes = other557.routes;
+  __isset = other557.__isset;
+}
+RolloutReport::RolloutReport(RolloutReport&& other558) noexcept {
+  service_name = std::move(other558.service_name);
+  instance = std::move(other558.instance);
+  software = std::move(other558.software);
+  order = other558.order;
+  applied_sequence = other558.applied_sequence;
+  closed = other558.closed;
+  routes = std::move(other558.routes);
+  __isset = other558.__isset;
+}
+RolloutReport& RolloutReport::operator=(const RolloutReport& other559) {
+  service_name = other559.service_name;
+  instance = other559.instance;
+  software = other559.software;
+  order = other559.order;
+  applied_sequence = other559.applied_sequence;
+  closed = other559.closed;
+  routes = other559.routes;
+  __isset = other559.__isset;
+  return *this;
+}
+RolloutReport& RolloutReport::operator=(RolloutReport&& other560) noexcept {
+  service_name = std::move(other560.service_name);
+  instance = std::move(other560.instance);
+  software = std::move(other560.software);
+  order = other560.order;
+  applied_sequence = other560.applied_sequence;
+  closed = other560.closed;
+  routes = std::move(other560.routes);
+  __isset = other560.__isset;
   return *this;
 }
 void RolloutReport::printTo(std::ostream& out) const {
@@ -12596,22 +13032,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LinkSilence::LinkSilence(const LinkSilence& other529) {
-  node = other529.node;
-  __isset = other529.__isset;
+LinkSilence::LinkSilence(const LinkSilence& other561) {
+  node = other561.node;
+  __isset = other561.__isset;
 }
-LinkSilence::LinkSilence(LinkSilence&& other530) noexcept {
-  node = std::move(other530.node);
-  __isset = other530.__isset;
+LinkSilence::LinkSilence(LinkSilence&& other562) noexcept {
+  node = std::move(other562.node);
+  __isset = other562.__isset;
 }
-LinkSilence& LinkSilence::operator=(const LinkSilence& other531) {
-  node = other531.node;
-  __isset = other531.__isset;
+LinkSilence& LinkSilence::operator=(const LinkSilence& other563) {
+  node = other563.node;
+  __isset = other563.__isset;
   return *this;
 }
-LinkSilence& LinkSilence::operator=(LinkSilence&& other532) noexcept {
-  node = std::move(other532.node);
-  __isset = other532.__isset;
+LinkSilence& LinkSilence::operator=(LinkSilence&& other564) noexcept {
+  node = std::move(other564.node);
+  __isset = other564.__isset;
   return *this;
 }
 void LinkSilence::printTo(std::ostream& out) const {
@@ -12710,6 +13146,16 @@
   this->rollout_report = val;
 __isset.rollout_report = true;
 }
+
+void LinkMessage::__set_partition_claim(const PartitionClaim& val) {
+  this->partition_claim = val;
+__isset.partition_claim = true;
+}
+
+void LinkMessage::__set_partition_claim_reply(const PartitionClaimReply& val) {
+  this->partition_claim_reply = val;
+__isset.partition_claim_reply = true;
+}
 std::ostream& operator<<(std::ostream& out, const LinkMessage& obj)
 {
   obj.printTo(out);
@@ -12874,6 +13320,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->partition_claim.read(iprot);
+          this->__isset.partition_claim = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->partition_claim_reply.read(iprot);
+          this->__isset.partition_claim_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12976,6 +13438,16 @@
     xfer += this->rollout_report.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.partition_claim) {
+    xfer += oprot->writeFieldBegin("partition_claim", ::apache::thrift::protocol::T_STRUCT, 18);
+    xfer += this->partition_claim.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.partition_claim_reply) {
+    xfer += oprot->writeFieldBegin("partition_claim_reply", ::apache::thrift::protocol::T_STRUCT, 19);
+    xfer += this->partition_claim_reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -13000,89 +13472,99 @@
   swap(a.quota_request, b.quota_request);
   swap(a.quota_reply, b.quota_reply);
   swap(a.rollout_report, b.rollout_report);
+  swap(a.partition_claim, b.partition_claim);
+  swap(a.partition_claim_reply, b.partition_claim_reply);
   swap(a.__isset, b.__isset);
 }
 
-LinkMessage::LinkMessage(const LinkMessage& other533) {
-  hello = other533.hello;
-  status = other533.status;
-  call = other533.call;
-  reply = other533.reply;
-  cancel = other533.cancel;
-  config = other533.config;
-  config_request = other533.config_request;
-  probe = other533.probe;
-  chunk = other533.chunk;
-  body_request = other533.body_request;
-  body_part = other533.body_part;
-  keepalive = other533.keepalive;
-  silence = other533.silence;
-  shared_state = other533.shared_state;
-  quota_request = other533.quota_request;
-  quota_reply = other533.quota_reply;
-  rollout_report = other533.rollout_report;
-  __isset = other533.__isset;
-}
-LinkMessage::LinkMessage(LinkMessage&& other534) noexcept {
-  hello = std::move(other534.hello);
-  status = std::move(other534.status);
-  call = std::move(other534.call);
-  reply = std::move(other534.reply);
-  cancel = std::move(other534.cancel);
-  config = std::move(other534.config);
-  config_request = std::move(other534.config_request);
-  probe = std::move(other534.probe);
-  chunk = std::move(other534.chunk);
-  body_request = std::move(other534.body_request);
-  body_part = std::move(other534.body_part);
-  keepalive = std::move(other534.keepalive);
-  silence = std::move(other534.silence);
-  shared_state = std::move(other534.shared_state);
-  quota_request = std::move(other534.quota_request);
-  quota_reply = std::move(other534.quota_reply);
-  rollout_report = std::move(other534.rollout_report);
-  __isset = other534.__isset;
-}
-LinkMessage& LinkMessage::operator=(const LinkMessage& other535) {
-  hello = other535.hello;
-  status = other535.status;
-  call = other535.call;
-  reply = other535.reply;
-  cancel = other535.cancel;
-  config = other535.config;
-  config_request = other535.config_request;
-  probe = other535.probe;
-  chunk = other535.chunk;
-  body_request = other535.body_request;
-  body_part = other535.body_part;
-  keepalive = other535.keepalive;
-  silence = other535.silence;
-  shared_state = other535.shared_state;
-  quota_request = other535.quota_request;
-  quota_reply = other535.quota_reply;
-  rollout_report = other535.rollout_report;
-  __isset = other535.__isset;
-  return *this;
-}
-LinkMessage& LinkMessage::operator=(LinkMessage&& other536) noexcept {
-  hello = std::move(other536.hello);
-  status = std::move(other536.status);
-  call = std::move(other536.call);
-  reply = std::move(other536.reply);
-  cancel = std::move(other536.cancel);
-  config = std::move(other536.config);
-  config_request = std::move(other536.config_request);
-  probe = std::move(other536.probe);
-  chunk = std::move(other536.chunk);
-  body_request = std::move(other536.body_request);
-  body_part = std::move(other536.body_part);
-  keepalive = std::move(other536.keepalive);
-  silence = std::move(other536.silence);
-  shared_state = std::move(other536.shared_state);
-  quota_request = std::move(other536.quota_request);
-  quota_reply = std::move(other536.quota_reply);
-  rollout_report = std::move(other536.rollout_report);
-  __isset = other536.__isset;
+LinkMessage::LinkMessage(const LinkMessage& other565) {
+  hello = other565.hello;
+  status = other565.status;
+  call = other565.call;
+  reply = other565.reply;
+  cancel = other565.cancel;
+  config = other565.config;
+  config_request = other565.config_request;
+  probe = other565.probe;
+  chunk = other565.chunk;
+  body_request = other565.body_request;
+  body_part = other565.body_part;
+  keepalive = other565.keepalive;
+  silence = other565.silence;
+  shared_state = other565.shared_state;
+  quota_request = other565.quota_request;
+  quota_reply = other565.quota_reply;
+  rollout_report = other565.rollout_report;
+  partition_claim = other565.partition_claim;
+  partition_claim_reply = other565.partition_claim_reply;
+  __isset = other565.__isset;
+}
+LinkMessage::LinkMessage(LinkMessage&& other566) noexcept {
+  hello = std::move(other566.hello);
+  status = std::move(other566.status);
+  call = std::move(other566.call);
+  reply = std::move(other566.reply);
+  cancel = std::move(other566.cancel);
+  config = std::move(other566.config);
+  config_request = std::move(other566.config_request);
+  probe = std::move(other566.probe);
+  chunk = std::move(other566.chunk);
+  body_request = std::move(other566.body_request);
+  body_part = std::move(other566.body_part);
+  keepalive = std::move(other566.keepalive);
+  silence = std::move(other566.silence);
+  shared_state = std::move(other566.shared_state);
+  quota_request = std::move(other566.quota_request);
+  quota_reply = std::move(other566.quota_reply);
+  rollout_report = std::move(other566.rollout_report);
+  partition_claim = std::move(other566.partition_claim);
+  partition_claim_reply = std::move(other566.partition_claim_reply);
+  __isset = other566.__isset;
+}
+LinkMessage& LinkMessage::operator=(const LinkMessage& other567) {
+  hello = other567.hello;
+  status = other567.status;
+  call = other567.call;
+  reply = other567.reply;
+  cancel = other567.cancel;
+  config = other567.config;
+  config_request = other567.config_request;
+  probe = other567.probe;
+  chunk = other567.chunk;
+  body_request = other567.body_request;
+  body_part = other567.body_part;
+  keepalive = other567.keepalive;
+  silence = other567.silence;
+  shared_state = other567.shared_state;
+  quota_request = other567.quota_request;
+  quota_reply = other567.quota_reply;
+  rollout_report = other567.rollout_report;
+  partition_claim = other567.partition_claim;
+  partition_claim_reply = other567.partition_claim_reply;
+  __isset = other567.__isset;
+  return *this;
+}
+LinkMessage& LinkMessage::operator=(LinkMessage&& other568) noexcept {
+  hello = std::move(other568.hello);
+  status = std::move(other568.status);
+  call = std::move(other568.call);
+  reply = std::move(other568.reply);
+  cancel = std::move(other568.cancel);
+  config = std::move(other568.config);
+  config_request = std::move(other568.config_request);
+  probe = std::move(other568.probe);
+  chunk = std::move(other568.chunk);
+  body_request = std::move(other568.body_request);
+  body_part = std::move(other568.body_part);
+  keepalive = std::move(other568.keepalive);
+  silence = std::move(other568.silence);
+  shared_state = std::move(other568.shared_state);
+  quota_request = std::move(other568.quota_request);
+  quota_reply = std::move(other568.quota_reply);
+  rollout_report = std::move(other568.rollout_report);
+  partition_claim = std::move(other568.partition_claim);
+  partition_claim_reply = std::move(other568.partition_claim_reply);
+  __isset = other568.__isset;
   return *this;
 }
 void LinkMessage::printTo(std::ostream& out) const {
@@ -13105,6 +13587,8 @@
   out << ", " << "quota_request="; (__isset.quota_request ? (out << to_string(quota_request)) : (out << "<null>"));
   out << ", " << "quota_reply="; (__isset.quota_reply ? (out << to_string(quota_reply)) : (out << "<null>"));
   out << ", " << "rollout_report="; (__isset.rollout_report ? (out << to_string(rollout_report)) : (out << "<null>"));
+  out << ", " << "partition_claim="; (__isset.partition_claim ? (out << to_string(partition_claim)) : (out << "<null>"));
+  out << ", " << "partition_claim_reply="; (__isset.partition_claim_reply ? (out << to_string(partition_claim_reply)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/limpet_types.h
+++ b/src/gen/limpet_types.h
@@ -214,6 +214,10 @@
 
 class QuotaReply;
 
+class PartitionClaim;
+
+class PartitionClaimReply;
+
 class RolloutRouteResults;
 
 class RolloutReport;
@@ -4435,11 +4439,12 @@
 std::ostream& operator<<(std::ostream& out, const QuotaGrant& obj);
 
 typedef struct _QuotaReply__isset {
-  _QuotaReply__isset() : request_id(false), not_holder(false), term_ms(false), grants(false) {}
+  _QuotaReply__isset() : request_id(false), not_holder(false), term_ms(false), grants(false), decides_in_ms(false) {}
   bool request_id :1;
   bool not_holder :1;
   bool term_ms :1;
   bool grants :1;
+  bool decides_in_ms :1;
 } _QuotaReply__isset;
 
 class QuotaReply : public virtual ::apache::thrift::TBase {
@@ -4452,7 +4457,8 @@
   QuotaReply() noexcept
              : request_id(0),
                not_holder(0),
-               term_ms(0) {
+               term_ms(0),
+               decides_in_ms(0) {
   }
 
   virtual ~QuotaReply() noexcept;
@@ -4460,6 +4466,7 @@
   bool not_holder;
   int32_t term_ms;
   std::vector<QuotaGrant>  grants;
+  int32_t decides_in_ms;
 
   _QuotaReply__isset __isset;
 
@@ -4471,6 +4478,8 @@
 
   void __set_grants(const std::vector<QuotaGrant> & val);
 
+  void __set_decides_in_ms(const int32_t val);
+
   bool operator == (const QuotaReply & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -4481,6 +4490,8 @@
       return false;
     if (!(grants == rhs.grants))
       return false;
+    if (!(decides_in_ms == rhs.decides_in_ms))
+      return false;
     return true;
   }
   bool operator != (const QuotaReply &rhs) const {
@@ -4499,6 +4510,134 @@
 
 std::ostream& operator<<(std::ostream& out, const QuotaReply& obj);
 
+typedef struct _PartitionClaim__isset {
+  _PartitionClaim__isset() : token(false), partitions(false) {}
+  bool token :1;
+  bool partitions :1;
+} _PartitionClaim__isset;
+
+class PartitionClaim : public virtual ::apache::thrift::TBase {
+ public:
+
+  PartitionClaim(const PartitionClaim&);
+  PartitionClaim(PartitionClaim&&) noexcept;
+  PartitionClaim& operator=(const PartitionClaim&);
+  PartitionClaim& operator=(PartitionClaim&&) noexcept;
+  PartitionClaim() noexcept
+                 : token(0) {
+  }
+
+  virtual ~PartitionClaim() noexcept;
+  int64_t token;
+  std::vector<int32_t>  partitions;
+
+  _PartitionClaim__isset __isset;
+
+  void __set_token(const int64_t val);
+
+  void __set_partitions(const std::vector<int32_t> & val);
+
+  bool operator == (const PartitionClaim & rhs) const
+  {
+    if (!(token == rhs.token))
+      return false;
+    if (!(partitions == rhs.partitions))
+      return false;
+    return true;
+  }
+  bool operator != (const PartitionClaim &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PartitionClaim & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PartitionClaim &a, PartitionClaim &b);
+
+std::ostream& operator<<(std::ostream& out, const PartitionClaim& obj);
+
+typedef struct _PartitionClaimReply__isset {
+  _PartitionClaimReply__isset() : token(false), member_token(false), listed(false), refused(false), ended(false), epoch_settled(false) {}
+  bool token :1;
+  bool member_token :1;
+  bool listed :1;
+  bool refused :1;
+  bool ended :1;
+  bool epoch_settled :1;
+} _PartitionClaimReply__isset;
+
+class PartitionClaimReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  PartitionClaimReply(const PartitionClaimReply&);
+  PartitionClaimReply(PartitionClaimReply&&) noexcept;
+  PartitionClaimReply& operator=(const PartitionClaimReply&);
+  PartitionClaimReply& operator=(PartitionClaimReply&&) noexcept;
+  PartitionClaimReply() noexcept
+                      : token(0),
+                        member_token(0),
+                        epoch_settled(0) {
+  }
+
+  virtual ~PartitionClaimReply() noexcept;
+  int64_t token;
+  int64_t member_token;
+  std::vector<int32_t>  listed;
+  std::vector<int32_t>  refused;
+  std::vector<int32_t>  ended;
+  bool epoch_settled;
+
+  _PartitionClaimReply__isset __isset;
+
+  void __set_token(const int64_t val);
+
+  void __set_member_token(const int64_t val);
+
+  void __set_listed(const std::vector<int32_t> & val);
+
+  void __set_refused(const std::vector<int32_t> & val);
+
+  void __set_ended(const std::vector<int32_t> & val);
+
+  void __set_epoch_settled(const bool val);
+
+  bool operator == (const PartitionClaimReply & rhs) const
+  {
+    if (!(token == rhs.token))
+      return false;
+    if (!(member_token == rhs.member_token))
+      return false;
+    if (!(listed == rhs.listed))
+      return false;
+    if (!(refused == rhs.refused))
+      return false;
+    if (!(ended == rhs.ended))
+      return false;
+    if (!(epoch_settled == rhs.epoch_settled))
+      return false;
+    return true;
+  }
+  bool operator != (const PartitionClaimReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PartitionClaimReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PartitionClaimReply &a, PartitionClaimReply &b);
+
+std::ostream& operator<<(std::ostream& out, const PartitionClaimReply& obj);
+
 typedef struct _RolloutRouteResults__isset {
   _RolloutRouteResults__isset() : route(false), requests(false), failures(false), service_time_us(false) {}
   bool route :1;
@@ -4697,7 +4836,7 @@
 std::ostream& operator<<(std::ostream& out, const LinkSilence& obj);
 
 typedef struct _LinkMessage__isset {
-  _LinkMessage__isset() : hello(false), status(false), call(false), reply(false), cancel(false), config(false), config_request(false), probe(false), chunk(false), body_request(false), body_part(false), keepalive(false), silence(false), shared_state(false), quota_request(false), quota_reply(false), rollout_report(false) {}
+  _LinkMessage__isset() : hello(false), status(false), call(false), reply(false), cancel(false), config(false), config_request(false), probe(false), chunk(false), body_request(false), body_part(false), keepalive(false), silence(false), shared_state(false), quota_request(false), quota_reply(false), rollout_report(false), partition_claim(false), partition_claim_reply(false) {}
   bool hello :1;
   bool status :1;
   bool call :1;
@@ -4715,6 +4854,8 @@
   bool quota_request :1;
   bool quota_reply :1;
   bool rollout_report :1;
+  bool partition_claim :1;
+  bool partition_claim_reply :1;
 } _LinkMessage__isset;
 
 class LinkMessage : public virtual ::apache::thrift::TBase {
@@ -4745,6 +4886,8 @@
   QuotaRequest quota_request;
   QuotaReply quota_reply;
   RolloutReport rollout_report;
+  PartitionClaim partition_claim;
+  PartitionClaimReply partition_claim_reply;
 
   _LinkMessage__isset __isset;
 
@@ -4782,6 +4925,10 @@
 
   void __set_rollout_report(const RolloutReport& val);
 
+  void __set_partition_claim(const PartitionClaim& val);
+
+  void __set_partition_claim_reply(const PartitionClaimReply& val);
+
   bool operator == (const LinkMessage & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -4852,6 +4999,14 @@
       return false;
     else if (__isset.rollout_report && !(rollout_report == rhs.rollout_report))
       return false;
+    if (__isset.partition_claim != rhs.__isset.partition_claim)
+      return false;
+    else if (__isset.partition_claim && !(partition_claim == rhs.partition_claim))
+      return false;
+    if (__isset.partition_claim_reply != rhs.__isset.partition_claim_reply)
+      return false;
+    else if (__isset.partition_claim_reply && !(partition_claim_reply == rhs.partition_claim_reply))
+      return false;
     return true;
   }
   bool operator != (const LinkMessage &rhs) const {
--- a/src/quota/quota_bucket.cc
+++ b/src/quota/quota_bucket.cc
@@ -71,8 +71,14 @@
   return grant;
 }
 
-QuotaHolder::QuotaHolder(const QuotaOptions& options, HeldSince held_since, LimitOf limit_of)
-    : options_(options), held_since_(std::move(held_since)), limit_of_(std::move(limit_of)) {}
+QuotaHolder::QuotaHolder(const QuotaOptions& options,
+                         HeldSince held_since,
+                         LimitOf limit_of,
+                         DecidesIn decides_in)
+    : options_(options),
+      held_since_(std::move(held_since)),
+      limit_of_(std::move(limit_of)),
+      decides_in_(std::move(decides_in)) {}
 
 wire::QuotaReply QuotaHolder::OnRequest(TimePoint now, const wire::QuotaRequest& request) {
   wire::QuotaReply reply;
@@ -85,6 +91,9 @@
     if (!since || !limit) {
       buckets_.erase(ask.account);
       reply.not_holder = true;
+      const Duration wait = decides_in_(ask.account).value_or(Duration(0));
+      reply.decides_in_ms =
+          static_cast<int32_t>(std::chrono::ceil<std::chrono::milliseconds>(wait).count());
       continue;
     }
     wire::QuotaGrant grant;
--- a/src/quota/quota_client.cc
+++ b/src/quota/quota_client.cc
@@ -87,7 +87,8 @@
     return QuotaDecision{request, QuotaVerdict::kLimited, account.limited_until - now};
   }
   const std::string holder = holder_of_(name);
-  if (holder.empty() || holder == account.unresponsive_holder) {
+  const bool has_holder = !holder.empty() && holder != account.unresponsive_holder;
+  if (!has_holder && now >= account.successor_expected_until) {
     account.probe_due = true;
     return DecideWithoutToken(now, account, request);
   }
@@ -109,7 +110,8 @@
   const bool may_pass = now - started_ >= options_.window &&
                         static_cast<double>(account.fallback.size()) + 1 <= allowance;
   if (!may_pass) {
-    return {request, QuotaVerdict::kNoToken, kRetryAfterNoToken};
+    const Duration until_holder = account.next_holder_at - now;
+    return {request, QuotaVerdict::kNoToken, std::max(kRetryAfterNoToken, until_holder)};
   }
   account.fallback.push_back(now);
   return {request, QuotaVerdict::kGranted, Duration(0), true};
@@ -134,9 +136,13 @@
 
 std::optional<wire::QuotaAsk> QuotaClient::MakeAsk(TimePoint now,
                                                    const std::string& name,
+                                                   const std::string& holder,
                                                    Account& account) {
   DropExpired(now, account);
-  if ((account.pending && !account.pending->overdue) || now < account.next_ask) {
+  const bool is_pending =
+      account.pending && !account.pending->overdue && account.pending->node == holder;
+  const bool is_too_soon = holder == account.unresponsive_holder && now < account.next_ask;
+  if (is_pending || is_too_soon) {
     return std::nullopt;
   }
   wire::QuotaAsk ask;
@@ -169,7 +175,7 @@
     if (holder.empty()) {
       continue;
     }
-    if (auto ask = MakeAsk(now, name, account)) {
+    if (auto ask = MakeAsk(now, name, holder, account)) {
       wire::QuotaRequest& request = requests[holder];
       if (request.asks.empty()) {
         request.request_id = next_id_++;
@@ -203,7 +209,10 @@
                              std::vector<QuotaDecision>& decisions) {
   const Pending pending = *std::exchange(account.pending, std::nullopt);
   account.unresponsive_holder.clear();
+  account.unreachable_holder.clear();
   account.next_ask = {};
+  account.successor_expected_until = {};
+  account.next_holder_at = {};
   const int granted = std::clamp(grant.granted, 0, kMaxTokens);
   account.tokens.push_back({pending.sent_at + std::min(term, options_.term), granted});
   DropExpired(now, account);
@@ -237,9 +246,36 @@
       continue;
     }
     account.pending.reset();
+    account.unreachable_holder.clear();
+    const Duration decides_in = std::chrono::milliseconds(reply.decides_in_ms);
+    account.next_holder_at = now + decides_in;
+    if (decides_in <= options_.reply_timeout && account.unresponsive_holder != node) {
+      // The lease has just moved. Waiting requests are decided by `Expire` at the latest.
+      account.successor_expected_until = now + options_.reply_timeout;
+    }
     account.unresponsive_holder = node;
     account.next_ask = now + kUnresponsiveInterval;
-    RefuseWaiting(now, account, decisions);
+    if (now >= account.successor_expected_until) {
+      RefuseWaiting(now, account, decisions);
+    }
+  }
+  return decisions;
+}
+
+std::vector<QuotaDecision> QuotaClient::OnUnreachable(TimePoint now,
+                                                      const std::string& node,
+                                                      int64_t request_id) {
+  std::vector<QuotaDecision> decisions;
+  for (auto& [name, account] : accounts_) {
+    if (account.pending && account.pending->id == request_id && account.pending->node == node) {
+      account.pending.reset();
+      account.unresponsive_holder = node;
+      account.next_ask = now + kUnresponsiveInterval;
+      if (std::exchange(account.unreachable_holder, node) != node) {
+        account.next_holder_at = now + options_.takeover_time;
+      }
+      RefuseWaiting(now, account, decisions);
+    }
   }
   return decisions;
 }
--- a/tests/decision/group_model.h
+++ b/tests/decision/group_model.h
@@ -10,8 +10,9 @@
 
 namespace limpet {
 
-/// A consumer group of the store. A partition passes to another member only when its member joined
-/// with a generation in which it was not listed any more, left, or sent nothing for the TTL.
+/// A consumer group of the store. A partition passes to another member when its member joined with
+/// a generation in which it was not listed any more, left, or sent nothing for the TTL, and at any
+/// time when the store reassigns all of them.
 class GroupModel {
  public:
   explicit GroupModel(int partitions, std::optional<int64_t> epoch = std::nullopt)
@@ -51,6 +52,29 @@
     ++rotation_;
     Rebalance();
   }
+  /// Moves partitions to other members at once, without waiting for any request. With `exchange`,
+  /// pairs of partitions exchange their members, so that two members get one from each other.
+  void ReassignAll(bool exchange = false) {
+    if (members_.empty()) {
+      return;
+    }
+    ++generation_;
+    std::vector<std::string> names;
+    for (const auto& [name, member] : members_) {
+      names.push_back(name);
+    }
+    std::vector<std::string> next;
+    for (std::size_t i = 0; i < partitions_.size(); ++i) {
+      const auto found = std::ranges::find(names, partitions_[i].next);
+      const auto at = static_cast<std::size_t>(found - names.begin()) % names.size();
+      next.push_back(exchange ? partitions_[partitions_.size() - 1 - i].next
+                              : names[(at + 1) % names.size()]);
+    }
+    for (std::size_t i = 0; i < partitions_.size(); ++i) {
+      partitions_[i] = {next[i], next[i], generation_};
+    }
+  }
+  int64_t generation() const { return generation_; }
   /// Continues in the state of an earlier copy, in a new epoch if the store has epochs.
   void RestoreFrom(const GroupModel& copy) {
     const auto epoch = epoch_;
--- a/tests/platform/store_coordination_test.cc
+++ b/tests/platform/store_coordination_test.cc
@@ -256,7 +256,7 @@
   };
   CHECK(join("a", 0).partitions.size() == 32);
   CHECK(join("b", 0).partitions.empty());
-  loop.Run([this] { reader->LeaveDecisions("a"); });
+  loop.Run([this] { reader->LeaveDecisions("a", [] {}); });
   while (store.calls("/log-leave") == 0) {
     std::this_thread::sleep_for(milliseconds(10));
   }
--- a/tests/quota/quota_client_test.cc
+++ b/tests/quota/quota_client_test.cc
@@ -20,6 +20,16 @@
   std::optional<QuotaDecision> Admit(TimePoint now, int64_t request) {
     return client.Admit(now, "shop", kLimit, request);
   }
+  /// Replies to the requests for tokens that are due that the node is not the holder.
+  std::vector<QuotaDecision> ReplyNotHolder(TimePoint now, Duration decides_in) {
+    const auto outgoing = client.TakeRequests(now);
+    REQUIRE(outgoing.size() == 1);
+    wire::QuotaReply reply;
+    reply.request_id = outgoing[0].request.request_id;
+    reply.not_holder = true;
+    reply.decides_in_ms = static_cast<int32_t>(decides_in / milliseconds(1));
+    return client.OnReply(now, outgoing[0].node, reply);
+  }
   /// Replies to the requests for tokens that are due.
   std::vector<QuotaDecision> Reply(TimePoint now, int granted, int retry_after_ms) {
     const auto outgoing = client.TakeRequests(now);
@@ -133,6 +143,52 @@
   CHECK(client.TakeRequests(kStart + milliseconds(165)).at(0).node == "h2");
 }
 
+// Guards against refused requests at each change of the holder, although its successor is there
+// within milliseconds.
+TEST_CASE_FIXTURE(Fixture, "requests wait for the successor of a holder that has just ended") {
+  CHECK_FALSE(Admit(kStart, 1));
+  CHECK(ReplyNotHolder(kStart, Duration(0)).empty());
+  CHECK_FALSE(Admit(kStart + milliseconds(10), 2));
+  holder = "h2";
+  const auto decisions = Reply(kStart + milliseconds(20), 2, 0);
+  REQUIRE(decisions.size() == 2);
+  CHECK(decisions[0].verdict == QuotaVerdict::kGranted);
+  CHECK(decisions[1].verdict == QuotaVerdict::kGranted);
+}
+
+TEST_CASE_FIXTURE(Fixture, "without a successor requests do not wait longer than for a reply") {
+  CHECK_FALSE(Admit(kStart, 1));
+  CHECK(ReplyNotHolder(kStart, Duration(0)).empty());
+  CHECK_FALSE(Admit(kStart + milliseconds(149), 2));
+  CHECK(client.Expire(kStart + milliseconds(150)).size() == 1);
+  CHECK(Admit(kStart + milliseconds(150), 3)->verdict == QuotaVerdict::kNoToken);
+}
+
+// Guards against requests that wait, or are sent again and again, while no holder can be there.
+TEST_CASE_FIXTURE(Fixture, "a request is refused at once until the time of the next holder") {
+  CHECK_FALSE(Admit(kStart, 1));
+  const auto decisions = ReplyNotHolder(kStart, seconds(2));
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions[0].verdict == QuotaVerdict::kNoToken);
+  CHECK(decisions[0].retry_after == Duration(seconds(2)));
+  CHECK(Admit(kStart + milliseconds(500), 2)->retry_after == Duration(milliseconds(1500)));
+  // The holder may decide sooner, so it is asked again meanwhile.
+  CHECK(Reply(kStart + milliseconds(510), 1, 0).empty());
+  CHECK(Admit(kStart + milliseconds(520), 3)->verdict == QuotaVerdict::kGranted);
+}
+
+TEST_CASE_FIXTURE(Fixture, "after the end of the holder's process the takeover time is told") {
+  CHECK_FALSE(Admit(kStart, 1));
+  const auto fail = [&](TimePoint now) {
+    const auto outgoing = client.TakeRequests(now).at(0);
+    return client.OnUnreachable(now, outgoing.node, outgoing.request.request_id);
+  };
+  CHECK(fail(kStart).at(0).retry_after == Duration(seconds(3)));
+  CHECK(Admit(kStart + seconds(1), 2)->retry_after == Duration(seconds(2)));
+  fail(kStart + seconds(1));
+  CHECK(Admit(kStart + seconds(2), 3)->retry_after == Duration(seconds(1)));
+}
+
 TEST_CASE_FIXTURE(Fixture,
                   "the fallback allowance is split between the nodes, and not after a start") {
   holder = "";
@@ -168,7 +224,8 @@
   std::optional<TimePoint> since = kStart;
   QuotaHolder holder(
       {}, [&](const std::string&) { return since; },
-      [](const std::string&) { return std::optional(kLimit); });
+      [](const std::string&) { return std::optional(kLimit); },
+      [](const std::string&) { return std::optional<Duration>(seconds(2)); });
   wire::QuotaAsk ask;
   ask.account = "shop";
   ask.wanted = 100;
@@ -178,6 +235,7 @@
   CHECK(holder.OnRequest(now, request).grants.at(0).granted == 13);
   since.reset();
   CHECK(holder.OnRequest(now, request).not_holder);
+  CHECK(holder.OnRequest(now, request).decides_in_ms == 2000);
   now += seconds(60);
   since = now;
   const wire::QuotaReply reply = holder.OnRequest(now, request);
--- a/tests/quota/quota_world.h
+++ b/tests/quota/quota_world.h
@@ -115,7 +115,8 @@
         [this, node](const std::string& /*account*/) {
           return holder_ == node ? std::optional(held_since_) : std::nullopt;
         },
-        [this](const std::string& /*account*/) { return std::optional(limit_); });
+        [this](const std::string& /*account*/) { return std::optional(limit_); },
+        [](const std::string& /*account*/) { return std::nullopt; });
     ++restarted.process;
   }
   /// The lease passes to another node, which decides after the takeover delay.
