Send a request with a lost response again only from the caller's node

Cause: InboundProxy took any end of a kept connection without a response for an idle connection that had been closed before, however long the request had run, and sent it to the target again without asking the gate, the attempts, the retry budget or the time left.

Change: InboundProxy sends a request once. MeshCall sends it again under its usual limits, to the same target only if there is no other, and that target's gate is asked as for any call. Before a kept connection is used, the socket is checked for its end, so that a closed idle connection costs no attempt. TargetClient, which sent again after any time, does so only within 20 ms.

--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -48,10 +48,11 @@
   kKeepLostPartition,
   kSkipTakeoverProof,  // a new holder decides 1 s after its assignment
   kSpendExpiredTokens,
+  kRepeatLostRequest,     // a request whose response was lost goes to the same target at once
   kNoTrialFromPlacement,  // no request is sent to a target that is down
 };
 
-inline constexpr EnumNames<Fault, 41> kFaultNames = {{
+inline constexpr EnumNames<Fault, 42> kFaultNames = {{
     {Fault::kNone, "none"},
     {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
@@ -92,6 +93,7 @@
     {Fault::kKeepLostPartition, "keep_lost_partition"},
     {Fault::kSkipTakeoverProof, "skip_takeover_proof"},
     {Fault::kSpendExpiredTokens, "spend_expired_tokens"},
+    {Fault::kRepeatLostRequest, "repeat_lost_request"},
     {Fault::kNoTrialFromPlacement, "no_trial_from_placement"},
 }};
 
--- a/include/limpet/edge/http_connection.h
+++ b/include/limpet/edge/http_connection.h
@@ -75,6 +75,9 @@
 
   /// True if another exchange can start on this connection now.
   bool IsReusable(TimePoint now) const;
+  /// True if the peer has closed the idle connection, or sent bytes without a request, and the
+  /// event loop has not seen it yet.
+  bool HasPeerEnded();
   /// True while the connection is being established; nothing was sent then.
   bool is_connecting() const { return state_ == State::kConnecting; }
   TimePoint idle_since() const { return idle_since_; }
--- a/include/limpet/edge/inbound_proxy.h
+++ b/include/limpet/edge/inbound_proxy.h
@@ -84,13 +84,12 @@
     std::string body;
     ReplySinkPtr sink;
     TimePoint arrived{};
-    /// Time at which the request was last sent to the target.
+    /// Time at which the request was sent to the target.
     TimePoint started{};
     TimePoint deadline{};
     HttpConnectionPtr connection;
     bool awaiting_body = false;
     bool reused_connection = false;
-    bool resent = false;
     /// Time at which the sink was first found closed; zero while it is open.
     TimePoint orphaned_since{};
   };
--- a/include/limpet/net/target_client.h
+++ b/include/limpet/net/target_client.h
@@ -48,8 +48,8 @@
 };
 
 /// Sends requests to one HTTP server and waits for the response. Safe for concurrent use.
-/// Idempotent requests reuse connections, and are sent again if a reused connection closes without
-/// a response. Every other request uses a new connection, so that it is sent at most once.
+/// Idempotent requests reuse connections, and are sent again if a reused connection closes at once
+/// without a response. Every other request uses a new connection, so that it is sent at most once.
 class TargetClient {
  public:
   TargetClient(std::string host, int port, size_t max_idle_connections = 32);
--- a/include/limpet/traffic/mesh_call.h
+++ b/include/limpet/traffic/mesh_call.h
@@ -148,6 +148,9 @@
   int last_attempt_id_ = 0;
   /// Nodes that are not chosen again for this call.
   std::vector<std::string> excluded_nodes_;
+  /// Excluded nodes whose target closed the connection without a response. They may get the request
+  /// again if there is no other target.
+  std::vector<std::string> nodes_with_lost_response_;
   /// Nodes that refused an immediate-only attempt; they may still queue the request.
   std::vector<std::string> nodes_without_free_slot_;
   int attempts_reached_target_ = 0;
--- a/src/edge/http_connection.cc
+++ b/src/edge/http_connection.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cerrno>
 #include <utility>
 
 #include "limpet/core/fault.h"
@@ -294,6 +295,16 @@
   socket_.close(ignored);
 }
 
+bool HttpConnection::HasPeerEnded() {
+  if (state_ != State::kIdle) {
+    return false;
+  }
+  char byte = 0;
+  const ssize_t received =
+      ::recv(socket_.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 bool HttpConnection::IsReusable(TimePoint now) const {
   return state_ == State::kNew || (state_ == State::kIdle && now < usable_until_);
 }
--- a/src/edge/inbound_proxy.cc
+++ b/src/edge/inbound_proxy.cc
@@ -257,6 +257,9 @@
 HttpConnectionPtr InboundProxy::AcquireConnection(TimePoint now, bool idempotent, bool& reused) {
   std::erase_if(idle_connections_,
                 [now](const HttpConnectionPtr& c) { return !c->IsReusable(now); });
+  while (!idle_connections_.empty() && idle_connections_.back()->HasPeerEnded()) {
+    idle_connections_.pop_back();
+  }
   reused = !idle_connections_.empty() &&
            (idempotent || now - idle_connections_.back()->idle_since() < kMaxIdleForNonIdempotent);
   if (reused) {
@@ -274,8 +277,7 @@
 void InboundProxy::SendToTarget(const std::string& key, PendingCall& pending) {
   const TimePoint now = MonotonicNow();
   pending.started = now;
-  const bool idempotent = pending.call.idempotent && !pending.resent;
-  pending.connection = AcquireConnection(now, idempotent, pending.reused_connection);
+  pending.connection = AcquireConnection(now, pending.call.idempotent, pending.reused_connection);
   // Only the first response on a connection may lack the id: on a kept connection, it may be the
   // copy of an earlier response.
   auto matches = [id = pending.call.request_id, name = &header_names_.request_id,
@@ -359,14 +361,14 @@
   } else {
     connection->Close();
   }
-  // The target had probably closed the idle connection before the request reached it.
-  const bool stale = result.status == ExchangeStatus::kBroken && pending.reused_connection &&
-                     !result.response_begun;
-  if (stale && pending.call.idempotent && !pending.resent) {
-    pending.resent = true;
+  if (result.status == ExchangeStatus::kBroken && pending.reused_connection) {
+    // If the target has closed its idle connections, the others are of no use either. The request
+    // may have run all the same, so the caller's node decides whether it is sent again.
     idle_connections_.clear();
-    SendToTarget(key, pending);
-    return;
+    if (IsFaultActive(Fault::kRepeatLostRequest) && pending.call.idempotent) {
+      SendToTarget(key, pending);
+      return;
+    }
   }
   ExchangeOutcome outcome = Classify(result);
   if (outcome.result != TargetResult::kSucceeded) {
--- a/src/edge/repeated_exchange.cc
+++ b/src/edge/repeated_exchange.cc
@@ -24,7 +24,7 @@
   repeat_ = std::move(repeat);
   callback_ = std::move(callback);
   HttpConnectionPtr connection = std::exchange(idle_connection_, nullptr);
-  if (!connection || !connection->IsReusable(started_at_)) {
+  if (!connection || !connection->IsReusable(started_at_) || connection->HasPeerEnded()) {
     connection = std::make_shared<HttpConnection>(executor_, options_.connection);
   }
   StartAttempt(std::move(connection), std::move(request), wait);
--- a/src/net/target_client.cc
+++ b/src/net/target_client.cc
@@ -21,6 +21,9 @@
 constexpr Duration kCancelPollInterval = std::chrono::milliseconds(10);
 /// Names and values of the headers of a request. Servers on cxxtools refuse more.
 constexpr std::size_t kMaxRequestHeaderBytes = 4096;
+/// A server that has closed an idle connection ends an exchange on it within a round trip. If the
+/// connection ends later, the server may have run the request.
+constexpr Duration kMaxTimeOfClosedConnection = std::chrono::milliseconds(20);
 /// The largest value that the setting `max_body_bytes` may have.
 constexpr std::size_t kMaxResponseBytes = std::size_t{64} << 20;
 
@@ -199,8 +202,11 @@
   auto connection = AcquireConnection(idempotent, timeout);
   // If the exchange throws, the destructor of the connection closes it.
   const bool reused = connection->was_used();
+  const TimePoint sent_at = MonotonicNow();
   ExchangeResult result = connection->Exchange(converted, end, is_cancelled);
-  if (reused && result.status == ExchangeStatus::kBroken && !result.response_begun) {
+  const bool ended_at_once = MonotonicNow() - sent_at < kMaxTimeOfClosedConnection;
+  if (reused && result.status == ExchangeStatus::kBroken && !result.response_begun &&
+      ended_at_once) {
     // The server had probably closed the idle connection before the request reached it.
     connection = std::make_unique<Connection>(host_, port_, timeout);
     result = connection->Exchange(converted, end, is_cancelled);
--- a/src/traffic/mesh_call.cc
+++ b/src/traffic/mesh_call.cc
@@ -90,6 +90,12 @@
       target = queue_target;
     }
   }
+  if (!target && !nodes_with_lost_response_.empty()) {
+    for (const std::string& node : std::exchange(nodes_with_lost_response_, {})) {
+      std::erase(excluded_nodes_, node);
+    }
+    return SendNext(now, hedge);
+  }
   if (!target) {
     if (retry_after_ == Duration(0)) {
       retry_after_ = placement_.UntilNextTrial(now, options_.service).value_or(Duration(0));
@@ -168,6 +174,9 @@
     return OnRefused(now, closed, reply);
   }
   excluded_nodes_.push_back(closed.node);
+  if (reply.reached_target && reply.reason == Reason::kConnectionLost) {
+    nodes_with_lost_response_.push_back(closed.node);
+  }
   if (reply.outcome == wire::Outcome::kRan && reply.http_status < 500) {
     return Finish(CompletionKind::kForward, Reason::kNone);
   }
--- a/tests/edge/http_connection_test.cc
+++ b/tests/edge/http_connection_test.cc
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <future>
+#include <optional>
 
 #include "edge/loop_thread.h"
 #include "limpet/net/clock.h"
@@ -303,6 +304,21 @@
   CHECK(server.requests_received() == 2);
 }
 
+// Guards against a request that is lost because its connection had been closed before.
+TEST_CASE_FIXTURE(Fixture,
+                  "the end of an idle connection is seen before the event loop handles it") {
+  std::optional<ScriptedHttpServer> server;
+  server.emplace([](int) { return ScriptedHttpServer::Response{kFirst, false}; });
+  const auto connection = Connect(server->port());
+  CHECK(Exchange(connection, "1").status == ExchangeStatus::kResponded);
+  loop.Run([&] {
+    CHECK_FALSE(connection->HasPeerEnded());
+    server.reset();
+    CHECK(connection->IsReusable(MonotonicNow()));
+    CHECK(connection->HasPeerEnded());
+  });
+}
+
 TEST_CASE_FIXTURE(Fixture, "an exchange with an unresponsive peer times out") {
   ScriptedHttpServer server([](int) { return ScriptedHttpServer::Response{"", false}; });
   CHECK(Exchange(Connect(server.port()), "1", milliseconds(100)).status ==
--- a/tests/edge/inbound_proxy_test.cc
+++ b/tests/edge/inbound_proxy_test.cc
@@ -137,6 +137,41 @@
   CHECK(server.closed_by_client() >= 1);
 }
 
+// Guards against a request that reaches a target again after the target has announced that it
+// leaves: a response that is lost after some time of work was taken for an idle connection that
+// had been closed before the request.
+TEST_CASE_FIXTURE(Fixture, "a request whose response was lost is not sent to the target again") {
+  bool draining = false;
+  SUBCASE("the target goes on") {}
+  SUBCASE("the target drains meanwhile") {
+    draining = true;
+  }
+  ScriptedHttpServer server([&](int request) -> ScriptedHttpServer::Response {
+    if (request == 0) {
+      return {Response("200 OK", "X-Request-Id: a\r\n"), false};
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    return {"", true};
+  });
+  UseTarget(server.port());
+  wire::LinkCall call = MakeCall("a");
+  call.idempotent = true;
+  const auto start = [&](const std::string& key) {
+    loop.Run([&] { proxy.Call(key, call, "body", std::make_shared<RecordingSink>(replies)); });
+  };
+  start("node/1/a");
+  CHECK(WaitForReply().outcome == wire::Outcome::kRan);
+  start("node/1/b");
+  if (draining) {
+    loop.Run([&] { proxy.StartDraining(); });
+  }
+  const wire::LinkReply reply = WaitForReply();
+  CHECK(reply.outcome == wire::Outcome::kUnknown);
+  CHECK(reply.reason == wire::RefusalReason::kConnectionLost);
+  CHECK(reply.reached_target);
+  CHECK(server.requests_received() == 2);
+}
+
 /// A target that keeps the bodies of its requests.
 struct UploadFixture : Fixture {
   std::vector<std::string> bodies;
--- a/tests/net/target_client_test.cc
+++ b/tests/net/target_client_test.cc
@@ -162,6 +162,20 @@
   CHECK(server.requests_received() == 3);
 }
 
+// Guards against a request that runs twice although nothing but its response was lost.
+TEST_CASE("a request is not sent again when its connection closes after some time") {
+  ScriptedHttpServer server([](int number) {
+    if (number > 0) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    return RespondOnceThenClose(number);
+  });
+  TargetClient client("127.0.0.1", server.port());
+  CHECK(client.Exchange(MakePost(), true, kTimeout, IsNeverCancelled).body == "hello");
+  CHECK_THROWS_AS(client.Exchange(MakePost(), true, kTimeout, IsNeverCancelled), ExchangeError);
+  CHECK(server.requests_received() == 2);
+}
+
 TEST_CASE("a request whose headers exceed the limit fails before anything is sent") {
   ScriptedHttpServer server(RespondOnceThenClose);
   TargetClient client("127.0.0.1", server.port());
--- a/tests/traffic/mesh_call_test.cc
+++ b/tests/traffic/mesh_call_test.cc
@@ -71,6 +71,35 @@
   }
 };
 
+// Guards against a failed request although its target works: the target has closed a kept
+// connection and no other target is there.
+TEST_CASE_FIXTURE(Fixture, "after a lost response the only target may get the request again") {
+  for (const char* node : {"n2", "n3", "n4"}) {
+    placement.SetReachable(node, false);
+  }
+  MeshCall call = MakeCall(true);
+  CHECK(call.Start(kStart).send->target.node == "n1");
+  const CallStep retry = call.OnReply(kStart, next_attempt++, MakeUnknownOutcome());
+  REQUIRE(retry.send);
+  CHECK(retry.send->target.node == "n1");
+  SUBCASE("it is lost again") {
+    const CallStep step = call.OnReply(kStart, next_attempt++, MakeUnknownOutcome());
+    CHECK(step.finish->kind == CompletionKind::kUnknown);
+  }
+  SUBCASE("the target drains") {
+    const CallStep step = call.OnReply(kStart, next_attempt++, MakeRefusal(Reason::kDraining));
+    CHECK(step.finish->kind == CompletionKind::kUnknown);
+  }
+}
+
+TEST_CASE_FIXTURE(Fixture, "after a lost response another target goes before the same one") {
+  MeshCall call = MakeCall(true);
+  const std::string first = call.Start(kStart).send->target.node;
+  const CallStep retry = call.OnReply(kStart, next_attempt++, MakeUnknownOutcome());
+  REQUIRE(retry.send);
+  CHECK(retry.send->target.node != first);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a non-idempotent request that may have run is not retried") {
   MeshCall call = MakeCall(false);
   CHECK(call.Start(kStart).send);
