--- a/include/limpet/edge/http_convert.h
+++ b/include/limpet/edge/http_convert.h
@@ -21,6 +21,10 @@
 BeastResponse ToBeastResponse(HttpResponse response, bool omit_body);
 BeastRequest ToBeastRequest(HttpRequest request);
 
+/// Formats a Retry-After value in seconds with three decimals, which the callers of this mesh
+/// accept.
+std::string FormatRetryAfter(Duration retry);
+
 }  // namespace limpet::edge
 
 #endif  // LIMPET_EDGE_HTTP_CONVERT_H_
--- a/src/edge/http_convert.cc
+++ b/src/edge/http_convert.cc
@@ -1,6 +1,9 @@
 #include "limpet/edge/http_convert.h"
 
+#include <array>
 #include <boost/beast/core/string.hpp>
+#include <chrono>
+#include <cstdio>
 #include <utility>
 
 namespace limpet::edge {
@@ -82,4 +85,10 @@
   return message;
 }
 
+std::string FormatRetryAfter(Duration retry) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(retry).count());
+  return text.data();
+}
+
 }  // namespace limpet::edge
