--- a/include/limpet/edge/inbound_proxy.h
+++ b/include/limpet/edge/inbound_proxy.h
@@ -18,6 +18,7 @@
 namespace limpet::edge {
 
 class Link;
+struct ExchangeOutcome;
 
 /// Receives the reply of a pending call: a link to another node, or this node itself.
 class ReplySink {
@@ -98,10 +99,6 @@
     std::string body;
     TimePoint expiry{};
   };
-  struct ExchangeOutcome {
-    wire::LinkReply reply;
-    TargetResult result = TargetResult::kNoValidResponse;
-  };
 
   using PendingCallMap = std::unordered_map<std::string, PendingCall>;
 
@@ -113,8 +110,6 @@
   HttpRequest MakeRequest(const PendingCall& pending, TimePoint now) const;
   HttpConnectionPtr AcquireConnection(TimePoint now, bool idempotent, bool& reused);
   void OnExchange(const std::string& key, ExchangeResult result);
-  ExchangeOutcome Classify(const ExchangeResult& result) const;
-  ExchangeOutcome ClassifyResponse(const HttpResponse& response) const;
   void Finish(const std::string& key, ExchangeOutcome outcome, std::string body);
   void HandleGateEvents(const std::vector<GateEvent>& events);
   void Refuse(const std::string& key, const GateDecision& decision);
--- a/src/edge/inbound_proxy.cc
+++ b/src/edge/inbound_proxy.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "exchange_outcome.h"
 #include "limpet/core/fault.h"
 #include "limpet/edge/event_log.h"
 #include "limpet/net/clock.h"
@@ -44,10 +45,6 @@
   return PeerAddress{address.substr(0, colon), port};
 }
 
-bool IsSuccess(int status) {
-  return status >= 200 && status < 300;
-}
-
 }  // namespace
 
 InboundProxy::InboundProxy(const Executor& executor,
@@ -292,61 +289,6 @@
       [this, key](ExchangeResult result) { OnExchange(key, std::move(result)); });
 }
 
-InboundProxy::ExchangeOutcome InboundProxy::ClassifyResponse(const HttpResponse& response) const {
-  ExchangeOutcome outcome;
-  outcome.reply.reached_target = true;
-  outcome.reply.http_status = response.status;
-  const bool not_executed =
-      !response.Header(header_names_.not_executed).empty() || response.status == 421;
-  if (not_executed) {
-    outcome.reply.outcome = wire::Outcome::kNotRun;
-    outcome.reply.reason =
-        response.status == 421 ? Reason::kWrongIncarnation : Reason::kTargetUnavailable;
-    outcome.result = TargetResult::kNotExecuted;
-    return outcome;
-  }
-  const bool signed_by_target = header_names_.response_signature.empty() ||
-                                !response.Header(header_names_.response_signature).empty();
-  // In this mesh, such a status tells the caller that the request did not run. The target does not
-  // guarantee that, so its response is not forwarded.
-  const bool means_not_run = IsNotRunStatus(response.status);
-  const bool encoded = !response.Header("Content-Encoding").empty();
-  if (means_not_run || (IsSuccess(response.status) && (!signed_by_target || encoded))) {
-    outcome.reply.outcome = wire::Outcome::kUnknown;
-    outcome.reply.reason = Reason::kTruncatedReply;
-    outcome.result = TargetResult::kNoValidResponse;
-    return outcome;
-  }
-  outcome.reply.outcome = wire::Outcome::kRan;
-  outcome.result = response.status >= 500 ? TargetResult::kFailed : TargetResult::kSucceeded;
-  return outcome;
-}
-
-InboundProxy::ExchangeOutcome InboundProxy::Classify(const ExchangeResult& result) const {
-  ExchangeOutcome outcome;
-  outcome.reply.outcome = wire::Outcome::kUnknown;
-  outcome.reply.reached_target = true;
-  switch (result.status) {
-    case ExchangeStatus::kResponded:
-      return ClassifyResponse(result.response);
-    case ExchangeStatus::kNotConnected:
-      outcome.reply.outcome = wire::Outcome::kNotRun;
-      outcome.reply.reached_target = false;
-      outcome.reply.reason = Reason::kTargetUnavailable;
-      outcome.result = TargetResult::kUnreachable;
-      break;
-    case ExchangeStatus::kBroken:
-      outcome.reply.reason = Reason::kConnectionLost;
-      outcome.result = TargetResult::kNoValidResponse;
-      break;
-    case ExchangeStatus::kTimedOut:
-      outcome.reply.reason = Reason::kTargetTimeout;
-      outcome.result = TargetResult::kTimedOut;
-      break;
-  }
-  return outcome;
-}
-
 void InboundProxy::OnExchange(const std::string& key, ExchangeResult result) {
   const auto found = pending_.find(key);
   if (found == pending_.end()) {
@@ -370,7 +312,7 @@
       return;
     }
   }
-  ExchangeOutcome outcome = Classify(result);
+  ExchangeOutcome outcome = ClassifyExchange(result, header_names_);
   if (outcome.result != TargetResult::kSucceeded) {
     LogEvent("target_failed")
         .Add("request", pending.call.request_id)
