Stop the event loop of test servers before their options are destroyed

AddressSanitizer stopped test-edge with a use after free in CallerConnection::Close: the fixtures destroyed the server while the loop still ran, and connections refer to the options of their server.

--- a/tests/edge/loop_thread.h
+++ b/tests/edge/loop_thread.h
@@ -67,6 +67,11 @@
     });
   }
 
+  /// Stops the loop, because connections that are still open use the options of the server.
+  ~TestServer() { loop_.Stop(); }
+  TestServer(const TestServer&) = delete;
+  TestServer& operator=(const TestServer&) = delete;
+
   int port() const { return address_.port; }
   /// Whether the server is stopping; written on the event loop.
   void set_closing(bool closing) { closing_ = closing; }
