Do not take targets out of use for ended kept connections

Cause: each lost response now counted as a failure, and three in a row take a target out of use. Before, the hidden repeat had kept the first of two losses out of the count.

Change: a kept connection that ends without a response does not count. The next request uses a new connection, and its failure counts.

--- a/include/limpet/traffic/target_gate.h
+++ b/include/limpet/traffic/target_gate.h
@@ -99,11 +99,12 @@
 
 /// How a call at the target ended.
 enum class TargetResult {
-  kSucceeded,        // a complete response that is not a failure of the target
-  kFailed,           // a complete response with a 5xx status
-  kNotExecuted,      // the target refused before running
-  kNoValidResponse,  // no response, an incomplete one, or an invalid one (status, signature)
-  kUnreachable,      // no connection, so nothing was sent
+  kSucceeded,         // a complete response that is not a failure of the target
+  kFailed,            // a complete response with a 5xx status
+  kNotExecuted,       // the target refused before running
+  kNoValidResponse,   // no response, an incomplete one, or an invalid one (status, signature)
+  kConnectionClosed,  // a kept connection ended without a response, perhaps one closed while idle
+  kUnreachable,       // no connection, so nothing was sent
   kTimedOut,
   kCancelled,
 };
--- a/src/edge/inbound_proxy.cc
+++ b/src/edge/inbound_proxy.cc
@@ -313,6 +313,10 @@
     }
   }
   ExchangeOutcome outcome = ClassifyExchange(result, header_names_);
+  if (result.status == ExchangeStatus::kBroken && pending.reused_connection &&
+      !result.response_begun) {
+    outcome.result = TargetResult::kConnectionClosed;
+  }
   if (outcome.result != TargetResult::kSucceeded) {
     LogEvent("target_failed")
         .Add("request", pending.call.request_id)
--- a/src/traffic/target_gate.cc
+++ b/src/traffic/target_gate.cc
@@ -265,7 +265,8 @@
 }
 
 void TargetGate::RecordResult(TimePoint now, const Running& running, TargetResult result) {
-  if (result == TargetResult::kCancelled) {
+  if (result == TargetResult::kCancelled || result == TargetResult::kConnectionClosed) {
+    // The next request uses a new connection, and shows whether the target responds.
     return;
   }
   const bool completed = result == TargetResult::kSucceeded || result == TargetResult::kFailed;
--- a/tests/traffic/target_gate_test.cc
+++ b/tests/traffic/target_gate_test.cc
@@ -295,6 +295,16 @@
   CHECK(gate.Admit(kStart, other).reason == Reason::kTargetUnavailable);
 }
 
+// Guards against targets that are taken out of use under load although they serve most requests.
+TEST_CASE_FIXTURE(Fixture,
+                  "kept connections that end without a response do not make a target down") {
+  for (const char* key : {"a", "b", "c", "d"}) {
+    gate.Admit(kStart, MakeCall(key));
+    gate.Finish(kStart, key, TargetResult::kConnectionClosed);
+  }
+  CHECK(gate.Status(kStart).state == wire::TargetState::kUp);
+}
+
 TEST_CASE_FIXTURE(Fixture,
                   "a target that stops responding counts as down except for one trial request") {
   for (int i = 0; i < 3; ++i) {
