--- a/review/standin-3/mesh.py
+++ b/review/standin-3/mesh.py
@@ -142,11 +142,13 @@
 
 
 class Store:
-    """The platform's store for keyed topics and groups. While `down`, every call gets 503 and does nothing."""
+    """The platform's store for keyed topics and groups. While `down`, every call gets 503 and does nothing. With an `era`,
+    all answers bear it in the header Store-Era."""
 
-    def __init__(self, record, parts=32):
+    def __init__(self, record, parts=32, era=None):
         self.record = record
         self.parts = parts
+        self.era = era
         self.down = False
         self.topics = {}
         self.groups = {}
@@ -163,6 +165,16 @@
             self.changed.notify_all()
         self.record.add("store_put", topic=topic, key=key, bytes=len(value))
 
+    def copy(self):
+        return {topic: list(records) for topic, records in self.topics.items()}
+
+    def restore(self, copy):
+        """Comes back from a copy: what was written since is gone, and the era rises by one."""
+        self.topics = {topic: list(records) for topic, records in copy.items()}
+        self.groups = {}
+        self.era += 1
+        self.record.add("store_restored", era=self.era)
+
     def lapse(self):
         """All memberships run out, as they may while the store is down."""
         for group in self.groups.values():
@@ -173,10 +185,10 @@
         try:
             while (message := await read_message(reader)) is not None:
                 (method, target, _), _, body = message
-                if self.down:
-                    writer.write(response(503))
-                else:
-                    writer.write(await self.respond(target, body))
+                answer = response(503) if self.down else await self.respond(target, body)
+                if self.era is not None:
+                    answer = answer.replace(b"\r\n", f"\r\nStore-Era: {self.era}\r\n".encode(), 1)
+                writer.write(answer)
                 await writer.drain()
         except (ConnectionError, OSError):
             pass
@@ -223,6 +235,8 @@
         return response(404)
 
     async def read(self, topic, start, wait_s):
+        if start > len(self.topics.get(topic, [])):
+            return response(410, body=b'{"first": 0}')
         async with self.changed:
             try:
                 async with asyncio.timeout(max(0.001, wait_s)):
