--- a/review/standin-3/mesh.py
+++ b/review/standin-3/mesh.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import struct
@@ -37,13 +38,26 @@
         self.out.close()
 
 
+# Below the range of outgoing connections: one of them could otherwise take the port of a node that restarts.
+LISTEN_PORTS = range(12000, 32000)
+# Bound UDP ports of the same numbers keep other runs from choosing them.
+RESERVATIONS = []
+
+
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    ports = []
+    while len(ports) < count:
+        port = random.SystemRandom().choice(LISTEN_PORTS)
+        reservation = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+                reservation.bind(("127.0.0.1", port))
+            except OSError:
+                reservation.close()
+                continue
+        RESERVATIONS.append(reservation)
+        ports.append(port)
     return ports
 
 
