Log on which link a call arrives, and refusals of calls that were sent again

Immediate-only attempts are refused without any log line.

Change: each link of a process has a number, which its handshake carries. The caller's node logs call_sent_again and resent_call_refused, the node of the target call_on_earlier_link.

--- a/idl/limpet.thrift
+++ b/idl/limpet.thrift
@@ -394,6 +394,9 @@
   8: bool requests_body_parts
   // The sender knows the field `only_if_queued` of LinkCancel.
   9: bool withdraws_calls
+  // Grows with each link that the sender's process opens. Not set in a response to a handshake, and 0
+  // from earlier versions.
+  10: i64 link_number
 }
 
 struct LinkCall {
--- a/include/limpet/edge/link_server.h
+++ b/include/limpet/edge/link_server.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 
 #include "limpet/core/random.h"
 #include "limpet/edge/inbound_proxy.h"
@@ -72,6 +73,8 @@
   VmLink vm_link_;
   Random random_;
   std::map<Session*, std::shared_ptr<Session>> sessions_;
+  /// Highest link number of each calling process.
+  std::unordered_map<std::string, int64_t> newest_links_;
 };
 
 }  // namespace limpet::edge
--- a/include/limpet/edge/peer_links.h
+++ b/include/limpet/edge/peer_links.h
@@ -117,14 +117,17 @@
   struct PendingCall {
     wire::LinkCall call;
     SharedBody body;
+    CallHandlers handlers;
     /// Bytes of `body` that were sent because the peer asked for them.
     std::size_t body_sent = 0;
-    CallHandlers handlers;
+    /// Number of links on which the call was sent.
+    int copies = 0;
   };
   struct Peer {
     wire::NodeAddress address;
     std::shared_ptr<TcpSocket> connecting;
     LinkPtr link;
+    int64_t link_number = 0;
     bool ready = false;
     bool connect_attempted = false;
     int64_t incarnation = 0;
@@ -176,6 +179,7 @@
   Random random_;
   std::map<std::string, Peer> peers_;
   int64_t next_call_id_ = 1;
+  int64_t last_link_number_ = 0;
   bool wants_nodes_ = true;
   /// False after destruction; callbacks of timers and sockets that run later check it.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "limpet/edge/event_log.h"
 #include "limpet/net/clock.h"
 
 namespace limpet::edge {
@@ -150,6 +151,14 @@
     call.latency_target_ms -= static_cast<int32_t>(age.count());
     const int64_t call_id = call.call_id;
     const std::string key = MakeCallKey(call_id);
+    const int64_t newest_link = server_.newest_links_[key_prefix_];
+    if (link_number_ < newest_link) {
+      LogEvent("call_on_earlier_link")
+          .Add("request", call.request_id)
+          .Add("peer", name_)
+          .Add("link", link_number_)
+          .Add("newest_link", newest_link);
+    }
     const auto body_bytes = static_cast<std::size_t>(std::max(0, call.body_bytes));
     const TimePoint due = MonotonicNow() + std::chrono::milliseconds(call.latency_target_ms);
     server_.inbound_.Call(key, std::move(call), std::move(body),
@@ -178,6 +187,9 @@
     data_centre_ = hello.node.data_centre;
     link_->set_remote(is_remote());
     key_prefix_ = name_ + "/" + std::to_string(hello.incarnation) + "/";
+    link_number_ = hello.link_number;
+    int64_t& newest_link = server_.newest_links_[key_prefix_];
+    newest_link = std::max(newest_link, link_number_);
     wire::LinkMessage message;
     message.__isset.hello = true;
     message.hello = server_.hooks_.make_hello(hello.wants_nodes);
@@ -214,6 +226,7 @@
   std::string name_;
   std::string data_centre_;
   std::string key_prefix_;
+  int64_t link_number_ = 0;
   bool gets_keepalives_ = false;
   /// By the id of the transfer that the ingress pacer returned.
   std::map<int64_t, BodyTransfer> body_transfers_;
--- a/src/edge/peer_links.cc
+++ b/src/edge/peer_links.cc
@@ -8,6 +8,7 @@
 #include "limpet/core/fault.h"
 #include "limpet/edge/event_log.h"
 #include "limpet/net/clock.h"
+#include "limpet/wire/names.h"
 
 namespace limpet::edge {
 
@@ -154,6 +155,7 @@
     return;
   }
   peer.link = std::make_shared<Link>(std::move(*socket), options_.vm_link);
+  peer.link_number = ++last_link_number_;
   peer.link->set_remote(peer.address.data_centre != options_.self.data_centre);
   peer.link->Start({[this, alive = alive_, name](wire::LinkMessage message, std::string body) {
                       if (*alive) {
@@ -175,6 +177,7 @@
   message.hello.node = options_.self;
   message.hello.incarnation = options_.incarnation;
   message.hello.wants_nodes = wants_nodes_;
+  message.hello.link_number = peer.link_number;
   peer.handshake_sent_at = MonotonicNow();
   peer.link->Send(message);
 }
@@ -244,8 +247,15 @@
   peer.expecting_since = MonotonicNow();
   peer.sends_keepalives = false;
   peer.silence_reported = false;
-  LogEvent("peer_reached").Add("peer", peer.address.name).Add("same_process", int{same_process});
+  LogEvent("peer_reached")
+      .Add("peer", peer.address.name)
+      .Add("link", peer.link_number)
+      .Add("same_process", int{same_process});
   for (auto& [id, call] : peer.calls) {
+    LogEvent("call_sent_again")
+        .Add("request", call.call.request_id)
+        .Add("peer", peer.address.name)
+        .Add("link", peer.link_number);
     SendCall(peer, call);
   }
   observer_.OnPeerStatus(peer.address, hello.target);
@@ -263,6 +273,14 @@
   if (found == peer.calls.end()) {
     return;
   }
+  if (found->second.copies > 1 && reply.outcome == wire::Outcome::kNotRun) {
+    LogEvent("resent_call_refused")
+        .Add("request", found->second.call.request_id)
+        .Add("peer", peer.address.name)
+        .Add("link", peer.link_number)
+        .Add("copies", int64_t{found->second.copies})
+        .Add("reason", EnumName(kRefusalReasonNames, reply.reason));
+  }
   const auto on_reply = std::move(found->second.handlers.on_reply);
   peer.calls.erase(found);
   on_reply(std::move(reply), std::move(body));
@@ -311,6 +329,7 @@
 void PeerLinks::SendCall(Peer& peer, PendingCall& call) {
   const bool body_on_request = peer.requests_body_parts && call.body->size() > kLargeBodyBytes;
   call.body_sent = 0;
+  ++call.copies;
   call.call.body_bytes = body_on_request ? static_cast<int32_t>(call.body->size()) : 0;
   wire::LinkMessage message;
   message.__isset.call = true;
@@ -357,7 +376,7 @@
     peer.expecting_since = MonotonicNow();
   }
   PendingCall& pending =
-      peer.calls.emplace(id, PendingCall{std::move(call), std::move(body), 0, std::move(handlers)})
+      peer.calls.emplace(id, PendingCall{std::move(call), std::move(body), std::move(handlers)})
           .first->second;
   SendCall(peer, pending);
   return id;
--- a/src/gen/limpet_types.cpp
+++ b/src/gen/limpet_types.cpp
@@ -7887,6 +7887,10 @@
 void LinkHello::__set_withdraws_calls(const bool val) {
   this->withdraws_calls = val;
 }
+
+void LinkHello::__set_link_number(const int64_t val) {
+  this->link_number = val;
+}
 std::ostream& operator<<(std::ostream& out, const LinkHello& obj)
 {
   obj.printTo(out);
@@ -7999,6 +8003,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->link_number);
+          this->__isset.link_number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8060,6 +8072,10 @@
   xfer += oprot->writeBool(this->withdraws_calls);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("link_number", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->link_number);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8076,6 +8092,7 @@
   swap(a.wants_nodes, b.wants_nodes);
   swap(a.requests_body_parts, b.requests_body_parts);
   swap(a.withdraws_calls, b.withdraws_calls);
+  swap(a.link_number, b.link_number);
   swap(a.__isset, b.__isset);
 }
 
@@ -8089,6 +8106,7 @@
   wants_nodes = other345.wants_nodes;
   requests_body_parts = other345.requests_body_parts;
   withdraws_calls = other345.withdraws_calls;
+  link_number = other345.link_number;
   __isset = other345.__isset;
 }
 LinkHello::LinkHello(LinkHello&& other346) noexcept {
@@ -8101,6 +8119,7 @@
   wants_nodes = other346.wants_nodes;
   requests_body_parts = other346.requests_body_parts;
   withdraws_calls = other346.withdraws_calls;
+  link_number = other346.link_number;
   __isset = other346.__isset;
 }
 LinkHello& LinkHello::operator=(const LinkHello& other347) {
@@ -8113,6 +8132,7 @@
   wants_nodes = other347.wants_nodes;
   requests_body_parts = other347.requests_body_parts;
   withdraws_calls = other347.withdraws_calls;
+  link_number = other347.link_number;
   __isset = other347.__isset;
   return *this;
 }
@@ -8126,6 +8146,7 @@
   wants_nodes = other348.wants_nodes;
   requests_body_parts = other348.requests_body_parts;
   withdraws_calls = other348.withdraws_calls;
+  link_number = other348.link_number;
   __isset = other348.__isset;
   return *this;
 }
@@ -8141,6 +8162,7 @@
   out << ", " << "wants_nodes=" << to_string(wants_nodes);
   out << ", " << "requests_body_parts=" << to_string(requests_body_parts);
   out << ", " << "withdraws_calls=" << to_string(withdraws_calls);
+  out << ", " << "link_number=" << to_string(link_number);
   out << ")";
 }
 
--- a/src/gen/limpet_types.h
+++ b/src/gen/limpet_types.h
@@ -2987,7 +2987,7 @@
 std::ostream& operator<<(std::ostream& out, const NodeAddress& obj);
 
 typedef struct _LinkHello__isset {
-  _LinkHello__isset() : node(false), incarnation(false), config_version(false), target(false), known_nodes(false), requests_bodies(false), wants_nodes(false), requests_body_parts(false), withdraws_calls(false) {}
+  _LinkHello__isset() : node(false), incarnation(false), config_version(false), target(false), known_nodes(false), requests_bodies(false), wants_nodes(false), requests_body_parts(false), withdraws_calls(false), link_number(false) {}
   bool node :1;
   bool incarnation :1;
   bool config_version :1;
@@ -2997,6 +2997,7 @@
   bool wants_nodes :1;
   bool requests_body_parts :1;
   bool withdraws_calls :1;
+  bool link_number :1;
 } _LinkHello__isset;
 
 class LinkHello : public virtual ::apache::thrift::TBase {
@@ -3012,7 +3013,8 @@
               requests_bodies(0),
               wants_nodes(0),
               requests_body_parts(0),
-              withdraws_calls(0) {
+              withdraws_calls(0),
+              link_number(0) {
   }
 
   virtual ~LinkHello() noexcept;
@@ -3025,6 +3027,7 @@
   bool wants_nodes;
   bool requests_body_parts;
   bool withdraws_calls;
+  int64_t link_number;
 
   _LinkHello__isset __isset;
 
@@ -3046,6 +3049,8 @@
 
   void __set_withdraws_calls(const bool val);
 
+  void __set_link_number(const int64_t val);
+
   bool operator == (const LinkHello & rhs) const
   {
     if (!(node == rhs.node))
@@ -3066,6 +3071,8 @@
       return false;
     if (!(withdraws_calls == rhs.withdraws_calls))
       return false;
+    if (!(link_number == rhs.link_number))
+      return false;
     return true;
   }
   bool operator != (const LinkHello &rhs) const {
