Drop what arrives on a link after its process has used a later one

Callers saw: a non-idempotent request ran at two targets, or was answered 503 and ran afterwards, when machines were cut off for 1.5 s.

Cause: a node that hears nothing from a peer closes the link in an orderly way, opens another one, and sends its pending calls again. The bytes on the closed link are still under way. The peer refused the second copy (no free slot), which the caller's node rightly took for a promise: it sent the call to another target or answered 503. Then the first copy arrived and was admitted, because a refusal leaves no trace at the gate. A late copy that was attached also took the reply over to its dead link, so that the caller got none.

Change: the first message after the handshake of a link closes all links of the same process whose handshakes came before. Their frames, half frames, bodies, cancellations, probes, claims and reports count no more. A late handshake closes nothing by itself. A node with nothing to send again sends an empty message, so that the earlier link ends at once.

Ruled out: a memory of refusals in the gate. It would need a lifetime and a capacity, and would not cover claims and reports. A reset in place of the orderly close: bytes that are already under way still arrive.

--- a/include/limpet/core/fault.h
+++ b/include/limpet/core/fault.h
@@ -50,9 +50,10 @@
   kSpendExpiredTokens,
   kRepeatLostRequest,     // a request whose response was lost goes to the same target at once
   kNoTrialFromPlacement,  // no request is sent to a target that is down
+  kKeepEarlierLinks,      // links that a process has replaced still count
 };
 
-inline constexpr EnumNames<Fault, 42> kFaultNames = {{
+inline constexpr EnumNames<Fault, 43> kFaultNames = {{
     {Fault::kNone, "none"},
     {Fault::kSkipBaseCheck, "skip_base_check"},
     {Fault::kAcceptOlderVersion, "accept_older_version"},
@@ -95,6 +96,7 @@
     {Fault::kSpendExpiredTokens, "spend_expired_tokens"},
     {Fault::kRepeatLostRequest, "repeat_lost_request"},
     {Fault::kNoTrialFromPlacement, "no_trial_from_placement"},
+    {Fault::kKeepEarlierLinks, "keep_earlier_links"},
 }};
 
 #ifdef LIMPET_FAULTS
--- a/include/limpet/edge/link_server.h
+++ b/include/limpet/edge/link_server.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "limpet/core/random.h"
 #include "limpet/edge/inbound_proxy.h"
@@ -39,6 +40,15 @@
 
 /// Serves the links that other nodes opened to this one: passes their calls to the local target and
 /// pushes target status and configuration changes to them.
+///
+/// A process opens its links to this node one after the other, and sends its pending calls again on
+/// each. Bytes that were held up on the way arrive on a link although its process has closed it and
+/// opened another. What this node answers on the newer link must stay true, above all a refusal, so
+/// nothing that arrives later on an earlier link counts: the first message after the handshake of a
+/// link closes all links of its process whose handshakes came before. The handshakes of two links
+/// that carry messages come in the order of the links, because a process sends no message on a link
+/// before the handshake was answered, and opens no other link before it has closed this one. A
+/// handshake alone closes nothing: it may come late, on a link that was given up before the answer.
 class LinkServer {
  public:
   LinkServer(InboundProxy& inbound,
@@ -62,6 +72,9 @@
  private:
   class Session;
 
+  void Remove(Session& session);
+  /// Closes the links that the process of `session` opened before this one.
+  void CloseEarlierLinks(const Session& session);
   void Push(const wire::LinkMessage& message, const std::string& data_centre);
   /// Selects linked nodes that get keepalives until there are enough in this data centre
   /// (`remote` is false) or in the others.
@@ -73,8 +86,8 @@
   VmLink vm_link_;
   Random random_;
   std::map<Session*, std::shared_ptr<Session>> sessions_;
-  /// Highest link number of each calling process.
-  std::unordered_map<std::string, int64_t> newest_links_;
+  /// Links of each calling process, in the order of their handshakes.
+  std::unordered_map<std::string, std::vector<Session*>> links_of_processes_;
 };
 
 }  // namespace limpet::edge
--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "limpet/core/fault.h"
 #include "limpet/edge/event_log.h"
 #include "limpet/net/clock.h"
 
@@ -34,7 +35,7 @@
                   },
                   [self = weak_from_this()](ErrorCode) {
                     if (const auto session = self.lock()) {
-                      session->server_.sessions_.erase(session.get());
+                      session->server_.Remove(*session);
                     }
                   },
                   nullptr});
@@ -56,6 +57,10 @@
     link_->Send(message);
   }
   bool HasHandshake() const { return !key_prefix_.empty(); }
+  const std::string& name() const { return name_; }
+  /// Identifies the process that opened the link; empty before the handshake.
+  const std::string& process() const { return key_prefix_; }
+  int64_t link_number() const { return link_number_; }
   void Close() { link_->Close(); }
 
   std::size_t SendChunk(int64_t transfer) override {
@@ -108,12 +113,16 @@
   };
 
   void OnMessage(wire::LinkMessage message, std::string body) {
-    if (message.__isset.hello) {
+    if (message.__isset.hello && !HasHandshake()) {
       OnHello(message.hello);
+      return;
     }
     if (!HasHandshake()) {
       return;
     }
+    if (!std::exchange(in_use_, true) && !IsFaultActive(Fault::kKeepEarlierLinks)) {
+      server_.CloseEarlierLinks(*this);
+    }
     if (message.__isset.call) {
       OnCall(std::move(message.call), std::move(body));
     } else if (message.__isset.body_part) {
@@ -151,14 +160,6 @@
     call.latency_target_ms -= static_cast<int32_t>(age.count());
     const int64_t call_id = call.call_id;
     const std::string key = MakeCallKey(call_id);
-    const int64_t newest_link = server_.newest_links_[key_prefix_];
-    if (link_number_ < newest_link) {
-      LogEvent("call_on_earlier_link")
-          .Add("request", call.request_id)
-          .Add("peer", name_)
-          .Add("link", link_number_)
-          .Add("newest_link", newest_link);
-    }
     const auto body_bytes = static_cast<std::size_t>(std::max(0, call.body_bytes));
     const TimePoint due = MonotonicNow() + std::chrono::milliseconds(call.latency_target_ms);
     server_.inbound_.Call(key, std::move(call), std::move(body),
@@ -188,8 +189,7 @@
     link_->set_remote(is_remote());
     key_prefix_ = name_ + "/" + std::to_string(hello.incarnation) + "/";
     link_number_ = hello.link_number;
-    int64_t& newest_link = server_.newest_links_[key_prefix_];
-    newest_link = std::max(newest_link, link_number_);
+    server_.links_of_processes_[key_prefix_].push_back(this);
     wire::LinkMessage message;
     message.__isset.hello = true;
     message.hello = server_.hooks_.make_hello(hello.wants_nodes);
@@ -227,6 +227,8 @@
   std::string data_centre_;
   std::string key_prefix_;
   int64_t link_number_ = 0;
+  /// A message has come after the handshake.
+  bool in_use_ = false;
   bool gets_keepalives_ = false;
   /// By the id of the transfer that the ingress pacer returned.
   std::map<int64_t, BodyTransfer> body_transfers_;
@@ -255,6 +257,32 @@
   session->Start();
 }
 
+void LinkServer::Remove(Session& session) {
+  if (const auto found = links_of_processes_.find(session.process());
+      found != links_of_processes_.end()) {
+    std::erase(found->second, &session);
+    if (found->second.empty()) {
+      links_of_processes_.erase(found);
+    }
+  }
+  sessions_.erase(&session);
+}
+
+void LinkServer::CloseEarlierLinks(const Session& session) {
+  // Links are in the order of their handshakes.
+  std::vector<Session*>& links = links_of_processes_.at(session.process());
+  const auto newest = std::ranges::find(links, &session);
+  for (auto link = links.begin(); link != newest; ++link) {
+    LogEvent("link_superseded")
+        .Add("peer", (*link)->name())
+        .Add("link", (*link)->link_number())
+        .Add("newer_link", session.link_number());
+    (*link)->Close();
+    sessions_.erase(*link);
+  }
+  links.erase(links.begin(), newest);
+}
+
 int LinkServer::CountLocalLinks() const {
   return static_cast<int>(std::ranges::count_if(sessions_, [](const auto& entry) {
     return entry.second->HasHandshake() && !entry.second->is_remote();
--- a/src/edge/peer_links.cc
+++ b/src/edge/peer_links.cc
@@ -258,6 +258,10 @@
         .Add("link", peer.link_number);
     SendCall(peer, call);
   }
+  if (peer.calls.empty()) {
+    // Any message makes the peer drop what is still on its way on earlier links.
+    peer.link->Send({});
+  }
   observer_.OnPeerStatus(peer.address, hello.target);
   observer_.OnPeerReachable(peer.address.name, true);
   observer_.OnPeerVersion(peer.address, hello.config_version, false);
