Do not pass on a refusal by an earlier build of a call that was sent again

Cause: a node of an earlier build keeps links that their process has replaced. Its refusal of a copy is no promise for the copies on the way.

Change: the response to a handshake says whether the node drops earlier links. A refusal of a non-idempotent call that was sent on several links by a node that does not counts as a lost call (502), which promises nothing. A call that was sent once, and all idempotent calls, are treated as before. The other direction needs nothing: a new node orders the links of an earlier build by their handshakes.

Measured: edge/late_copies_test.cc "a refusal by an earlier build counts only for a call that was sent once" fails without the check and passes with it.

--- a/idl/limpet.thrift
+++ b/idl/limpet.thrift
@@ -397,6 +397,9 @@
   // Grows with each link that the sender's process opens. Not set in a response to a handshake, and 0
   // from earlier versions.
   10: i64 link_number
+  // Only in a response to a handshake: the sender drops what arrives on a link after a message on a later
+  // link of the same process, so a refusal holds for all copies of a call.
+  11: bool drops_earlier_links
 }
 
 struct LinkCall {
--- a/include/limpet/edge/peer_links.h
+++ b/include/limpet/edge/peer_links.h
@@ -135,6 +135,9 @@
     bool requests_body_parts = false;
     /// The peer can withdraw a call; an earlier version would cancel it without a reply.
     bool withdraws_calls = false;
+    /// A refusal by the peer holds for all copies of a call. An earlier version may still run one
+    /// that was sent on an earlier link.
+    bool drops_earlier_links = false;
     Duration backoff{0};
     std::unique_ptr<Timer> retry_timer;
     TimePoint lost_at{};
@@ -160,6 +163,8 @@
   void OnMessage(const std::string& name, wire::LinkMessage message, std::string body);
   void OnHello(Peer& peer, const wire::LinkHello& hello);
   void OnReply(Peer& peer, wire::LinkReply reply, std::string body);
+  /// Whether the peer may still run a copy of the call that it has refused.
+  static bool MayRunAfterRefusal(const Peer& peer, const PendingCall& call);
   void OnTransfer(const std::string& name, int64_t call_id);
   void OnBodyRequest(Peer& peer, const wire::LinkBodyRequest& request);
   void OnClosed(const std::string& name, ErrorCode error);
--- a/src/edge/edge_node.cc
+++ b/src/edge/edge_node.cc
@@ -204,6 +204,7 @@
     }
     hello.requests_body_parts = true;
     hello.withdraws_calls = true;
+    hello.drops_earlier_links = true;
     return hello;
   };
   hooks.on_node = [this](const wire::NodeAddress& node, int64_t incarnation) {
--- a/src/edge/peer_links.cc
+++ b/src/edge/peer_links.cc
@@ -241,6 +241,7 @@
   peer.incarnation = hello.incarnation;
   peer.requests_body_parts = hello.requests_body_parts;
   peer.withdraws_calls = hello.withdraws_calls;
+  peer.drops_earlier_links = hello.drops_earlier_links;
   peer.ready = true;
   peer.backoff = Duration(0);
   peer.probed_at = {};
@@ -277,17 +278,28 @@
   if (found == peer.calls.end()) {
     return;
   }
-  if (found->second.copies > 1 && reply.outcome == wire::Outcome::kNotRun) {
+  const bool refused = reply.outcome == wire::Outcome::kNotRun;
+  const bool may_run = refused && MayRunAfterRefusal(peer, found->second);
+  if (refused && found->second.copies > 1) {
     LogEvent("resent_call_refused")
         .Add("request", found->second.call.request_id)
         .Add("peer", peer.address.name)
         .Add("link", peer.link_number)
         .Add("copies", int64_t{found->second.copies})
-        .Add("reason", EnumName(kRefusalReasonNames, reply.reason));
+        .Add("reason", EnumName(kRefusalReasonNames, reply.reason))
+        .Add("may_run", int64_t{may_run});
   }
-  const auto on_reply = std::move(found->second.handlers.on_reply);
+  const CallHandlers handlers = std::move(found->second.handlers);
   peer.calls.erase(found);
-  on_reply(std::move(reply), std::move(body));
+  if (may_run) {
+    handlers.on_failure(LinkFailure::kLost);
+  } else {
+    handlers.on_reply(std::move(reply), std::move(body));
+  }
+}
+
+bool PeerLinks::MayRunAfterRefusal(const Peer& peer, const PendingCall& call) {
+  return call.copies > 1 && !call.call.idempotent && !peer.drops_earlier_links;
 }
 
 void PeerLinks::OnTransfer(const std::string& name, int64_t call_id) {
--- a/src/gen/limpet_types.cpp
+++ b/src/gen/limpet_types.cpp
@@ -7891,6 +7891,10 @@
 void LinkHello::__set_link_number(const int64_t val) {
   this->link_number = val;
 }
+
+void LinkHello::__set_drops_earlier_links(const bool val) {
+  this->drops_earlier_links = val;
+}
 std::ostream& operator<<(std::ostream& out, const LinkHello& obj)
 {
   obj.printTo(out);
@@ -8011,6 +8015,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->drops_earlier_links);
+          this->__isset.drops_earlier_links = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8076,6 +8088,10 @@
   xfer += oprot->writeI64(this->link_number);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("drops_earlier_links", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->drops_earlier_links);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8093,6 +8109,7 @@
   swap(a.requests_body_parts, b.requests_body_parts);
   swap(a.withdraws_calls, b.withdraws_calls);
   swap(a.link_number, b.link_number);
+  swap(a.drops_earlier_links, b.drops_earlier_links);
   swap(a.__isset, b.__isset);
 }
 
@@ -8107,6 +8124,7 @@
   requests_body_parts = other345.requests_body_parts;
   withdraws_calls = other345.withdraws_calls;
   link_number = other345.link_number;
+  drops_earlier_links = other345.drops_earlier_links;
   __isset = other345.__isset;
 }
 LinkHello::LinkHello(LinkHello&& other346) noexcept {
@@ -8120,6 +8138,7 @@
   requests_body_parts = other346.requests_body_parts;
   withdraws_calls = other346.withdraws_calls;
   link_number = other346.link_number;
+  drops_earlier_links = other346.drops_earlier_links;
   __isset = other346.__isset;
 }
 LinkHello& LinkHello::operator=(const LinkHello& other347) {
@@ -8133,6 +8152,7 @@
   requests_body_parts = other347.requests_body_parts;
   withdraws_calls = other347.withdraws_calls;
   link_number = other347.link_number;
+  drops_earlier_links = other347.drops_earlier_links;
   __isset = other347.__isset;
   return *this;
 }
@@ -8147,6 +8167,7 @@
   requests_body_parts = other348.requests_body_parts;
   withdraws_calls = other348.withdraws_calls;
   link_number = other348.link_number;
+  drops_earlier_links = other348.drops_earlier_links;
   __isset = other348.__isset;
   return *this;
 }
@@ -8163,6 +8184,7 @@
   out << ", " << "requests_body_parts=" << to_string(requests_body_parts);
   out << ", " << "withdraws_calls=" << to_string(withdraws_calls);
   out << ", " << "link_number=" << to_string(link_number);
+  out << ", " << "drops_earlier_links=" << to_string(drops_earlier_links);
   out << ")";
 }
 
--- a/src/gen/limpet_types.h
+++ b/src/gen/limpet_types.h
@@ -2987,7 +2987,7 @@
 std::ostream& operator<<(std::ostream& out, const NodeAddress& obj);
 
 typedef struct _LinkHello__isset {
-  _LinkHello__isset() : node(false), incarnation(false), config_version(false), target(false), known_nodes(false), requests_bodies(false), wants_nodes(false), requests_body_parts(false), withdraws_calls(false), link_number(false) {}
+  _LinkHello__isset() : node(false), incarnation(false), config_version(false), target(false), known_nodes(false), requests_bodies(false), wants_nodes(false), requests_body_parts(false), withdraws_calls(false), link_number(false), drops_earlier_links(false) {}
   bool node :1;
   bool incarnation :1;
   bool config_version :1;
@@ -2998,6 +2998,7 @@
   bool requests_body_parts :1;
   bool withdraws_calls :1;
   bool link_number :1;
+  bool drops_earlier_links :1;
 } _LinkHello__isset;
 
 class LinkHello : public virtual ::apache::thrift::TBase {
@@ -3014,7 +3015,8 @@
               wants_nodes(0),
               requests_body_parts(0),
               withdraws_calls(0),
-              link_number(0) {
+              link_number(0),
+              drops_earlier_links(0) {
   }
 
   virtual ~LinkHello() noexcept;
@@ -3028,6 +3030,7 @@
   bool requests_body_parts;
   bool withdraws_calls;
   int64_t link_number;
+  bool drops_earlier_links;
 
   _LinkHello__isset __isset;
 
@@ -3051,6 +3054,8 @@
 
   void __set_link_number(const int64_t val);
 
+  void __set_drops_earlier_links(const bool val);
+
   bool operator == (const LinkHello & rhs) const
   {
     if (!(node == rhs.node))
@@ -3073,6 +3078,8 @@
       return false;
     if (!(link_number == rhs.link_number))
       return false;
+    if (!(drops_earlier_links == rhs.drops_earlier_links))
+      return false;
     return true;
   }
   bool operator != (const LinkHello &rhs) const {
--- a/tests/edge/late_copies_test.cc
+++ b/tests/edge/late_copies_test.cc
@@ -86,16 +86,24 @@
   std::vector<std::string> bodies_;
 };
 
+struct ServerOptions {
+  int slots = 1;
+  /// False for a node of an earlier build, as far as its handshake tells.
+  bool drops_earlier_links = true;
+  TargetGateOptions gate;
+};
+
 /// The node beside the target.
 class ServerNode {
  public:
   ServerNode(const Executor& executor,
+             const ServerOptions& options,
              int port,
              int64_t incarnation,
-             const Target& target,
-             int slots)
-      : inbound_(executor, header_names_, gate_, counters_, {}, [] {}),
-        links_(inbound_, MakeHooks(incarnation), "a", {}, Random(1)),
+             const Target& target)
+      : gate_(options.gate),
+        inbound_(executor, header_names_, gate_, counters_, {}, [] {}),
+        links_(inbound_, MakeHooks(options, incarnation), "a", {}, Random(1)),
         listener_(executor, {"127.0.0.1", port}, [this](TcpSocket socket) {
           links_.Accept(std::move(socket));
         }) {
@@ -103,7 +111,7 @@
     announcement.instance = "i-1";
     announcement.service = "desk";
     announcement.address = "127.0.0.1:" + std::to_string(target.port());
-    announcement.slots = slots;
+    announcement.slots = options.slots;
     inbound_.SetTarget(&announcement);
   }
 
@@ -115,14 +123,15 @@
   const std::vector<std::string>& reports() const { return reports_; }
 
  private:
-  LinkServerHooks MakeHooks(int64_t incarnation) {
+  LinkServerHooks MakeHooks(const ServerOptions& options, int64_t incarnation) {
     LinkServerHooks hooks;
-    hooks.make_hello = [incarnation](bool) {
+    hooks.make_hello = [incarnation, drops_earlier_links = options.drops_earlier_links](bool) {
       wire::LinkHello hello;
       hello.node.name = kServer;
       hello.incarnation = incarnation;
       hello.requests_body_parts = true;
       hello.withdraws_calls = true;
+      hello.drops_earlier_links = drops_earlier_links;
       return hello;
     };
     hooks.on_node = [](const wire::NodeAddress&, int64_t) {};
@@ -139,7 +148,7 @@
 
   HttpHeaderNames header_names_;
   Counters counters_;
-  TargetGate gate_{TargetGateOptions{}};
+  TargetGate gate_;
   InboundProxy inbound_;
   std::vector<std::string> reports_;
   LinkServer links_;
@@ -242,7 +251,7 @@
   asio::io_context context;
   Target target{context.get_executor(), target_options};
   int server_port = FreePort();
-  int slots = 1;
+  ServerOptions server_options;
   int64_t last_incarnation = 0;
   std::unique_ptr<ServerNode> server;
   HoldingRelay relay{context.get_executor(), server_port};
@@ -255,8 +264,8 @@
   void RestartServer() {
     server.reset();
     Settle(context);
-    server = std::make_unique<ServerNode>(context.get_executor(), server_port, ++last_incarnation,
-                                          target, slots);
+    server = std::make_unique<ServerNode>(context.get_executor(), server_options, server_port,
+                                          ++last_incarnation, target);
     Settle(context);
   }
   void RestartClient() {
@@ -324,6 +333,22 @@
   CHECK(target.executions("late") == 0);
 }
 
+// Guards against a promise that a node of an earlier build does not keep: it runs the first copy of
+// a call although it has refused the second one.
+TEST_CASE_FIXTURE(Mesh, "a refusal by an earlier build counts only for a call that was sent once") {
+  server_options.drops_earlier_links = false;
+  RestartServer();
+  WaitForLink();
+  Call("running", false);
+  Call("once", true);
+  CHECK(client->refused().contains("once"));
+  HoldLink();
+  Call("twice", true);
+  Reopen();
+  CHECK(client->ended().contains("twice"));
+  CHECK_FALSE(client->refused().contains("twice"));
+}
+
 // Guards against lost service: the call whose first copy is held up is served by the second one.
 TEST_CASE_FIXTURE(Mesh, "a call whose first copy is held up runs once and is answered") {
   HoldLink();
