Do not run copies of calls whose ids are no longer kept

Callers would see: a non-idempotent request runs twice.

Cause: the gate keeps the ids of accepted calls until 5 s after their deadline. A call whose reply was lost with its link is sent again, and the bytes of that copy may be held up for longer: a cut lasts up to 12 s, a pause any time. The copy was then admitted as new, with its whole deadline.

Change: `CallHistory` knows for each calling process up to which id calls may be forgotten. Ids grow within a process and arrive in order, so two marks of the highest id are enough, and nothing is promised that depends on a capacity. The handshake says from which id on calls are new on the link. A non-idempotent copy below the mark that is neither queued nor running is refused with the outcome unknown (502), never as not run. Ids are now kept for 15 s after the deadline, so that this concerns only copies that come 5 s or more after the call; about 100 calls a second at a node make 1,700 entries. What is known of a process is dropped 10 min after its last call; all copies from it are then of unknown outcome.

Ruled out: only a longer table. It promises nothing beyond its lifetime.

--- a/idl/limpet.thrift
+++ b/idl/limpet.thrift
@@ -400,6 +400,8 @@
   // Only in a response to a handshake: the sender drops what arrives on a link after a message on a later
   // link of the same process, so a refusal holds for all copies of a call.
   11: bool drops_earlier_links
+  // Calls with a lower id on this link were sent on earlier links before. 0 from earlier versions.
+  12: i64 next_call_id
 }
 
 struct LinkCall {
--- a/include/limpet/edge/inbound_proxy.h
+++ b/include/limpet/edge/inbound_proxy.h
@@ -50,7 +50,14 @@
 
   /// `key` is unique among the calls of all nodes; a resent call has the same key. If the call
   /// announces a body (`body_bytes`) and is not refused, it waits for `AddBody`.
-  void Call(const std::string& key, wire::LinkCall call, std::string body, ReplySinkPtr sink);
+  /// `may_be_forgotten`: see `GateCall`.
+  void Call(const std::string& key,
+            wire::LinkCall call,
+            std::string body,
+            ReplySinkPtr sink,
+            bool may_be_forgotten = false);
+  /// See `TargetGate::id_retention`.
+  Duration id_retention() const { return gate_.id_retention(); }
   /// Whether the body of this call is still to be received.
   bool IsAwaitingBody(const std::string& key) const;
   /// Adds bytes received on `link` to the body of a call that waits for it. Bytes with any other
--- a/include/limpet/edge/link_server.h
+++ b/include/limpet/edge/link_server.h
@@ -12,6 +12,7 @@
 #include "limpet/core/random.h"
 #include "limpet/edge/inbound_proxy.h"
 #include "limpet/edge/link.h"
+#include "limpet/traffic/call_history.h"
 
 namespace limpet::edge {
 
@@ -73,6 +74,8 @@
   class Session;
 
   void Remove(Session& session);
+  /// The first message after the handshake has come on this link.
+  void OnInUse(const Session& session);
   /// Closes the links that the process of `session` opened before this one.
   void CloseEarlierLinks(const Session& session);
   void Push(const wire::LinkMessage& message, const std::string& data_centre);
@@ -85,9 +88,11 @@
   std::string data_centre_;
   VmLink vm_link_;
   Random random_;
+  CallHistory history_;
   std::map<Session*, std::shared_ptr<Session>> sessions_;
   /// Links of each calling process, in the order of their handshakes.
   std::unordered_map<std::string, std::vector<Session*>> links_of_processes_;
+  TimePoint next_expiry_{};
 };
 
 }  // namespace limpet::edge
--- a/include/limpet/traffic/target_gate.h
+++ b/include/limpet/traffic/target_gate.h
@@ -25,8 +25,8 @@
   /// Maximum number of ids of non-idempotent requests in the deduplication table.
   size_t deduplication_capacity = 65536;
   /// Ids are kept this long after the deadline of their request, because a copy of the request can
-  /// be delayed on a link.
-  Duration deduplication_margin = std::chrono::seconds(5);
+  /// be delayed on a link. A copy that comes later is not run, see `GateCall::may_be_forgotten`.
+  Duration deduplication_margin = std::chrono::seconds(15);
   /// Number of consecutive requests without a valid response after which the target counts as down.
   int failures_until_down = 3;
   /// Time until the first trial request after the target counts as down. It doubles with each
@@ -50,6 +50,10 @@
   /// Service times are averaged by route, because requests of one route have similar ones.
   std::string route;
   bool idempotent = false;
+  /// An earlier copy of the call may have been accepted so long ago that its id is not kept any
+  /// more. Unless that copy is still queued or running, a non-idempotent call is then refused with
+  /// the outcome `kUnknown`.
+  bool may_be_forgotten = false;
   /// 0 is the most urgent.
   int priority = 0;
   /// Client account that made the request; empty if it has none.
@@ -165,6 +169,8 @@
   wire::TargetStatus Status(TimePoint now) const;
   /// Time since which the target has counted as down; zero if it does not.
   TimePoint down_since() const { return down_since_; }
+  /// Ids of accepted calls are kept at least for this time after the arrival of the call.
+  Duration id_retention() const { return options_.deduplication_margin; }
   int running() const { return static_cast<int>(running_.size()); }
   size_t queued() const { return queue_.size(); }
 
--- a/src/edge/inbound_proxy.cc
+++ b/src/edge/inbound_proxy.cc
@@ -74,7 +74,8 @@
 void InboundProxy::Call(const std::string& key,
                         wire::LinkCall call,
                         std::string body,
-                        ReplySinkPtr sink) {
+                        ReplySinkPtr sink,
+                        bool may_be_forgotten) {
   counters_.Get("inbound_calls").Add();
   if (const auto finished = finished_replies_.find(key); finished != finished_replies_.end()) {
     sink->Deliver(std::move(finished->second.reply), std::move(finished->second.body));
@@ -98,6 +99,7 @@
   gate_call.instance = call.instance;
   gate_call.route = call.route;
   gate_call.idempotent = call.idempotent;
+  gate_call.may_be_forgotten = may_be_forgotten;
   gate_call.priority = call.priority;
   gate_call.account = call.account;
   gate_call.typical_service_time = Duration(call.usual_run_us);
--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -17,6 +17,9 @@
 /// Number of nodes in the own data centre, and again in the others together, that get keepalives.
 /// Keepalives to all nodes would grow with the square of their number.
 constexpr std::size_t kKeepaliveReceivers = 6;
+/// What is known of the calls of a process is kept this long after its last call or link.
+constexpr Duration kProcessLifetime = std::chrono::minutes(10);
+constexpr Duration kExpiryInterval = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -61,6 +64,7 @@
   /// Identifies the process that opened the link; empty before the handshake.
   const std::string& process() const { return key_prefix_; }
   int64_t link_number() const { return link_number_; }
+  int64_t next_call_id() const { return next_call_id_; }
   void Close() { link_->Close(); }
 
   std::size_t SendChunk(int64_t transfer) override {
@@ -120,8 +124,8 @@
     if (!HasHandshake()) {
       return;
     }
-    if (!std::exchange(in_use_, true) && !IsFaultActive(Fault::kKeepEarlierLinks)) {
-      server_.CloseEarlierLinks(*this);
+    if (!std::exchange(in_use_, true)) {
+      server_.OnInUse(*this);
     }
     if (message.__isset.call) {
       OnCall(std::move(message.call), std::move(body));
@@ -160,10 +164,11 @@
     call.latency_target_ms -= static_cast<int32_t>(age.count());
     const int64_t call_id = call.call_id;
     const std::string key = MakeCallKey(call_id);
+    const bool may_be_forgotten = server_.history_.OnCall(MonotonicNow(), process(), call_id);
     const auto body_bytes = static_cast<std::size_t>(std::max(0, call.body_bytes));
     const TimePoint due = MonotonicNow() + std::chrono::milliseconds(call.latency_target_ms);
     server_.inbound_.Call(key, std::move(call), std::move(body),
-                          std::make_shared<LinkReplySink>(link_, due));
+                          std::make_shared<LinkReplySink>(link_, due), may_be_forgotten);
     if (!server_.inbound_.IsAwaitingBody(key)) {
       return;
     }
@@ -189,6 +194,7 @@
     link_->set_remote(is_remote());
     key_prefix_ = name_ + "/" + std::to_string(hello.incarnation) + "/";
     link_number_ = hello.link_number;
+    next_call_id_ = hello.next_call_id;
     server_.links_of_processes_[key_prefix_].push_back(this);
     wire::LinkMessage message;
     message.__isset.hello = true;
@@ -227,6 +233,8 @@
   std::string data_centre_;
   std::string key_prefix_;
   int64_t link_number_ = 0;
+  /// Calls with a lower id were sent on earlier links before.
+  int64_t next_call_id_ = 0;
   /// A message has come after the handshake.
   bool in_use_ = false;
   bool gets_keepalives_ = false;
@@ -243,7 +251,8 @@
       hooks_(std::move(hooks)),
       data_centre_(std::move(data_centre)),
       vm_link_(std::move(vm_link)),
-      random_(random) {}
+      random_(random),
+      history_(inbound.id_retention(), kProcessLifetime) {}
 
 LinkServer::~LinkServer() {
   for (const auto& [key, session] : sessions_) {
@@ -268,6 +277,13 @@
   sessions_.erase(&session);
 }
 
+void LinkServer::OnInUse(const Session& session) {
+  if (!IsFaultActive(Fault::kKeepEarlierLinks)) {
+    CloseEarlierLinks(session);
+  }
+  history_.OnLink(MonotonicNow(), session.process(), session.next_call_id());
+}
+
 void LinkServer::CloseEarlierLinks(const Session& session) {
   // Links are in the order of their handshakes.
   std::vector<Session*>& links = links_of_processes_.at(session.process());
@@ -326,6 +342,10 @@
 }
 
 void LinkServer::Tick(TimePoint now) {
+  if (now >= next_expiry_) {
+    next_expiry_ = now + kExpiryInterval;
+    history_.Expire(now);
+  }
   SelectKeepaliveReceivers(false);
   SelectKeepaliveReceivers(true);
   for (const auto& [key, session] : sessions_) {
--- a/src/edge/peer_links.cc
+++ b/src/edge/peer_links.cc
@@ -178,6 +178,7 @@
   message.hello.incarnation = options_.incarnation;
   message.hello.wants_nodes = wants_nodes_;
   message.hello.link_number = peer.link_number;
+  message.hello.next_call_id = next_call_id_;
   peer.handshake_sent_at = MonotonicNow();
   peer.link->Send(message);
 }
--- a/src/gen/limpet_types.cpp
+++ b/src/gen/limpet_types.cpp
@@ -7895,6 +7895,10 @@
 void LinkHello::__set_drops_earlier_links(const bool val) {
   this->drops_earlier_links = val;
 }
+
+void LinkHello::__set_next_call_id(const int64_t val) {
+  this->next_call_id = val;
+}
 std::ostream& operator<<(std::ostream& out, const LinkHello& obj)
 {
   obj.printTo(out);
@@ -8023,6 +8027,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->next_call_id);
+          this->__isset.next_call_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8092,6 +8104,10 @@
   xfer += oprot->writeBool(this->drops_earlier_links);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("next_call_id", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->next_call_id);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8110,6 +8126,7 @@
   swap(a.withdraws_calls, b.withdraws_calls);
   swap(a.link_number, b.link_number);
   swap(a.drops_earlier_links, b.drops_earlier_links);
+  swap(a.next_call_id, b.next_call_id);
   swap(a.__isset, b.__isset);
 }
 
@@ -8125,6 +8142,7 @@
   withdraws_calls = other345.withdraws_calls;
   link_number = other345.link_number;
   drops_earlier_links = other345.drops_earlier_links;
+  next_call_id = other345.next_call_id;
   __isset = other345.__isset;
 }
 LinkHello::LinkHello(LinkHello&& other346) noexcept {
@@ -8139,6 +8157,7 @@
   withdraws_calls = other346.withdraws_calls;
   link_number = other346.link_number;
   drops_earlier_links = other346.drops_earlier_links;
+  next_call_id = other346.next_call_id;
   __isset = other346.__isset;
 }
 LinkHello& LinkHello::operator=(const LinkHello& other347) {
@@ -8153,6 +8172,7 @@
   withdraws_calls = other347.withdraws_calls;
   link_number = other347.link_number;
   drops_earlier_links = other347.drops_earlier_links;
+  next_call_id = other347.next_call_id;
   __isset = other347.__isset;
   return *this;
 }
@@ -8168,6 +8188,7 @@
   withdraws_calls = other348.withdraws_calls;
   link_number = other348.link_number;
   drops_earlier_links = other348.drops_earlier_links;
+  next_call_id = other348.next_call_id;
   __isset = other348.__isset;
   return *this;
 }
@@ -8185,6 +8206,7 @@
   out << ", " << "withdraws_calls=" << to_string(withdraws_calls);
   out << ", " << "link_number=" << to_string(link_number);
   out << ", " << "drops_earlier_links=" << to_string(drops_earlier_links);
+  out << ", " << "next_call_id=" << to_string(next_call_id);
   out << ")";
 }
 
--- a/src/gen/limpet_types.h
+++ b/src/gen/limpet_types.h
@@ -2987,7 +2987,7 @@
 std::ostream& operator<<(std::ostream& out, const NodeAddress& obj);
 
 typedef struct _LinkHello__isset {
-  _LinkHello__isset() : node(false), incarnation(false), config_version(false), target(false), known_nodes(false), requests_bodies(false), wants_nodes(false), requests_body_parts(false), withdraws_calls(false), link_number(false), drops_earlier_links(false) {}
+  _LinkHello__isset() : node(false), incarnation(false), config_version(false), target(false), known_nodes(false), requests_bodies(false), wants_nodes(false), requests_body_parts(false), withdraws_calls(false), link_number(false), drops_earlier_links(false), next_call_id(false) {}
   bool node :1;
   bool incarnation :1;
   bool config_version :1;
@@ -2999,6 +2999,7 @@
   bool withdraws_calls :1;
   bool link_number :1;
   bool drops_earlier_links :1;
+  bool next_call_id :1;
 } _LinkHello__isset;
 
 class LinkHello : public virtual ::apache::thrift::TBase {
@@ -3016,7 +3017,8 @@
               requests_body_parts(0),
               withdraws_calls(0),
               link_number(0),
-              drops_earlier_links(0) {
+              drops_earlier_links(0),
+              next_call_id(0) {
   }
 
   virtual ~LinkHello() noexcept;
@@ -3031,6 +3033,7 @@
   bool withdraws_calls;
   int64_t link_number;
   bool drops_earlier_links;
+  int64_t next_call_id;
 
   _LinkHello__isset __isset;
 
@@ -3056,6 +3059,8 @@
 
   void __set_drops_earlier_links(const bool val);
 
+  void __set_next_call_id(const int64_t val);
+
   bool operator == (const LinkHello & rhs) const
   {
     if (!(node == rhs.node))
@@ -3080,6 +3085,8 @@
       return false;
     if (!(drops_earlier_links == rhs.drops_earlier_links))
       return false;
+    if (!(next_call_id == rhs.next_call_id))
+      return false;
     return true;
   }
   bool operator != (const LinkHello &rhs) const {
--- a/src/traffic/target_gate.cc
+++ b/src/traffic/target_gate.cc
@@ -214,7 +214,9 @@
     return {.verdict = GateVerdict::kAttach};
   }
   deduplication_.Expire(now);
-  if (!call.idempotent && deduplication_.Find(call.request_id) == DeduplicationState::kAccepted) {
+  const bool may_have_run = call.may_be_forgotten ||
+                            deduplication_.Find(call.request_id) == DeduplicationState::kAccepted;
+  if (!call.idempotent && may_have_run) {
     return {.outcome = wire::Outcome::kUnknown, .reason = Reason::kDuplicate};
   }
   if (const auto reason = CheckTarget(now, call); reason != Reason::kNone) {
--- a/tests/edge/holding_relay.h
+++ b/tests/edge/holding_relay.h
@@ -37,12 +37,14 @@
     void Release() {
       hold_to_server = false;
       hold_to_client = false;
+      hold_after_first_bytes = false;
       Flush(to_server_);
       Flush(to_client_);
     }
 
     bool hold_to_server = false;
     bool hold_to_client = false;
+    bool hold_after_first_bytes = false;
 
    private:
     struct Direction {
@@ -60,6 +62,9 @@
             direction.held.append(direction.buffer.data(), bytes);
             direction.ended = bool{error};
             self->Flush(direction);
+            if (&source == &self->client_ && self->hold_after_first_bytes) {
+              self->hold_to_server = true;
+            }
             if (!error) {
               self->Read(source, direction);
             }
@@ -99,6 +104,8 @@
 
   /// New connections hold what their client sends.
   bool hold_new_links = false;
+  /// New connections hold what their client sends after its first bytes.
+  bool hold_after_handshake = false;
 
  private:
   std::unique_ptr<Listener> MakeListener(int port) {
@@ -115,6 +122,7 @@
     }
     connections_.push_back(std::make_shared<Connection>(std::move(client), std::move(server)));
     connections_.back()->hold_to_server = hold_new_links;
+    connections_.back()->hold_after_first_bytes = hold_after_handshake;
     connections_.back()->Start();
   }
 
--- a/tests/edge/late_copies_test.cc
+++ b/tests/edge/late_copies_test.cc
@@ -181,8 +181,8 @@
     call.method = "POST";
     call.path = "/";
     call.headers.push_back(MakeHeader("X-Request-Id", request));
-    call.deadline_ms = 60'000;
-    call.latency_target_ms = 60'000;
+    call.deadline_ms = deadline_ms;
+    call.latency_target_ms = deadline_ms;
     call.usual_run_us = 1000;
     call.free_slot_only = free_slot_only;
     PeerLinks::CallHandlers handlers;
@@ -218,6 +218,9 @@
   }
   void Tick() { links_.Tick(); }
 
+  /// Deadline of the calls that are sent from now on.
+  int deadline_ms = 60'000;
+
   bool reachable() const { return reachable_; }
   const std::map<std::string, int64_t>& pending() const { return pending_; }
   /// Requests of which the server has promised that they do not run.
@@ -361,6 +364,26 @@
   CHECK(target.executions("late") == 1);
 }
 
+// Guards against a request that runs twice: the id of the first copy is forgotten when the second
+// one, which was held up on its link, arrives.
+TEST_CASE_FIXTURE(Mesh, "a copy that comes after the id of its call was forgotten does not run") {
+  server_options.gate.deduplication_margin = milliseconds(60);
+  RestartServer();
+  WaitForLink();
+  client->deadline_ms = 40;
+  relay.newest().hold_to_client = true;
+  Call("late", false);
+  FinishAll();
+  CHECK(target.executions("late") == 1);
+  relay.hold_after_handshake = true;
+  Reopen();
+  std::this_thread::sleep_for(milliseconds(200));
+  relay.newest().Release();
+  FinishAll();
+  CHECK(target.executions("late") == 1);
+  CHECK(client->ended().contains("late"));
+}
+
 // Guards against work for nobody: the caller of the held call has left.
 TEST_CASE_FIXTURE(Mesh, "a cancelled call does not run when its only copy arrives late") {
   HoldLink();
