Soak: links whose bytes arrive after the links were closed

Cause: the soak's proxies delay, block, stall and reset links, but none delivers what was sent on a link after the sender has closed it and opened another.

Change: the fault `hold_links` holds all that is sent on the open links of some nodes for 1 to 12 s, the close included, while new links work.

--- a/scripts/lib/soak/__main__.py
+++ b/scripts/lib/soak/__main__.py
@@ -28,7 +28,9 @@
             os.remove(os.path.join(folder, name))
     # Copied, so that a build during the run does not replace the program.
     binary = shutil.copy(arguments.binary, os.path.join(os.path.abspath(folder), "limpetd"))
-    deployment = Deployment(binary, folder, arguments.nodes, select_faults(arguments.faults))
+    deployment = Deployment(
+        binary, folder, arguments.nodes, arguments.slots, arguments.rate, select_faults(arguments.faults)
+    )
     try:
         await deployment.start()
         await deployment.inject_faults(arguments.seconds)
@@ -65,6 +67,8 @@
     parser.add_argument("--seeds", default="1", help='"7", "1,2", "1-50" or "fresh:N"')
     parser.add_argument("--seconds", type=float, default=12.0, help="how long faults are injected")
     parser.add_argument("--nodes", type=int, default=6)
+    parser.add_argument("--rate", type=float, default=6.0, help="requests of each caller per second")
+    parser.add_argument("--slots", type=int, default=4, help="slots of each target")
     parser.add_argument("--faults", default="", help="names of the faults to inject, separated by commas; default: all")
     parser.add_argument("--regressions", action="store_true", help="make the runs of regressions.txt")
     parser.add_argument("--out", default="out/soak", help="folder for settings and logs")
--- a/scripts/lib/soak/deployment.py
+++ b/scripts/lib/soak/deployment.py
@@ -13,7 +13,6 @@
 SERVICES = ("alpha", "beta")
 DATA_CENTRES = ("a", "b", "c")
 CALLERS_PER_NODE = 3
-REQUESTS_PER_S = 6.0
 # Longest interval between the starts of two faults; faults overlap.
 MAX_FAULT_INTERVAL_S = 1.2
 READY_LIMIT_S = 15.0
@@ -36,7 +35,8 @@
 
 
 class Deployment:
-    def __init__(self, binary, folder, node_count, faults):
+    def __init__(self, binary, folder, node_count, slots, requests_per_s, faults):
+        self.requests_per_s = requests_per_s
         self.faults = faults
         self.checker = Checker()
         self.store = Store()
@@ -46,6 +46,7 @@
                 f"n{i}",
                 DATA_CENTRES[i // len(SERVICES) % len(DATA_CENTRES)],
                 SERVICES[i % len(SERVICES)],
+                slots,
                 binary,
                 folder,
                 self.checker,
@@ -67,7 +68,7 @@
             self.checker.fail("Fault", "not all nodes are ready after the start")
         for node in self.nodes:
             for i in range(CALLERS_PER_NODE):
-                caller = Caller(f"{node.name}-c{i}", node, self.checker, self.routes, REQUESTS_PER_S)
+                caller = Caller(f"{node.name}-c{i}", node, self.checker, self.routes, self.requests_per_s)
                 self.tasks.append(asyncio.create_task(caller.run()))
 
     def log_event(self, text):
--- a/scripts/lib/soak/faults.py
+++ b/scripts/lib/soak/faults.py
@@ -5,6 +5,9 @@
 
 from soak.checker import FAULT_EFFECT_S
 
+# Longest time for which bytes between nodes are held up: the longest cut of the users' days.
+MAX_HOLD_S = 12
+
 
 def random_node(deployment):
     return random.choice(deployment.nodes)
@@ -57,6 +60,15 @@
     random_node(deployment).link_proxy.stall()
 
 
+async def hold_links(deployment):
+    """What is sent on the open links of some nodes arrives late, also if the links are closed meanwhile; new links work."""
+    nodes = random.sample(deployment.nodes, random.randint(1, len(deployment.nodes)))
+    seconds = random.uniform(1, MAX_HOLD_S)
+    disturbed = keep_disturbed(deployment, "all", seconds)
+    await asyncio.gather(disturbed, *(node.link_proxy.hold(seconds) for node in nodes))
+    deployment.checker.record_disturbance("all")
+
+
 async def block_links(deployment):
     node = random_node(deployment)
     node.link_proxy.blocked = random.choice(({"to"}, {"from"}, {"to", "from"}))
@@ -138,7 +150,7 @@
         return
     name, start_time_ms = target.instance, target.start_time_ms
     await restart_target(target)
-    late = type(target)(target.name, target.service, target.checker)
+    late = type(target)(target.name, target.service, target.slots, target.checker)
     late.instance, late.start_time_ms, late.sequence = name, start_time_ms, 20
     late.port, late.announcements_port = target.port, target.announcements_port
     await late.heartbeat()
@@ -209,6 +221,7 @@
     delay_links,
     reset_links,
     stall_links,
+    hold_links,
     block_links,
     block_store,
     inject_store_fault,
--- a/scripts/lib/soak/node.py
+++ b/scripts/lib/soak/node.py
@@ -43,14 +43,14 @@
 
 
 class Node:
-    def __init__(self, name, data_centre, service, binary, folder, checker):
+    def __init__(self, name, data_centre, service, slots, binary, folder, checker):
         self.name = name
         self.data_centre = data_centre
         self.service = service
         self.binary = binary
         self.folder = folder
         self.checker = checker
-        self.target = Target(name, service, checker)
+        self.target = Target(name, service, slots, checker)
         self.link_proxy = Proxy()
         self.store_proxy = Proxy()
         self.process = None
--- a/scripts/lib/soak/proxy.py
+++ b/scripts/lib/soak/proxy.py
@@ -5,6 +5,8 @@
 import struct
 
 CHUNK_BYTES = 65536
+# Time between the release of the two directions of a held connection.
+RELEASE_INTERVAL_S = 0.5
 
 
 class Proxy:
@@ -12,7 +14,8 @@
 
     `delay_s` delays each chunk. `blocked` is a set of directions ("to" and "from" the upstream) in which nothing is
     forwarded until it is cleared. Both act on open and new connections. A stalled connection never forwards anything
-    again, while new connections work.
+    again, while new connections work. Connections that are held for a while deliver everything afterwards, their end
+    included, also if one side has closed them meanwhile.
     """
 
     def __init__(self):
@@ -36,6 +39,19 @@
         for connection in self.connections:
             connection.stalled = True
 
+    async def hold(self, seconds):
+        """Holds what is sent on the connections that are open now; new connections work."""
+        connections = list(self.connections)
+        for connection in connections:
+            connection.held = {"to", "from"}
+        await asyncio.sleep(seconds)
+        for connection in connections:
+            connection.held = {"from"}
+        # A side that has closed its connection would reset it, and what it had sent would be lost.
+        await asyncio.sleep(RELEASE_INTERVAL_S)
+        for connection in connections:
+            connection.held = set()
+
     async def serve(self, reader, writer):
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection(*self.upstream)
@@ -61,6 +77,8 @@
         self.downstream = downstream
         self.upstream = upstream
         self.stalled = False
+        # Directions in which nothing is forwarded for now.
+        self.held = set()
 
     def reset(self):
         abort(self.downstream)
@@ -70,7 +88,7 @@
         while data := await reader.read(CHUNK_BYTES):
             if self.proxy.delay_s > 0:
                 await asyncio.sleep(self.proxy.delay_s)
-            while direction in self.proxy.blocked or self.stalled:
+            while direction in self.proxy.blocked or direction in self.held or self.stalled:
                 await asyncio.sleep(0.02)
             writer.write(data)
             await writer.drain()
--- a/scripts/lib/soak/target.py
+++ b/scripts/lib/soak/target.py
@@ -10,7 +10,6 @@
 from soak.proxy import abort
 
 HEARTBEAT_S = 0.5
-SLOTS = 4
 SERVICE_TIME_S = (0.003, 0.03)
 # A target serves this long after its leave was acknowledged: longer than nodes may still send it requests.
 SERVE_AFTER_LEAVE_S = (2.0, 6.0)
@@ -28,9 +27,10 @@
     response without its last 20 bytes), "extra" (the response twice), "errors" (status 500) and "shed" (status 503
     without execution). It affects `fault_share` of the requests."""
 
-    def __init__(self, name, service, checker):
+    def __init__(self, name, service, slots, checker):
         self.name = name
         self.service = service
+        self.slots = slots
         self.checker = checker
         self.fault = ""
         self.fault_share = 0.3
@@ -97,7 +97,7 @@
                 "address": f"127.0.0.1:{self.port}",
                 "zone": "a",
                 "version": "v1",
-                "slots": SLOTS,
+                "slots": self.slots,
                 "state": "draining" if self.draining else "ready",
                 "cold_remaining_ms": 0,
                 "sequence": self.sequence,
@@ -179,6 +179,6 @@
     def refusal(self, request):
         if request.headers.get("x-expected-instance", self.instance) != self.instance:
             return 421
-        if self.active_requests >= SLOTS * 2 or (self.fault == "shed" and random.random() < self.fault_share):
+        if self.active_requests >= self.slots * 2 or (self.fault == "shed" and random.random() < self.fault_share):
             return 503
         return 0
--- a/tests/soak/harness_test.py
+++ b/tests/soak/harness_test.py
@@ -9,6 +9,7 @@
 from soak.checker import Checker
 from soak.deployment import cancel_and_wait
 from soak.node import GRACE_PERIOD_S, Node
+from soak.proxy import Proxy
 from soak.store import Store
 
 
@@ -102,13 +103,41 @@
 
     def test_a_stop_during_which_the_process_was_paused_is_not_planned(self):
         # Guards against requests to a paused process that count as cut off by its planned stop.
-        node = Node("n0", "a", "alpha", "", "/tmp", Checker())
+        node = Node("n0", "a", "alpha", 4, "", "/tmp", Checker())
         node.stopping = True
         self.assertTrue(node.is_planned_stop())
         node.paused_at = time.monotonic() - GRACE_PERIOD_S / 2
         self.assertFalse(node.is_planned_stop())
 
 
+class ProxyTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_held_connection_delivers_what_was_sent_before_its_close(self):
+        # Guards against a proxy that is kinder than a network: it drops the bytes of a connection that was closed.
+        received = asyncio.get_running_loop().create_future()
+
+        async def serve(reader, writer):
+            data = await reader.read()
+            writer.write(b"reply")
+            received.set_result(data)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        proxy = Proxy()
+        await proxy.start(server.sockets[0].getsockname())
+        _, writer = await asyncio.open_connection("127.0.0.1", proxy.port)
+        while not proxy.connections:
+            await asyncio.sleep(0.01)
+        holding = asyncio.create_task(proxy.hold(0.2))
+        await asyncio.sleep(0)
+        writer.write(b"call")
+        writer.close()
+        await asyncio.sleep(0.1)
+        self.assertFalse(received.done())
+        self.assertEqual(await http.within(1.0, received), b"call")
+        await holding
+        server.close()
+        proxy.server.close()
+
+
 class StoreTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_connection_on_which_a_response_was_lost_returns_nothing_further(self):
         # Guards against a stand-in that is kinder than the store and thereby hides readers that wait forever.
