Keep the call history of a process while it has a link

Cause: the state of a calling process was dropped 10 min after its last call, also while its link was open. If the link was lost then, all calls that were sent again counted as possibly forgotten and ended as unknown (502), although none of them had arrived. At the design size most pairs of nodes exchange a call less often than that.

Change: the state is kept while the process has a link, and for 10 min after its last one. The comment on the periods states the bound.

Measured: traffic/call_history_test.cc "the state of a process is kept while it has a link" (the interface changed with the fix, so the test does not compile without it).

--- a/include/limpet/traffic/call_history.h
+++ b/include/limpet/traffic/call_history.h
@@ -2,6 +2,7 @@
 #define LIMPET_TRAFFIC_CALL_HISTORY_H_
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <unordered_map>
 
@@ -19,7 +20,7 @@
 class CallHistory {
  public:
   /// Ids of accepted calls are kept elsewhere for at least `retention` after their arrival. The
-  /// state of a process is kept for `process_lifetime` after its last call or link.
+  /// state of a process is kept while it has a link, and then for `process_lifetime`.
   CallHistory(Duration retention, Duration process_lifetime);
 
   /// A link of the process has come into use. Calls on it with an id below `next_call_id` were sent
@@ -28,8 +29,8 @@
   /// A call of the process has arrived. Returns true if an earlier copy of it may have been
   /// accepted and forgotten.
   bool OnCall(TimePoint now, const std::string& process, int64_t call_id);
-  /// Removes the state of processes that have not been seen for their lifetime.
-  void Expire(TimePoint now);
+  /// Removes the state of processes that have had no link for their lifetime.
+  void Expire(TimePoint now, const std::function<bool(const std::string& process)>& has_link);
 
  private:
   struct Process {
@@ -42,13 +43,15 @@
     TimePoint period_start{};
     /// Calls up to this id on the present link were sent before.
     int64_t resent = 0;
-    TimePoint last_seen{};
+    /// Last time at which the process was known to have a link.
+    TimePoint last_linked{};
   };
 
   void Advance(TimePoint now, Process& process) const;
 
-  /// A period ends with the first call after this time, so it lasts less than twice as long unless
-  /// no call comes, and a call that does not count as forgotten arrived less than three of it ago.
+  /// A third of the retention. A period ends with the first call after this time, and if it has
+  /// lasted twice as long, all earlier calls count as forgotten. So a call that does not count as
+  /// forgotten arrived less than three times this long ago.
   Duration period_;
   Duration process_lifetime_;
   std::unordered_map<std::string, Process> processes_;
--- a/src/edge/link_server.cc
+++ b/src/edge/link_server.cc
@@ -17,7 +17,7 @@
 /// Number of nodes in the own data centre, and again in the others together, that get keepalives.
 /// Keepalives to all nodes would grow with the square of their number.
 constexpr std::size_t kKeepaliveReceivers = 6;
-/// What is known of the calls of a process is kept this long after its last call or link.
+/// What is known of the calls of a process is kept this long after its last link.
 constexpr Duration kProcessLifetime = std::chrono::minutes(10);
 constexpr Duration kExpiryInterval = std::chrono::seconds(10);
 
@@ -344,7 +344,8 @@
 void LinkServer::Tick(TimePoint now) {
   if (now >= next_expiry_) {
     next_expiry_ = now + kExpiryInterval;
-    history_.Expire(now);
+    history_.Expire(
+        now, [this](const std::string& process) { return links_of_processes_.contains(process); });
   }
   SelectKeepaliveReceivers(false);
   SelectKeepaliveReceivers(true);
--- a/src/traffic/call_history.cc
+++ b/src/traffic/call_history.cc
@@ -16,7 +16,7 @@
     state.period_start = now;
   }
   state.resent = std::max(state.newest, next_call_id - 1);
-  state.last_seen = now;
+  state.last_linked = now;
 }
 
 bool CallHistory::OnCall(TimePoint now, const std::string& process, int64_t call_id) {
@@ -28,7 +28,6 @@
   Advance(now, state);
   const bool may_be_forgotten = call_id <= std::min(state.forgotten, state.resent);
   state.newest = std::max(state.newest, call_id);
-  state.last_seen = now;
   return may_be_forgotten;
 }
 
@@ -42,9 +41,15 @@
   process.period_start = now;
 }
 
-void CallHistory::Expire(TimePoint now) {
+void CallHistory::Expire(TimePoint now,
+                         const std::function<bool(const std::string& process)>& has_link) {
+  for (auto& [process, state] : processes_) {
+    if (has_link(process)) {
+      state.last_linked = now;
+    }
+  }
   std::erase_if(processes_, [&](const auto& entry) {
-    return now - entry.second.last_seen > process_lifetime_;
+    return now - entry.second.last_linked > process_lifetime_;
   });
 }
 
--- a/tests/traffic/call_history_test.cc
+++ b/tests/traffic/call_history_test.cc
@@ -67,13 +67,26 @@
 TEST_CASE_FIXTURE(Fixture, "all copies from an unknown process may be of forgotten calls") {
   CHECK_FALSE(history.OnCall(start, "p", 7));
   const TimePoint later = start + kLifetime + seconds(1);
-  history.Expire(later);
+  history.Expire(later, [](const std::string&) { return false; });
   history.OnLink(later, "p", 9);
   CHECK(history.OnCall(later, "p", 7));
   CHECK(history.OnCall(later, "p", 8));
   CHECK_FALSE(history.OnCall(later, "p", 9));
 }
 
+// Guards against calls that get no service because their process had sent none for long.
+TEST_CASE_FIXTURE(Fixture, "the state of a process is kept while it has a link") {
+  CHECK_FALSE(history.OnCall(start, "p", 7));
+  TimePoint now = start;
+  for (int i = 0; i < 3; ++i) {
+    now += kLifetime - seconds(1);
+    history.Expire(now, [](const std::string& process) { return process == "p"; });
+  }
+  history.OnLink(now, "p", 9);
+  CHECK(history.OnCall(now, "p", 7));
+  CHECK_FALSE(history.OnCall(now, "p", 8));
+}
+
 // An earlier version does not say which calls are sent again.
 TEST_CASE_FIXTURE(Fixture, "the calls of an unknown process of an earlier version are new") {
   history.OnLink(start, "q", 0);
