Wait for events in the tests of late copies

Cause: the tests took a few empty polls of the event loop as a sign that all had arrived. Beside much load loopback may deliver later, and a check for something that has to happen would fail. Not seen: a reading of the new tests.

Change: checks of what has to happen wait for it, at most 5 s; checks of what must not happen stay as they were.

--- a/tests/edge/late_copies_test.cc
+++ b/tests/edge/late_copies_test.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <boost/asio/ip/address.hpp>
 #include <chrono>
+#include <functional>
 #include <iterator>
 #include <map>
 #include <memory>
@@ -277,16 +278,35 @@
         std::make_unique<ClientNode>(context.get_executor(), relay.ports(), ++last_incarnation);
     WaitForLink();
   }
-  void WaitForLink() {
-    for (int i = 0; i < 1000 && !client->reachable(); ++i) {
+  /// Runs the event loop until the condition holds, at most for 5 s. Returns whether it holds.
+  bool Eventually(const std::function<bool()>& condition) {
+    const TimePoint end = MonotonicNow() + std::chrono::seconds(5);
+    do {
       Settle(context);
-      std::this_thread::sleep_for(milliseconds(1));
-    }
+    } while (!condition() && MonotonicNow() < end);
+    return condition();
+  }
+  void WaitForLink() {
+    Eventually([this] { return client->reachable(); });
   }
   void Call(const std::string& request, bool free_slot_only) {
     client->Call(request, free_slot_only);
     Settle(context);
   }
+  bool CallRuns(const std::string& request) {
+    client->Call(request, false);
+    return Eventually([&] { return target.executions(request) == 1; });
+  }
+  bool IsRefused(const std::string& request) {
+    return Eventually([&] { return client->refused().contains(request); });
+  }
+  /// Ends the requests of the target until this one has ended.
+  bool Ends(const std::string& request) {
+    return Eventually([&] {
+      target.FinishOldest();
+      return client->ended().contains(request);
+    });
+  }
   /// Holds what the client sends on its link from now on.
   void HoldLink() { relay.newest().hold_to_server = true; }
   void Reopen() {
@@ -311,28 +331,29 @@
 // Guards against a request that runs twice, or after its caller got 503: the second copy of the
 // call was refused, and the first one, held up on a link that its sender had closed, was admitted.
 TEST_CASE_FIXTURE(Mesh, "a refused call does not run when its first copy arrives late") {
-  Call("running", false);
+  REQUIRE(CallRuns("running"));
   HoldLink();
   Call("late", true);
   Reopen();
-  CHECK(client->refused().contains("late"));
-  FinishAll();
+  CHECK(IsRefused("late"));
+  CHECK(Ends("running"));
   Release(0);
+  FinishAll();
   CHECK(target.executions("late") == 0);
   CHECK(target.executions("running") == 1);
 }
 
 // Guards against the same after a withdrawal, which a stopping node takes as a promise.
 TEST_CASE_FIXTURE(Mesh, "a withdrawn call does not run when its first copy arrives late") {
-  Call("running", false);
+  REQUIRE(CallRuns("running"));
   HoldLink();
   Call("late", false);
   Reopen();
   client->Withdraw("late");
-  Settle(context);
-  CHECK(client->refused().contains("late"));
-  FinishAll();
+  CHECK(IsRefused("late"));
+  CHECK(Ends("running"));
   Release(0);
+  FinishAll();
   CHECK(target.executions("late") == 0);
 }
 
@@ -342,13 +363,13 @@
   server_options.drops_earlier_links = false;
   RestartServer();
   WaitForLink();
-  Call("running", false);
+  REQUIRE(CallRuns("running"));
   Call("once", true);
-  CHECK(client->refused().contains("once"));
+  CHECK(IsRefused("once"));
   HoldLink();
   Call("twice", true);
   Reopen();
-  CHECK(client->ended().contains("twice"));
+  CHECK(Eventually([this] { return client->ended().contains("twice"); }));
   CHECK_FALSE(client->refused().contains("twice"));
 }
 
@@ -357,10 +378,10 @@
   HoldLink();
   Call("late", false);
   Reopen();
-  CHECK(target.executions("late") == 1);
+  CHECK(Eventually([this] { return target.executions("late") == 1; }));
   Release(0);
+  CHECK(Ends("late"));
   FinishAll();
-  CHECK(client->ended().contains("late"));
   CHECK(target.executions("late") == 1);
 }
 
@@ -372,16 +393,14 @@
   WaitForLink();
   client->deadline_ms = 40;
   relay.newest().hold_to_client = true;
-  Call("late", false);
+  REQUIRE(CallRuns("late"));
   FinishAll();
-  CHECK(target.executions("late") == 1);
   relay.hold_after_handshake = true;
   Reopen();
   std::this_thread::sleep_for(milliseconds(200));
   relay.newest().Release();
-  FinishAll();
+  CHECK(Ends("late"));
   CHECK(target.executions("late") == 1);
-  CHECK(client->ended().contains("late"));
 }
 
 // Guards against work for nobody: the caller of the held call has left.
@@ -404,12 +423,12 @@
   relay.hold_new_links = false;
   Reopen();
   CHECK(client->reachable());
-  Call("first", false);
+  REQUIRE(CallRuns("first"));
   Release(1);
-  Call("second", false);
-  FinishAll();
+  CHECK(Ends("first"));
+  CHECK(CallRuns("second"));
+  CHECK(Ends("second"));
   CHECK(client->reachable());
-  CHECK(client->ended() == std::set<std::string>{"first", "second"});
 }
 
 // Guards against a roll-out, quota or claim that is decided by what a node has replaced since.
@@ -418,7 +437,7 @@
   client->Report("earlier");
   Reopen();
   client->Report("newer");
-  Settle(context);
+  CHECK(Eventually([this] { return !server->reports().empty(); }));
   Release(0);
   CHECK(server->reports() == std::vector<std::string>{"newer"});
 }
@@ -431,15 +450,14 @@
   Settle(context);
   Reopen();
   Release(0);
-  FinishAll();
+  CHECK(Ends("upload"));
   CHECK(target.bodies() == std::vector<std::string>{body});
-  CHECK(client->ended().contains("upload"));
 }
 
 // Guards against a node that keeps the links of a peer which it has reached at an address of
 // another node: the peer closes such a link after the handshake.
 TEST_CASE_FIXTURE(Mesh, "a link without a message after its handshake does not replace another") {
-  Call("first", false);
+  REQUIRE(CallRuns("first"));
   TcpSocket socket(context.get_executor());
   socket.connect({asio::ip::make_address("127.0.0.1"), static_cast<uint16_t>(server_port)});
   const auto link = std::make_shared<Link>(std::move(socket));
@@ -451,8 +469,7 @@
   link->Send(message);
   Settle(context);
   CHECK(client->reachable());
-  FinishAll();
-  CHECK(client->ended().contains("first"));
+  CHECK(Ends("first"));
 }
 
 /// Random steps on a mesh. Links are held, closed, opened and released in any order.
